--- /dev/null
+++ b/backends/damaskhill_impl_frontend.cpp
@@ -0,0 +1,350 @@
+// Index of this file:
+// [SECTION] Decoding
+// [SECTION] Refusals
+// [SECTION] Answers
+// [SECTION] Front end
+
+#include "damaskhill_impl_frontend.hpp"
+
+#include "damaskhill_impl_json.hpp"
+
+#include <array>
+
+#include <openssl/evp.h>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Decoding
+//-----------------------------------------------------------------------------
+
+std::string sha256_hex(std::string_view bytes) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (unsigned int i = 0; i < size; ++i) {
+        text.push_back(digits[digest[i] >> 4U]);
+        text.push_back(digits[digest[i] & 0xFU]);
+    }
+    return text;
+}
+
+namespace {
+
+bool fail(failure& why, failure_kind kind, std::string where, std::string allowed) {
+    why = {kind, std::move(where), {}, std::move(allowed)};
+    return false;
+}
+
+bool decode_route(const http_request& from, caller_request& to, failure& why) {
+    constexpr std::string_view services = "/services/";
+    constexpr std::string_view answers = "/v1/answers/";
+    const std::string_view target = from.target;
+    to.method = from.method;
+    if (target == "/v1/completions" || target == "/v1/chat/completions") {
+        to.route = target == "/v1/completions" ? caller_route::completions : caller_route::chat_completions;
+        to.path = target;
+        if (from.method == "POST") return true;
+        return fail(why, failure_kind::malformed_request, from.method + " " + from.target, "POST");
+    }
+    if (target.starts_with(answers) && from.method == "GET") {
+        to.route = caller_route::fetch_answer;
+        const auto id = parse_id<request_id>(target.substr(answers.size()));
+        if (!id) return fail(why, failure_kind::malformed_request, "request id", "32 hexadecimal digits");
+        to.request = *id;
+        return true;
+    }
+    if (target.starts_with(services)) {
+        const std::string_view rest = target.substr(services.size());
+        const std::size_t slash = rest.find('/');
+        to.route = caller_route::service;
+        to.pool = rest.substr(0, slash);
+        to.path = slash == std::string_view::npos ? "/" : std::string{rest.substr(slash)};
+        return true;
+    }
+    return fail(why, failure_kind::not_found, from.target,
+                "/v1/completions, /v1/chat/completions, /v1/answers/<id> or /services/<pool>/<path>");
+}
+
+bool decode_headers(const http_request& from, caller_request& to, failure& why) {
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : from.headers)
+        bytes += name.size() + value.size();
+    if (bytes > caller_header_limit) return fail(why, failure_kind::header_too_large, "headers", "16 KB");
+    if (from.body.size() > caller_body_limit) return fail(why, failure_kind::body_too_large, "body", "1 MB");
+    constexpr std::string_view bearer = "Bearer ";
+    const std::string_view authorization = find_header(from.headers, "Authorization");
+    if (authorization.starts_with(bearer)) to.key_hash = sha256_hex(authorization.substr(bearer.size()));
+    to.idempotency_key = find_header(from.headers, "Idempotency-Key");
+    to.traceparent = find_header(from.headers, "traceparent");
+    to.content_type = find_header(from.headers, "Content-Type");
+    const std::string_view id = find_header(from.headers, "X-Request-Id");
+    if (!id.empty() && to.request.empty()) {
+        const auto parsed = parse_id<request_id>(id);
+        if (!parsed)
+            return fail(why, failure_kind::malformed_request, "X-Request-Id", "32 hexadecimal digits");
+        to.request = *parsed;
+    }
+    const std::string_view cls = find_header(from.headers, "X-Damaskhill-Class");
+    if (cls == "interactive") to.cls = request_class::interactive;
+    if (cls == "batch") to.cls = request_class::batch;
+    if (!cls.empty() && !to.cls) {
+        return fail(why, failure_kind::malformed_request, "X-Damaskhill-Class", "interactive or batch");
+    }
+    const std::string timeout{find_header(from.headers, "X-Request-Timeout-Ms")};
+    if (timeout.empty()) return true;
+    if (timeout.size() > 8 || timeout.find_first_not_of("0123456789") != std::string::npos) {
+        return fail(why, failure_kind::malformed_request, "X-Request-Timeout-Ms", "milliseconds");
+    }
+    to.timeout_ms = std::stoull(timeout);
+    return true;
+}
+
+std::string prompt_of(const json& body) {
+    if (body.contains("prompt") && body["prompt"].is_string()) return body["prompt"].get<std::string>();
+    std::string text;
+    if (!body.contains("messages") || !body["messages"].is_array()) return text;
+    for (const json& message : body["messages"]) {
+        if (message.is_object() && message.contains("content") && message["content"].is_string()) {
+            text += message["content"].get<std::string>();
+        }
+    }
+    return text;
+}
+
+bool decode_model_body(const http_request& from, caller_request& to, failure& why) {
+    constexpr std::uint32_t default_max_tokens = 128;
+    constexpr std::uint32_t max_tokens_limit = 1U << 20U;
+    constexpr std::size_t bytes_per_token = 4;
+    constexpr std::size_t prefix_bytes = 256;
+    failure ignored;
+    const auto body = parse_json(from.body, "body", ignored);
+    if (!body || !body->is_object())
+        return fail(why, failure_kind::malformed_request, "body", "a JSON object");
+    if (!body->contains("model") || !(*body)["model"].is_string()) {
+        return fail(why, failure_kind::malformed_request, "body: $.model", "a string");
+    }
+    to.pool = (*body)["model"].get<std::string>();
+    to.max_tokens = default_max_tokens;
+    if (body->contains("max_tokens")) {
+        if (!decode_json((*body)["max_tokens"], to.max_tokens, "$.max_tokens", unknown_keys::skip, ignored) ||
+            to.max_tokens == 0 || to.max_tokens > max_tokens_limit) {
+            return fail(why, failure_kind::malformed_request, "body: $.max_tokens", "1 to 1048576");
+        }
+    }
+    if (body->contains("stream")) {
+        if (!(*body)["stream"].is_boolean()) {
+            return fail(why, failure_kind::malformed_request, "body: $.stream", "true or false");
+        }
+        to.stream = (*body)["stream"].get<bool>();
+    }
+    const std::string prompt = prompt_of(*body);
+    to.prompt_tokens = static_cast<std::uint32_t>(prompt.size() / bytes_per_token);
+    to.prefix_hash = stable_hash(std::string_view{prompt}.substr(0, prefix_bytes));
+    return true;
+}
+
+} // namespace
+
+std::optional<caller_request> decode_caller_request(const http_request& request, failure& why) {
+    caller_request decoded;
+    if (!decode_route(request, decoded, why) || !decode_headers(request, decoded, why)) return std::nullopt;
+    decoded.body = request.body;
+    const bool model =
+        decoded.route == caller_route::completions || decoded.route == caller_route::chat_completions;
+    if (model && !decode_model_body(request, decoded, why)) return std::nullopt;
+    return decoded;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Refusals
+//-----------------------------------------------------------------------------
+
+std::uint32_t status_of(failure_kind kind) {
+    switch (kind) {
+    case failure_kind::unauthorized:
+        return 401;
+    case failure_kind::malformed_request:
+    case failure_kind::key_required:
+    case failure_kind::malformed_key:
+        return 400;
+    case failure_kind::header_too_large:
+        return 431;
+    case failure_kind::body_too_large:
+        return 413;
+    case failure_kind::not_found:
+    case failure_kind::unknown_pool:
+    case failure_kind::answer_expired:
+        return 404;
+    case failure_kind::queue_full:
+        return 429;
+    case failure_kind::key_expired:
+        return 410;
+    case failure_kind::key_reused:
+    case failure_kind::quarantined:
+        return 422;
+    case failure_kind::deadline_exceeded:
+        return 504;
+    case failure_kind::target_failed:
+    case failure_kind::answer_incomplete:
+        return 502;
+    case failure_kind::internal:
+        return 500;
+    default:
+        return 503;
+    }
+}
+
+std::string problem_json(const refuse& refusal) {
+    json problem{{"type", "urn:damaskhill:problem:" + std::string{to_string(refusal.kind)}},
+                 {"title", to_string(refusal.kind)},
+                 {"status", status_of(refusal.kind)},
+                 {"run_state", to_string(refusal.state)}};
+    if (!refusal.detail.empty()) problem["detail"] = refusal.detail;
+    if (!refusal.request.empty()) problem["request_id"] = to_string(refusal.request);
+    return dump_json(problem);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::string_view event_stream = "text/event-stream";
+
+// Answers of model engines are kept as plain text and get their JSON form here.
+std::string completion_json(caller_route route, const std::string& model, request_id request,
+                            const std::string& text) {
+    const bool chat = route == caller_route::chat_completions;
+    json choice{{"index", 0}, {"finish_reason", "stop"}};
+    if (chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    return dump_json(json{{"id", to_string(request)},
+                          {"object", chat ? "chat.completion" : "text_completion"},
+                          {"model", model},
+                          {"choices", json::array({choice})}});
+}
+
+std::string event_json(caller_route route, const std::string& model, request_id request,
+                       const std::string& text) {
+    const bool chat = route == caller_route::chat_completions;
+    json choice{{"index", 0}, {"finish_reason", nullptr}};
+    if (chat) {
+        choice["delta"] = {{"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    const json event{{"id", to_string(request)},
+                     {"object", chat ? "chat.completion.chunk" : "text_completion"},
+                     {"model", model},
+                     {"choices", json::array({choice})}};
+    return "data: " + dump_json(event) + "\n\n";
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Front end
+//-----------------------------------------------------------------------------
+
+void caller_frontend::on_request(http_request&& request, http_reply_ptr reply) {
+    const caller_id caller = next_caller_++;
+    failure why;
+    auto decoded = decode_caller_request(request, why);
+    open_request& opened = open_[caller];
+    opened.reply = std::move(reply);
+    opened.connection = request.connection;
+    by_connection_[request.connection].push_back(caller);
+    if (!decoded) {
+        submit_(caller_malformed{caller, why.kind, describe(why)});
+        return;
+    }
+    decoded->caller = caller;
+    opened.route = decoded->route;
+    opened.model = decoded->pool;
+    submit_(std::move(*decoded));
+}
+
+void caller_frontend::on_connection_closed(std::uint64_t connection) {
+    const auto found = by_connection_.find(connection);
+    if (found == by_connection_.end()) return;
+    const std::vector<caller_id> callers = std::move(found->second);
+    by_connection_.erase(found);
+    for (const caller_id caller : callers) {
+        if (open_.erase(caller) > 0) submit_(caller_gone{caller});
+    }
+}
+
+void caller_frontend::forget(caller_id caller) {
+    const auto found = open_.find(caller);
+    if (found == open_.end()) return;
+    const auto connection = by_connection_.find(found->second.connection);
+    if (connection != by_connection_.end()) {
+        std::erase(connection->second, caller);
+        if (connection->second.empty()) by_connection_.erase(connection);
+    }
+    open_.erase(found);
+}
+
+void caller_frontend::perform(const answer_whole& answer) {
+    const auto found = open_.find(answer.caller);
+    if (found == open_.end()) return;
+    const open_request& opened = found->second;
+    const bool text = std::string_view{answer.content_type}.starts_with(event_stream);
+    http_headers headers{{"Content-Type", text ? "application/json" : answer.content_type},
+                         {"X-Request-Id", to_string(answer.request)}};
+    std::string body =
+        text ? completion_json(opened.route, opened.model, answer.request, answer.body) : answer.body;
+    opened.reply->whole(answer.status, headers, std::move(body));
+    forget(answer.caller);
+}
+
+void caller_frontend::perform(const stream_begin& begin) {
+    const auto found = open_.find(begin.caller);
+    if (found == open_.end()) return;
+    found->second.request = begin.request;
+    found->second.reply->begin(200, {{"Content-Type", std::string{event_stream}},
+                                     {"X-Request-Id", to_string(begin.request)},
+                                     {"Cache-Control", "no-store"}});
+}
+
+void caller_frontend::perform(const stream_data& data) {
+    const auto found = open_.find(data.caller);
+    if (found == open_.end()) return;
+    const open_request& opened = found->second;
+    opened.reply->chunk(event_json(opened.route, opened.model, opened.request, data.text));
+}
+
+void caller_frontend::perform(const stream_end& end) {
+    const auto found = open_.find(end.caller);
+    if (found == open_.end()) return;
+    const open_request& opened = found->second;
+    if (end.reason == failure_kind::none) {
+        opened.reply->chunk("data: [DONE]\n\n");
+    } else {
+        // A stream without [DONE] is not whole; the error event says why.
+        const refuse refusal{end.caller, opened.request, end.reason, run_state::unknown, 0, {}};
+        opened.reply->chunk("event: error\ndata: " + problem_json(refusal) + "\n\n");
+    }
+    opened.reply->end();
+    forget(end.caller);
+}
+
+void caller_frontend::perform(const refuse& refusal) {
+    const auto found = open_.find(refusal.caller);
+    if (found == open_.end()) return;
+    http_headers headers{{"Content-Type", "application/problem+json"}};
+    if (refusal.retry_after_s > 0) headers.emplace_back("Retry-After", std::to_string(refusal.retry_after_s));
+    if (!refusal.request.empty()) headers.emplace_back("X-Request-Id", to_string(refusal.request));
+    if (refusal.kind == failure_kind::unauthorized) headers.emplace_back("WWW-Authenticate", "Bearer");
+    found->second.reply->whole(status_of(refusal.kind), headers, problem_json(refusal));
+    forget(refusal.caller);
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_json.cpp
@@ -0,0 +1,178 @@
+// Index of this file:
+// [SECTION] Documents
+// [SECTION] Decoding
+// [SECTION] Declarations
+// [SECTION] Files
+
+#include "damaskhill_impl_json.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Documents
+//-----------------------------------------------------------------------------
+
+std::string dump_json(const json& document, int indent) {
+    return document.dump(indent, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<json> parse_json(std::string_view text, std::string_view where, failure& why) {
+    // The parser is recursive only over containers; this bound keeps hostile nesting off the stack.
+    constexpr int depth_limit = 64;
+    const auto bounded = [](int depth, json::parse_event_t, json&) {
+        if (depth > depth_limit) throw std::length_error("nesting");
+        return true;
+    };
+    try {
+        json document = json::parse(text, bounded, false);
+        if (!document.is_discarded()) return document;
+    } catch (const std::length_error&) {
+        why = {failure_kind::malformed_document, std::string{where}, "deep nesting", "at most 64 levels"};
+        return std::nullopt;
+    }
+    why = {failure_kind::malformed_document, std::string{where}, std::string{text.substr(0, 40)},
+           "a JSON document"};
+    return std::nullopt;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Decoding
+//-----------------------------------------------------------------------------
+
+namespace detail {
+
+bool decode_failed(failure& why, failure_kind kind, std::string_view path, const json& found,
+                   std::string_view allowed) {
+    constexpr std::size_t shown = 60; // bytes of the value that was found
+    why = {kind, std::string{path}, dump_json(found).substr(0, shown), std::string{allowed}};
+    return false;
+}
+
+bool decode_integer(const json& from, std::int64_t lowest, std::uint64_t highest, std::string_view path,
+                    failure& why) {
+    const std::string allowed =
+        "an integer from " + std::to_string(lowest) + " to " + std::to_string(highest);
+    if (!from.is_number_integer()) return decode_failed(why, failure_kind::wrong_type, path, from, allowed);
+    const bool in_range = from.is_number_unsigned()
+                              ? from.get<std::uint64_t>() <= highest
+                              : from.get<std::int64_t>() >= lowest &&
+                                    (from.get<std::int64_t>() < 0 ||
+                                     static_cast<std::uint64_t>(from.get<std::int64_t>()) <= highest);
+    return in_range || decode_failed(why, failure_kind::out_of_range, path, from, allowed);
+}
+
+bool decode_time(const json& from, time_point& value, std::string_view path, failure& why) {
+    if (from.is_number_integer()) {
+        value = time_point{duration{from.get<std::int64_t>()}};
+        return true;
+    }
+    std::tm parts{};
+    char extra = 0;
+    const std::string text = from.is_string() ? from.get<std::string>() : std::string{};
+    const int read = std::sscanf(text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d%c", &parts.tm_year, &parts.tm_mon,
+                                 &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &extra);
+    if (read != 7 || extra != 'Z') {
+        return decode_failed(why, failure_kind::wrong_type, path, from,
+                             "a time such as 2026-12-04T05:00:00Z");
+    }
+    const std::chrono::year_month_day day{std::chrono::year{parts.tm_year},
+                                          std::chrono::month{static_cast<unsigned>(parts.tm_mon)},
+                                          std::chrono::day{static_cast<unsigned>(parts.tm_mday)}};
+    if (!day.ok() || parts.tm_hour > 23 || parts.tm_min > 59 || parts.tm_sec > 60) {
+        return decode_failed(why, failure_kind::out_of_range, path, from,
+                             "a time such as 2026-12-04T05:00:00Z");
+    }
+    value = std::chrono::sys_days{day} + std::chrono::hours{parts.tm_hour} +
+            std::chrono::minutes{parts.tm_min} + std::chrono::seconds{parts.tm_sec};
+    return true;
+}
+
+} // namespace detail
+
+//-----------------------------------------------------------------------------
+// [SECTION] Declarations
+//-----------------------------------------------------------------------------
+
+std::string encode_team_record(const team_record& record) {
+    return dump_json(json{{"team", record.team},
+                          {"revision", record.revision},
+                          {"nonce", record.nonce},
+                          {"files", record.files}});
+}
+
+std::optional<team_record> decode_team_record(std::string_view text, failure& why) {
+    const auto document = parse_json(text, "team record", why);
+    if (!document) return std::nullopt;
+    team_record record;
+    const bool ok =
+        document->is_object() && document->contains("files") && (*document)["files"].is_object() &&
+        decode_json(document->value("team", json{}), record.team, "$.team", unknown_keys::skip, why) &&
+        decode_json(document->value("revision", json{}), record.revision, "$.revision", unknown_keys::skip,
+                    why) &&
+        decode_json(document->value("nonce", json{}), record.nonce, "$.nonce", unknown_keys::skip, why);
+    if (!ok) {
+        if (why.kind == failure_kind::none) {
+            why = {failure_kind::missing_field, "team record: $.files", "no object", "an object of files"};
+        }
+        return std::nullopt;
+    }
+    for (const auto& [path, file] : (*document)["files"].items())
+        record.files.emplace(path, file);
+    return record;
+}
+
+namespace {
+
+template <class T>
+bool add_declaration(std::vector<T>& list, const json& document, const std::string& path, failure& why) {
+    T value{};
+    if (!decode_json(document, value, "$", unknown_keys::reject, why)) {
+        why.where = path + ": " + why.where;
+        return false;
+    }
+    list.push_back(std::move(value));
+    return true;
+}
+
+bool add_file(team_declarations& declared, const std::string& path, const json& document, failure& why) {
+    const std::string folder = path.substr(0, path.find('/'));
+    if (folder == "accounts") return add_declaration(declared.accounts, document, path, why);
+    if (folder == "pools" || folder == "services")
+        return add_declaration(declared.pools, document, path, why);
+    if (folder == "moves") return add_declaration(declared.moves, document, path, why);
+    if (folder == "data_centres") return add_declaration(declared.data_centres, document, path, why);
+    why = {failure_kind::out_of_range, path, folder, "accounts, pools, services, moves or data_centres"};
+    return false;
+}
+
+} // namespace
+
+std::optional<team_declarations> declarations_of(const team_record& record, failure& why) {
+    team_declarations declared;
+    declared.team = record.team;
+    declared.revision = record.revision;
+    for (const auto& [path, document] : record.files) {
+        if (!add_file(declared, path, document, why)) return std::nullopt;
+    }
+    if (!check_declarations(declared, why)) return std::nullopt;
+    return declared;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Files
+//-----------------------------------------------------------------------------
+
+std::optional<std::string> read_file(const std::string& path, failure& why) {
+    std::ifstream file{path, std::ios::binary};
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        why = {failure_kind::not_found, path, "no readable file", "a file"};
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_restinio.cpp
@@ -0,0 +1,182 @@
+// Index of this file:
+// [SECTION] Replies
+// [SECTION] Server
+
+#include "damaskhill_impl_restinio.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+#include <restinio/all.hpp>
+
+namespace damaskhill {
+
+std::string_view find_header(const http_headers& headers, std::string_view name) {
+    const auto same = [&](const auto& header) {
+        return std::ranges::equal(header.first, name, [](unsigned char a, unsigned char b) {
+            return std::tolower(a) == std::tolower(b);
+        });
+    };
+    const auto found = std::ranges::find_if(headers, same);
+    return found == headers.end() ? std::string_view{} : std::string_view{found->second};
+}
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Replies
+//-----------------------------------------------------------------------------
+
+restinio::http_status_line_t status_line(std::uint32_t status) {
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
+            status < 400 ? "OK" : "Refused"};
+}
+
+class restinio_reply final : public http_reply {
+public:
+    explicit restinio_reply(restinio::request_handle_t request) : request_(std::move(request)) {}
+
+    void whole(std::uint32_t status, const http_headers& headers, std::string body) override {
+        if (!request_) return;
+        auto response = request_->create_response(status_line(status));
+        for (const auto& [name, value] : headers)
+            response.append_header(name, value);
+        response.set_body(std::move(body));
+        response.done();
+        request_.reset();
+    }
+
+    void begin(std::uint32_t status, const http_headers& headers) override {
+        if (!request_) return;
+        stream_ = std::make_unique<stream>(
+            request_->create_response<restinio::chunked_output_t>(status_line(status)));
+        for (const auto& [name, value] : headers)
+            stream_->append_header(name, value);
+        stream_->flush();
+        request_.reset();
+    }
+
+    void chunk(std::string data) override {
+        // An empty chunk would be the end of the body.
+        if (!stream_ || data.empty()) return;
+        stream_->append_chunk(std::move(data));
+        stream_->flush();
+    }
+
+    void end() override {
+        if (!stream_) return;
+        stream_->done();
+        stream_.reset();
+    }
+
+    void abort() override {
+        // RESTinio has no call for it: dropping the builder leaves the body without its end, and the
+        // connection is closed by the reply limit or by the client.
+        if (stream_) {
+            stream_->connection_close();
+            stream_.reset();
+        }
+        request_.reset();
+    }
+
+private:
+    using stream = restinio::response_builder_t<restinio::chunked_output_t>;
+    restinio::request_handle_t request_;
+    std::unique_ptr<stream> stream_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Server
+//-----------------------------------------------------------------------------
+
+class close_listener {
+public:
+    explicit close_listener(http_server::closed_handler on_closed) : on_closed_(std::move(on_closed)) {}
+    void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
+        if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()) && on_closed_) {
+            on_closed_(notice.connection_id());
+        }
+    }
+
+private:
+    http_server::closed_handler on_closed_;
+};
+
+struct server_traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+    using connection_state_listener_t = close_listener;
+};
+using server = restinio::http_server_t<server_traits>;
+
+http_request to_request(const restinio::request_handle_t& from) {
+    http_request request;
+    request.connection = from->connection_id();
+    request.method = from->header().method().c_str();
+    request.target = from->header().request_target();
+    from->header().for_each_field(
+        [&](const auto& field) { request.headers.emplace_back(field.name(), field.value()); });
+    request.body = from->body();
+    return request;
+}
+
+} // namespace
+
+struct http_server::implementation {
+    implementation(event_loop& l, http_server_settings s) : loop(l), settings(s) {}
+    event_loop& loop;
+    http_server_settings settings;
+    std::unique_ptr<server> running;
+};
+
+http_server::http_server(event_loop& loop, http_server_settings settings)
+    : impl_(std::make_unique<implementation>(loop, settings)) {}
+
+http_server::~http_server() {
+    if (impl_->running) impl_->running->close_async([] {}, [](const std::exception_ptr&) {});
+}
+
+std::optional<bool> http_server::listen(std::string_view address, handler on_request,
+                                        closed_handler on_closed, failure& why) {
+    const auto parts = split_address(address, why);
+    if (!parts) return std::nullopt;
+    auto& context = *static_cast<asio::io_context*>(impl_->loop.native());
+    const auto limit = std::chrono::duration_cast<std::chrono::seconds>(impl_->settings.reply_limit);
+    restinio::incoming_http_msg_limits_t limits;
+    limits.max_body_size(impl_->settings.body_limit).max_field_value_size(impl_->settings.header_limit);
+    bool open_failed = false;
+    std::string reason;
+    impl_->running = std::make_unique<server>(restinio::external_io_context(context), [&](auto& settings) {
+        settings.address(parts->first)
+            .port(parts->second)
+            .incoming_http_msg_limits(limits)
+            .handle_request_timeout(limit)
+            .write_http_response_timelimit(limit)
+            .read_next_http_message_timelimit(std::chrono::seconds{120})
+            .max_pipelined_requests(1)
+            .connection_state_listener(std::make_shared<close_listener>(std::move(on_closed)))
+            .request_handler([on_request = std::move(on_request)](restinio::request_handle_t request) {
+                http_request converted = to_request(request);
+                on_request(std::move(converted), std::make_shared<restinio_reply>(std::move(request)));
+                return restinio::request_accepted();
+            });
+    });
+    impl_->running->open_async([] {},
+                               [&](const std::exception_ptr& error) {
+                                   open_failed = true;
+                                   try {
+                                       std::rethrow_exception(error);
+                                   } catch (const std::exception& e) {
+                                       reason = e.what();
+                                   }
+                               });
+    // The open runs on the loop; it is polled here so that a used address is an error of this call.
+    for (int i = 0; i < 8; ++i)
+        context.poll();
+    context.restart();
+    if (open_failed) {
+        why = {failure_kind::network, std::string{address}, reason, "a free address of this VM"};
+        return std::nullopt;
+    }
+    return true;
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_store.cpp
@@ -0,0 +1,165 @@
+// Index of this file:
+// [SECTION] Key-value store
+// [SECTION] Calls of the router
+
+#include "damaskhill_impl_store.hpp"
+
+#include "damaskhill_impl_json.hpp"
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Key-value store
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr duration call_timeout = 2s; // the core gives a call up earlier; this frees its connection
+constexpr std::uint32_t conflict_status = 409;
+
+store_result to_result(const http_result& reply) {
+    store_result result;
+    if (!reply.transport_ok) {
+        result.result = reply.timed_out ? failure_kind::store_timeout : failure_kind::store_unreachable;
+        return result;
+    }
+    failure why;
+    const auto document = parse_json(reply.body, "store reply", why);
+    const bool known = reply.status == 200 || reply.status == conflict_status;
+    if (!known || !document || !document->is_object()) {
+        result.result = failure_kind::store_unreachable;
+        return result;
+    }
+    if (reply.status == conflict_status) result.result = failure_kind::store_conflict;
+    try {
+        result.revision = document->value("revision", std::uint64_t{0});
+        for (const json& entry : document->value("values", json::array())) {
+            result.values.push_back({entry.value("key", std::string{}),
+                                     entry.value("version", std::uint64_t{0}),
+                                     entry.value("value", std::string{})});
+        }
+    } catch (const json::exception&) {
+        result = {};
+        result.result = failure_kind::store_unreachable; // a reply of a wrong shape counts as none
+    }
+    return result;
+}
+
+} // namespace
+
+void store_client::call(const std::string& path, const std::string& body, duration timeout,
+                        store_handler done) {
+    http_call request{"POST", url_ + path, {{"Content-Type", "application/json"}}, body, timeout, 1s};
+    http_.start(std::move(request),
+                {{}, [done = std::move(done)](http_result&& reply) { done(to_result(reply)); }});
+}
+
+void store_client::read(const std::string& key, store_handler done) {
+    call("/v1/kv/get", dump_json(json{{"key", key}}), call_timeout, std::move(done));
+}
+
+void store_client::swap(const std::string& key, std::uint64_t expected, const std::string& value,
+                        store_handler done) {
+    call("/v1/kv/swap", dump_json(json{{"key", key}, {"expected", expected}, {"value", value}}), call_timeout,
+         std::move(done));
+}
+
+void store_client::watch(const std::string& prefix, std::uint64_t after, duration wait, store_handler done) {
+    const auto wait_ms = static_cast<std::uint64_t>(to_milliseconds(wait));
+    call("/v1/kv/watch", dump_json(json{{"prefix", prefix}, {"after", after}, {"wait_ms", wait_ms}}),
+         wait + call_timeout, std::move(done));
+}
+
+void store_client::list_vms(std::function<void(std::optional<vm_list>&&)> done) {
+    http_call request{"GET", url_ + "/v1/vms", {}, {}, call_timeout, 1s};
+    http_.start(std::move(request),
+                {{}, [done = std::move(done)](http_result&& reply) {
+                     failure why;
+                     if (!reply.transport_ok || reply.status != 200) {
+                         done(std::nullopt);
+                         return;
+                     }
+                     done(parse_as<vm_list>(reply.body, "list of VMs", unknown_keys::skip, why));
+                 }});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Calls of the router
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr const char* facts_key = "facts";
+constexpr duration watch_wait = 1s; // bounds the age of what a process knows of the declarations
+
+std::uint64_t version_of(const store_result& result) {
+    return result.values.empty() ? 0 : result.values.front().version;
+}
+
+} // namespace
+
+void router_platform::perform(const store_read& asked) {
+    store_.read(asked.key, [this, call = asked.call](store_result&& result) {
+        store_reply reply{call, result.result, version_of(result), {}};
+        if (reply.version > 0) {
+            failure why;
+            auto log =
+                parse_as<order_log>(result.values.front().value, "order record", unknown_keys::skip, why);
+            // A record that cannot be read must not look empty: orders in it may have run.
+            if (!log) reply.result = failure_kind::store_unreachable;
+            if (log) reply.log = std::move(*log);
+        }
+        submit_(std::move(reply));
+    });
+}
+
+void router_platform::perform(const store_swap& asked) {
+    const std::string value = dump_json(encode_json(asked.log));
+    store_.swap(asked.key, asked.expected, value, [this, call = asked.call](store_result&& result) {
+        submit_(store_reply{call, result.result, version_of(result), {}});
+    });
+}
+
+void router_platform::perform(const watch_config& asked) {
+    store_.watch("config/", asked.after, watch_wait, [this](store_result&& result) {
+        config_watched watched;
+        watched.result = result.result;
+        watched.store_revision = result.revision;
+        for (const stored_value& value : result.values) {
+            failure why;
+            const auto record = decode_team_record(value.value, why);
+            auto declared = record ? declarations_of(*record, why) : std::nullopt;
+            if (declared) {
+                watched.teams.push_back(std::move(*declared));
+            } else {
+                ++watched.rejected;
+            }
+        }
+        submit_(std::move(watched));
+    });
+}
+
+void router_platform::perform(const store_facts& asked) {
+    const auto answer = [this](store_result&& result) {
+        facts_reply reply{result.result, version_of(result), {}};
+        if (!result.values.empty() && !result.values.front().value.empty()) {
+            failure why;
+            auto known = parse_as<facts>(result.values.front().value, "facts", unknown_keys::skip, why);
+            if (known) reply.known = std::move(*known);
+        }
+        submit_(std::move(reply));
+    };
+    if (asked.expected) {
+        store_.swap(facts_key, *asked.expected, dump_json(encode_json(asked.value)), answer);
+    } else {
+        store_.read(facts_key, answer);
+    }
+}
+
+void router_platform::perform(const list_vms& /*unused*/) {
+    store_.list_vms([this](std::optional<vm_list>&& list) {
+        if (list) submit_(std::move(*list));
+    });
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_target.cpp
@@ -0,0 +1,154 @@
+// Index of this file:
+// [SECTION] Calls
+// [SECTION] Event stream
+// [SECTION] Status
+
+#include "damaskhill_impl_target.hpp"
+
+#include "damaskhill_impl_json.hpp"
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Calls
+//-----------------------------------------------------------------------------
+
+target_client::target_client(http_client& http, std::string url, target_kind kind,
+                             std::function<void(sidecar_input&&)> submit)
+    : http_(http), url_(std::move(url)), kind_(kind), submit_(std::move(submit)) {}
+
+namespace {
+
+// Engines always stream to the sidecar, so that a lost answer can be resumed.
+std::string with_stream(const std::string& body) {
+    failure why;
+    auto document = parse_json(body, "body", why);
+    if (!document || !document->is_object()) return body;
+    (*document)["stream"] = true;
+    return dump_json(*document);
+}
+
+} // namespace
+
+void target_client::start(const start_call& asked) {
+    const bool engine = kind_ == target_kind::model_engine;
+    http_call call;
+    call.method = asked.method;
+    call.url = url_ + asked.path;
+    call.body = engine ? with_stream(asked.body) : asked.body;
+    call.timeout = duration{}; // the reducer ends calls that have gone silent
+    call.headers = {{"Content-Type", asked.content_type.empty() ? "application/json" : asked.content_type},
+                    {"traceparent", asked.traceparent},
+                    {"X-Fencing-Token", std::to_string(asked.fence)}};
+    if (asked.resume_offset > 0)
+        call.headers.emplace_back("X-Resume-Offset", std::to_string(asked.resume_offset));
+    if (!asked.idempotency_key.empty()) call.headers.emplace_back("Idempotency-Key", asked.idempotency_key);
+    const attempt_id attempt = asked.attempt;
+    http_call_handlers handlers;
+    handlers.on_data = [this, engine, attempt](std::uint32_t status, std::string_view, std::string&& data) {
+        if (engine && status == 200) {
+            on_engine_data(attempt, status, std::move(data));
+        } else if (status != 429 && status != 503) {
+            submit_(call_chunk{attempt, std::move(data)});
+        }
+    };
+    handlers.on_done = [this, attempt](http_result&& result) { on_done(attempt, std::move(result)); };
+    calls_[attempt].number = http_.start(std::move(call), std::move(handlers));
+}
+
+void target_client::cancel(const cancel_call& asked) {
+    const auto found = calls_.find(asked.attempt);
+    if (found == calls_.end()) return;
+    http_.cancel(found->second.number);
+    calls_.erase(found);
+}
+
+void target_client::on_done(attempt_id attempt, http_result&& result) {
+    const auto found = calls_.find(attempt);
+    if (found == calls_.end()) return;
+    call_finished done;
+    done.attempt = attempt;
+    done.status = result.status;
+    done.sent = result.sent;
+    done.content_type = result.content_type;
+    done.overloaded = result.transport_ok && (result.status == 429 || result.status == 503);
+    done.tokens = found->second.tokens;
+    const bool engine_stream = kind_ == target_kind::model_engine && result.status == 200;
+    done.transport_ok = result.transport_ok && (!engine_stream || found->second.ended);
+    calls_.erase(found);
+    submit_(std::move(done));
+}
+
+void target_client::load(const load_version& asked) {
+    http_call call{"POST", url_ + "/admin/load", {{"Content-Type", "application/json"}}, {}, 5s, 1s};
+    call.body = dump_json(json{{"version", asked.version}, {"fence", asked.fence}});
+    http_.start(std::move(call), {{}, [](http_result&&) {}});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Event stream
+//-----------------------------------------------------------------------------
+
+void target_client::on_engine_data(attempt_id attempt, std::uint32_t status, std::string&& data) {
+    const auto found = calls_.find(attempt);
+    if (found == calls_.end()) return;
+    open_call& call = found->second;
+    call.status = status;
+    call.unparsed += data;
+    std::size_t start = 0;
+    for (std::size_t end = call.unparsed.find('\n'); end != std::string::npos;
+         end = call.unparsed.find('\n', start)) {
+        on_engine_event(attempt, call, std::string_view{call.unparsed}.substr(start, end - start));
+        start = end + 1;
+    }
+    call.unparsed.erase(0, start);
+}
+
+void target_client::on_engine_event(attempt_id attempt, open_call& call, std::string_view line) {
+    constexpr std::string_view prefix = "data: ";
+    if (!line.starts_with(prefix)) return;
+    line.remove_prefix(prefix.size());
+    if (line.starts_with("[DONE]")) {
+        call.ended = true;
+        return;
+    }
+    failure why;
+    const auto document = parse_json(line, "event", why);
+    if (!document) return; // an event that cannot be read leaves a gap that the checks at the end find
+    try {
+        const json& choice = document->at("choices").at(0);
+        std::string text = choice.contains("delta") ? choice["delta"].value("content", std::string{})
+                                                    : choice.value("text", std::string{});
+        ++call.tokens;
+        submit_(call_chunk{attempt, std::move(text)});
+    } catch (const json::exception&) {
+        call.ended = false;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Status
+//-----------------------------------------------------------------------------
+
+void target_client::poll_status() {
+    if (polling_) return;
+    polling_ = true;
+    http_call call{"GET", url_ + "/status", {}, {}, 1s, 1s};
+    http_.start(std::move(call), {{}, [this](http_result&& result) {
+                                      polling_ = false;
+                                      target_status status;
+                                      status.reachable = result.transport_ok && result.status == 200;
+                                      failure why;
+                                      const auto document = parse_json(result.body, "status", why);
+                                      if (status.reachable && document) {
+                                          auto decoded = status;
+                                          const bool ok =
+                                              decode_json(*document, decoded, "$", unknown_keys::skip, why);
+                                          if (ok) status = decoded;
+                                          status.reachable = ok;
+                                      }
+                                      submit_(std::move(status));
+                                  }});
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_target.hpp
@@ -0,0 +1,49 @@
+// Client of one target: calls of a model engine (server-sent events) or of a plain service.
+//
+// Index of this file:
+// [SECTION] Target client
+
+#pragma once
+
+#include "damaskhill_events.hpp"
+#include "damaskhill_impl_curl.hpp"
+
+#include <unordered_map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Target client
+//-----------------------------------------------------------------------------
+
+class target_client {
+public:
+    target_client(http_client& http, std::string url, target_kind kind,
+                  std::function<void(sidecar_input&&)> submit);
+    void start(const start_call& asked);
+    void cancel(const cancel_call& asked);
+    void load(const load_version& asked);
+    /// Asks for the target's status; the result arrives as an event.
+    void poll_status();
+
+private:
+    struct open_call {
+        std::uint64_t number{};
+        std::string unparsed; // of the event stream
+        std::uint32_t tokens{};
+        bool ended{}; // the stream's end marker has arrived
+        std::uint32_t status{};
+    };
+    void on_engine_data(attempt_id attempt, std::uint32_t status, std::string&& data);
+    void on_engine_event(attempt_id attempt, open_call& call, std::string_view line);
+    void on_done(attempt_id attempt, http_result&& result);
+
+    http_client& http_;
+    std::string url_;
+    target_kind kind_;
+    std::function<void(sidecar_input&&)> submit_;
+    std::unordered_map<attempt_id, open_call> calls_;
+    bool polling_{};
+};
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_config.cpp
@@ -0,0 +1,157 @@
+// Index of this file:
+// [SECTION] Merged view
+// [SECTION] Checks
+
+#include "damaskhill_config.hpp"
+
+#include <algorithm>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Merged view
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// Rebuilds the indexes from all teams. Changes arrive 6,700 times a day, lookups 27,000 times a second, so
+// that a full rebuild costs less than keeping the indexes in step entry by entry.
+void rebuild_indexes(configuration& config) {
+    config.accounts_by_key.clear();
+    config.accounts.clear();
+    config.pools.clear();
+    config.data_centres.clear();
+    config.moves.clear();
+    for (const auto& [name, team] : config.teams) {
+        for (const auto& account : team.accounts) {
+            const account_id id = account_id_of(account.name);
+            config.accounts.emplace(id, account);
+            for (const auto& hash : account.key_hashes)
+                config.accounts_by_key.emplace(hash, id);
+        }
+        for (const auto& pool : team.pools)
+            config.pools.emplace(pool.name, pool);
+        for (const auto& centre : team.data_centres)
+            config.data_centres.emplace(centre.name, centre);
+        config.moves.insert(config.moves.end(), team.moves.begin(), team.moves.end());
+    }
+}
+
+} // namespace
+
+bool apply_declarations(configuration& config, const team_declarations& declared) {
+    auto& current = config.teams[declared.team];
+    if (declared.revision <= current.revision) return false;
+    current = declared;
+    rebuild_indexes(config);
+    return true;
+}
+
+std::vector<team_revision> revisions_of(const configuration& config) {
+    std::vector<team_revision> revisions;
+    revisions.reserve(config.teams.size());
+    for (const auto& [name, team] : config.teams)
+        revisions.push_back({name, team.revision});
+    return revisions;
+}
+
+const account_declaration* find_account(const configuration& config, std::string_view key_hash) {
+    const auto key = config.accounts_by_key.find(key_hash);
+    if (key == config.accounts_by_key.end()) return nullptr;
+    const auto account = config.accounts.find(key->second);
+    return account == config.accounts.end() ? nullptr : &account->second;
+}
+
+const pool_declaration* find_pool(const configuration& config, std::string_view name) {
+    const auto pool = config.pools.find(name);
+    return pool == config.pools.end() ? nullptr : &pool->second;
+}
+
+bool data_centre_in_service(const configuration& config, std::string_view name) {
+    const auto centre = config.data_centres.find(name);
+    return centre == config.data_centres.end() || centre->second.in_service;
+}
+
+bool is_order(const pool_declaration& pool, std::string_view method, std::string_view path) {
+    return std::ranges::any_of(pool.order_routes, [&](const order_route& route) {
+        return route.method == method && path.starts_with(route.path);
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Checks
+//-----------------------------------------------------------------------------
+
+namespace {
+
+bool reject(failure& why, failure_kind kind, std::string where, std::string found, std::string allowed) {
+    why = {kind, std::move(where), std::move(found), std::move(allowed)};
+    return false;
+}
+
+bool check_account(const account_declaration& account, std::string_view team, failure& why) {
+    const std::string prefix = std::string{team} + "/";
+    if (!account.name.starts_with(prefix) || account.name.size() == prefix.size()) {
+        return reject(why, failure_kind::foreign_subtree, "accounts." + account.name, account.name,
+                      "a name that starts with \"" + prefix + "\"");
+    }
+    if (!(account.share > 0.0 && account.share <= 1e6)) {
+        return reject(why, failure_kind::out_of_range, "accounts." + account.name + ".share",
+                      std::to_string(account.share), "a number above 0 and up to 1e6");
+    }
+    for (const auto& hash : account.key_hashes) {
+        if (hash.size() != 64 || hash.find_first_not_of("0123456789abcdef") != std::string::npos) {
+            return reject(why, failure_kind::out_of_range, "accounts." + account.name + ".key_hashes", hash,
+                          "64 lowercase hexadecimal digits");
+        }
+    }
+    return true;
+}
+
+bool check_pool(const pool_declaration& pool, failure& why) {
+    if (pool.name.empty()) {
+        return reject(why, failure_kind::missing_field, "pools.name", "an empty name", "a name");
+    }
+    if (pool.cold_limit == 0 || pool.cold_limit > pool.warm_limit) {
+        return reject(why, failure_kind::out_of_range, "pools." + pool.name + ".cold_limit",
+                      std::to_string(pool.cold_limit), "1 to warm_limit");
+    }
+    return true;
+}
+
+bool check_move(const move_declaration& move, failure& why) {
+    if (move.deadline <= move.start) {
+        return reject(why, failure_kind::out_of_range, "moves." + move.name + ".deadline",
+                      "a time not after start", "a time after start");
+    }
+    if (move.from_version == move.to_version) {
+        return reject(why, failure_kind::out_of_range, "moves." + move.name + ".to_version", move.to_version,
+                      "a version other than from_version");
+    }
+    if (!(move.exposure > 0.0 && move.exposure <= 0.02)) {
+        return reject(why, failure_kind::out_of_range, "moves." + move.name + ".exposure",
+                      std::to_string(move.exposure), "a number above 0 and up to 0.02");
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<bool> check_declarations(const team_declarations& declared, failure& why) {
+    if (declared.team.empty()) {
+        reject(why, failure_kind::missing_field, "team", "an empty name", "a name");
+        return std::nullopt;
+    }
+    for (const auto& account : declared.accounts) {
+        if (!check_account(account, declared.team, why)) return std::nullopt;
+    }
+    for (const auto& pool : declared.pools) {
+        if (!check_pool(pool, why)) return std::nullopt;
+    }
+    for (const auto& move : declared.moves) {
+        if (!check_move(move, why)) return std::nullopt;
+    }
+    return true;
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_config.hpp
@@ -0,0 +1,164 @@
+// Operators' declarations: typed form, revisions, merging and queries.
+//
+// Index of this file:
+// [SECTION] Declarations
+// [SECTION] Merged view
+
+#pragma once
+
+#include "damaskhill_fields.hpp"
+
+#include <map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Declarations
+//-----------------------------------------------------------------------------
+
+/// A client account: who may call and which share of each pool it has.
+struct account_declaration {
+    std::string name;                    // "team/name"
+    double share{1.0};                   // relative weight, > 0
+    std::vector<std::string> key_hashes; // SHA-256 of each key, 64 lowercase hexadecimal digits
+    std::uint32_t max_waiting{256};      // requests that may wait in one router
+    static constexpr auto fields() {
+        using t = account_declaration;
+        return std::tuple{field{1, "name", &t::name}, field{2, "share", &t::share},
+                          field{3, "key_hashes", &t::key_hashes}, field{4, "max_waiting", &t::max_waiting}};
+    }
+};
+
+/// A call of a plain service that may not be repeated.
+struct order_route {
+    std::string method; // upper case
+    std::string path;   // prefix of the path below /services/<pool>/
+    static constexpr auto fields() {
+        using t = order_route;
+        return std::tuple{field{1, "method", &t::method}, field{2, "path", &t::path}};
+    }
+};
+
+/// A pool of targets that serve the same model or service.
+struct pool_declaration {
+    std::string name;
+    target_kind kind{target_kind::model_engine};
+    std::string version;                   // version that serves when no move is under way
+    std::uint32_t cold_limit{2};           // concurrent requests that a cold target bears
+    std::uint32_t warm_limit{32};          // concurrent requests that a warm target bears at most
+    bool checks_fencing{false};            // targets refuse orders with an old fencing number
+    std::uint32_t loads_per_minute{6};     // version loads that the weight store allows to the pool
+    std::uint32_t batch_threshold{512};    // max_tokens above which a request is of the batch class
+    std::vector<order_route> order_routes; // non-idempotent calls (services only)
+    static constexpr auto fields() {
+        using t = pool_declaration;
+        return std::tuple{field{1, "name", &t::name},
+                          field{2, "kind", &t::kind},
+                          field{3, "version", &t::version},
+                          field{4, "cold_limit", &t::cold_limit},
+                          field{5, "warm_limit", &t::warm_limit},
+                          field{6, "checks_fencing", &t::checks_fencing},
+                          field{7, "loads_per_minute", &t::loads_per_minute},
+                          field{8, "batch_threshold", &t::batch_threshold},
+                          field{9, "order_routes", &t::order_routes}};
+    }
+};
+
+/// A move of a pool's traffic from one version to another.
+struct move_declaration {
+    std::string name;
+    std::string pool;
+    std::string from_version;
+    std::string to_version;
+    time_point start{};
+    time_point deadline{};
+    double exposure{0.02}; // share of the pool's requests before the verdict
+    bool take_back{false}; // operators ordered a rollback
+    static constexpr auto fields() {
+        using t = move_declaration;
+        return std::tuple{field{1, "name", &t::name},
+                          field{2, "pool", &t::pool},
+                          field{3, "from_version", &t::from_version},
+                          field{4, "to_version", &t::to_version},
+                          field{5, "start", &t::start},
+                          field{6, "deadline", &t::deadline},
+                          field{7, "exposure", &t::exposure},
+                          field{8, "take_back", &t::take_back}};
+    }
+};
+
+/// Whether a data centre carries traffic.
+struct data_centre_declaration {
+    std::string name;
+    bool in_service{true};
+    static constexpr auto fields() {
+        using t = data_centre_declaration;
+        return std::tuple{field{1, "name", &t::name}, field{2, "in_service", &t::in_service}};
+    }
+};
+
+/// Everything that one team declares; the unit of revision and of compare-and-swap.
+struct team_declarations {
+    std::string team;
+    std::uint64_t revision{}; // grows with each accepted change, also with deletions
+    std::vector<account_declaration> accounts;
+    std::vector<pool_declaration> pools;
+    std::vector<move_declaration> moves;
+    std::vector<data_centre_declaration> data_centres;
+    static constexpr auto fields() {
+        using t = team_declarations;
+        return std::tuple{field{1, "team", &t::team},         field{2, "revision", &t::revision},
+                          field{3, "accounts", &t::accounts}, field{4, "pools", &t::pools},
+                          field{5, "moves", &t::moves},       field{6, "data_centres", &t::data_centres}};
+    }
+};
+
+/// Revision of one team's declarations that a process has in force.
+struct team_revision {
+    std::string team;
+    std::uint64_t revision{};
+    friend bool operator==(const team_revision&, const team_revision&) = default;
+    static constexpr auto fields() {
+        using t = team_revision;
+        return std::tuple{field{1, "team", &t::team}, field{2, "revision", &t::revision}};
+    }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Merged view
+//-----------------------------------------------------------------------------
+
+/// All declarations in force in one process; a lower revision of a team is never applied.
+struct configuration {
+    std::map<std::string, team_declarations, std::less<>> teams;
+    std::map<std::string, account_id, std::less<>> accounts_by_key; // key hash to account
+    std::map<account_id, account_declaration> accounts;
+    std::map<std::string, pool_declaration, std::less<>> pools;
+    std::map<std::string, data_centre_declaration, std::less<>> data_centres;
+    std::vector<move_declaration> moves;
+};
+
+/// Applies the team's declarations if their revision is higher than the one in force.
+/// Returns false for an equal or lower revision, which changes nothing.
+bool apply_declarations(configuration& config, const team_declarations& declared);
+
+/// Revisions in force, in the order of team names.
+[[nodiscard]] std::vector<team_revision> revisions_of(const configuration& config);
+
+/// Account that a key (as SHA-256 in hexadecimal) belongs to, or null.
+[[nodiscard]] const account_declaration* find_account(const configuration& config, std::string_view key_hash);
+
+/// Pool by name, or null.
+[[nodiscard]] const pool_declaration* find_pool(const configuration& config, std::string_view name);
+
+/// Whether targets of the data centre may take new work; an undeclared data centre is in service.
+[[nodiscard]] bool data_centre_in_service(const configuration& config, std::string_view name);
+
+/// Whether a call of the pool's service may not be repeated.
+[[nodiscard]] bool is_order(const pool_declaration& pool, std::string_view method, std::string_view path);
+
+/// Checks a team's declarations for values outside their range and names that are not its own.
+/// Returns no value and writes the first reason when something is wrong.
+[[nodiscard]] std::optional<bool> check_declarations(const team_declarations& declared, failure& why);
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_limits.cpp
@@ -0,0 +1,65 @@
+// Index of this file:
+// [SECTION] Limit of a target
+
+#include "damaskhill_limits.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Limit of a target
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// The baseline follows a lower latency at once and a higher one slowly, so that a load-related rise of
+// some minutes does not become the new normal.
+constexpr double baseline_rise = 0.005;
+
+} // namespace
+
+void reset_to_cold(target_limit& target) { target.limit = target.settings.cold_limit; }
+
+bool on_latency(target_limit& target, request_class cls, duration first_byte) {
+    double& baseline = target.baseline_s[static_cast<std::size_t>(cls)];
+    const double latency = to_seconds(first_byte);
+    if (baseline <= 0.0 || latency < baseline) {
+        baseline = latency;
+    } else {
+        baseline += (latency - baseline) * baseline_rise;
+    }
+    if (latency > target.settings.cold_factor * baseline) {
+        const bool was_warm = target.limit > target.settings.cold_limit;
+        reset_to_cold(target);
+        if (was_warm) ++target.cold_turns;
+        return was_warm;
+    }
+    if (latency <= target.settings.good_factor * baseline) {
+        // One more request for each `limit` good answers: the additive increase of congestion control.
+        target.limit = std::min<double>(target.settings.warm_limit, target.limit + 1.0 / target.limit);
+    }
+    return false;
+}
+
+void on_overload(target_limit& target) { reset_to_cold(target); }
+
+std::uint32_t present_limit(const target_limit& target) {
+    return static_cast<std::uint32_t>(std::floor(target.limit));
+}
+
+std::uint32_t free_room(const target_limit& target, request_class cls, std::uint32_t interactive,
+                        std::uint32_t batch) {
+    const std::uint32_t limit = present_limit(target);
+    const std::uint32_t used = interactive + batch;
+    if (used >= limit) return 0;
+    if (cls == request_class::interactive) return limit - used;
+    // At a limit of 1 nothing can be reserved, or batch requests would never run.
+    const auto reserved = static_cast<std::uint32_t>(std::floor(limit * target.settings.reserved_share));
+    const std::uint32_t batch_limit = limit - std::min(reserved, limit - 1);
+    if (batch >= batch_limit) return 0;
+    return std::min(limit - used, batch_limit - batch);
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_orders.cpp
@@ -0,0 +1,340 @@
+// Index of this file:
+// [SECTION] Keys and records
+// [SECTION] Group commit
+// [SECTION] Sidecar's memory of orders
+
+#include "damaskhill_orders.hpp"
+
+#include <algorithm>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Keys and records
+//-----------------------------------------------------------------------------
+
+std::string order_record(order_key key, const order_settings& settings) {
+    const auto created = uuid_v7_time(key).value_or(time_point{});
+    const auto bucket = created.time_since_epoch() / settings.bucket;
+    const std::uint64_t shard = (key.low ^ (key.low >> 32U)) % settings.shards;
+    return "orders/" + std::to_string(bucket) + "/" + std::to_string(shard);
+}
+
+std::optional<order_key> parse_order_key(std::string_view text, time_point now,
+                                         const order_settings& settings, failure& why) {
+    const auto key = parse_id<order_key>(text);
+    const auto created = key ? uuid_v7_time(*key) : std::nullopt;
+    if (!created) {
+        why = {failure_kind::malformed_key, "Idempotency-Key", std::string{text.substr(0, 64)}, "a UUIDv7"};
+        return std::nullopt;
+    }
+    if (*created < now - settings.past_limit) {
+        why = {failure_kind::key_expired, "Idempotency-Key", "a key older than the limit", "at most 15 min"};
+        return std::nullopt;
+    }
+    if (*created > now + settings.future_limit) {
+        why = {failure_kind::malformed_key, "Idempotency-Key", "a time in the future", "at most 30 s ahead"};
+        return std::nullopt;
+    }
+    return key;
+}
+
+order_view view_order(std::span<const order_entry> entries, order_key key) {
+    order_view view;
+    for (const order_entry& entry : entries) {
+        if (entry.key != key) continue;
+        if (entry.kind == order_entry_kind::intent) {
+            const bool first = view.intent == nullptr && entry.supersedes.empty();
+            const bool next =
+                view.intent != nullptr && view.done == nullptr && entry.supersedes == view.intent->nonce;
+            if (!first && !next) continue;
+            view.intent = &entry;
+            view.seals.insert(view.seals.end(), entry.unseals.begin(), entry.unseals.end());
+        } else if (view.intent != nullptr && entry.nonce == view.intent->nonce && view.done == nullptr) {
+            view.done = &entry;
+        }
+    }
+    return view;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Group commit
+//-----------------------------------------------------------------------------
+
+namespace {
+
+using record = order_writer::record;
+
+std::vector<order_entry> entries_of(const order_log& log, order_key key) {
+    std::vector<order_entry> entries;
+    std::ranges::copy_if(log.entries, std::back_inserter(entries),
+                         [&](const order_entry& entry) { return entry.key == key; });
+    return entries;
+}
+
+std::size_t size_of(const order_log& log) {
+    constexpr std::size_t entry_overhead = 160; // bytes of the fixed fields in JSON
+    std::size_t bytes = 0;
+    for (const auto& entry : log.entries)
+        bytes += entry_overhead + entry.body.size();
+    return bytes;
+}
+
+bool contains(const order_log& log, const order_entry& entry) {
+    return std::ranges::any_of(log.entries, [&](const order_entry& other) {
+        return other.kind == entry.kind && other.nonce == entry.nonce && other.key == entry.key;
+    });
+}
+
+// An entry that could not change the view of its key is not written.
+bool would_change_view(const order_log& log, const order_entry& entry) {
+    const order_view view = view_order(log.entries, entry.key);
+    if (entry.kind == order_entry_kind::done) {
+        return view.intent != nullptr && view.intent->nonce == entry.nonce && view.done == nullptr;
+    }
+    if (view.intent == nullptr) return entry.supersedes.empty();
+    return view.done == nullptr && view.intent->nonce == entry.supersedes;
+}
+
+void start_read(order_writer& writer, const std::string& name, record& r, time_point now, effects& out) {
+    r.state = record::phase::reading;
+    r.call = writer.next_call++;
+    r.call_started = now;
+    writer.calls[r.call] = name;
+    out.emplace_back(store_read{r.call, name});
+}
+
+void start_write(order_writer& writer, const std::string& name, record& r, order_log&& log, time_point now,
+                 effects& out) {
+    r.state = record::phase::writing;
+    r.call = writer.next_call++;
+    r.call_started = now;
+    r.next_write = now + writer.settings.write_period;
+    writer.calls[r.call] = name;
+    out.emplace_back(store_swap{r.call, name, r.version, std::move(log)});
+}
+
+// Answers every pending entry whose fate the cached record shows.
+void settle(record& r, bool final_view, std::vector<append_result>& results) {
+    std::erase_if(r.pending, [&](const order_writer::pending_entry& pending) {
+        const bool written = pending.look || contains(r.log, pending.entry);
+        if (!written && !(final_view && !would_change_view(r.log, pending.entry))) return false;
+        results.push_back({pending.ticket, true, false, entries_of(r.log, pending.entry.key)});
+        return true;
+    });
+}
+
+void give_up(record& r, std::vector<append_result>& results) {
+    for (const auto& pending : r.pending) {
+        results.push_back({pending.ticket, false, pending.attempted, {}});
+    }
+    r.pending.clear();
+}
+
+// Starts the next call that the record needs, if any.
+void advance(order_writer& writer, const std::string& name, record& r, time_point now, effects& out,
+             std::vector<append_result>& results) {
+    if (r.state != record::phase::idle || r.pending.empty()) return;
+    const bool look = std::ranges::any_of(r.pending, &order_writer::pending_entry::look);
+    if (!r.cached || look) {
+        start_read(writer, name, r, now, out);
+        return;
+    }
+    if (now < r.next_write) return;
+    order_log log = r.log;
+    for (auto& pending : r.pending) {
+        if (pending.look || !would_change_view(log, pending.entry)) continue;
+        log.entries.push_back(pending.entry);
+        pending.attempted = true;
+    }
+    if (log.entries.size() == r.log.entries.size()) {
+        // Nothing can be appended according to the cache, which may be old: only a read decides.
+        start_read(writer, name, r, now, out);
+        return;
+    }
+    if (size_of(log) > writer.settings.record_limit) {
+        give_up(r, results);
+        return;
+    }
+    start_write(writer, name, r, std::move(log), now, out);
+}
+
+void on_read_result(record& r, const store_reply& reply, std::vector<append_result>& results) {
+    r.version = reply.version;
+    r.log = reply.log;
+    r.cached = true;
+    r.failures = 0;
+    settle(r, true, results);
+}
+
+void on_write_result(record& r, const store_reply& reply, std::vector<append_result>& results) {
+    if (reply.result == failure_kind::none) {
+        // The log that was written is the cached one with every attempted entry appended in order.
+        for (const auto& pending : r.pending) {
+            if (pending.attempted && would_change_view(r.log, pending.entry)) {
+                r.log.entries.push_back(pending.entry);
+            }
+        }
+        r.version = reply.version;
+        r.failures = 0;
+        settle(r, true, results);
+        return;
+    }
+    r.cached = false; // a conflict, or a lost reply: the record must be read again
+    r.next_write = time_point{};
+}
+
+} // namespace
+
+namespace {
+
+void add_pending(order_writer& writer, const order_writer::pending_entry& pending, time_point now,
+                 effects& out) {
+    const std::string name = order_record(pending.entry.key, writer.settings);
+    record& r = writer.records[name];
+    r.last_used = now;
+    r.pending.push_back(pending);
+    std::vector<append_result> refused; // only a full record refuses at once: told on the next tick
+    advance(writer, name, r, now, out, refused);
+    for (const auto& result : refused) {
+        r.pending.push_back({result.ticket, pending.entry, now, false, result.may_be_written});
+    }
+}
+
+} // namespace
+
+void append_order(order_writer& writer, std::uint64_t ticket, const order_entry& entry, time_point now,
+                  time_point deadline, effects& out) {
+    add_pending(writer, {ticket, entry, deadline, false, false}, now, out);
+}
+
+void look_up_order(order_writer& writer, std::uint64_t ticket, order_key key, time_point now,
+                   time_point deadline, effects& out) {
+    order_entry entry;
+    entry.key = key;
+    add_pending(writer, {ticket, entry, deadline, true, false}, now, out);
+}
+
+void on_store_reply(order_writer& writer, const store_reply& reply, time_point now, effects& out,
+                    std::vector<append_result>& results) {
+    const auto call = writer.calls.find(reply.call);
+    if (call == writer.calls.end()) return; // timed out before
+    const std::string name = call->second;
+    writer.calls.erase(call);
+    record& r = writer.records[name];
+    if (r.call != reply.call) return;
+    const bool was_reading = r.state == record::phase::reading;
+    r.state = record::phase::idle;
+    const bool answered = reply.result == failure_kind::none || reply.result == failure_kind::store_conflict;
+    if (!answered) {
+        r.cached = false;
+        if (++r.failures >= writer.settings.call_attempts) {
+            give_up(r, results);
+            r.failures = 0;
+            return;
+        }
+    } else if (was_reading) {
+        on_read_result(r, reply, results);
+    } else {
+        on_write_result(r, reply, results);
+    }
+    advance(writer, name, r, now, out, results);
+}
+
+void on_tick(order_writer& writer, time_point now, effects& out, std::vector<append_result>& results) {
+    for (auto it = writer.records.begin(); it != writer.records.end();) {
+        auto& [name, r] = *it;
+        if (r.state != record::phase::idle && now - r.call_started > writer.settings.call_timeout) {
+            const store_reply timeout{r.call, failure_kind::store_timeout, 0, {}};
+            on_store_reply(writer, timeout, now, out, results);
+        }
+        std::erase_if(r.pending, [&](const order_writer::pending_entry& pending) {
+            if (pending.deadline > now) return false;
+            results.push_back({pending.ticket, false, pending.attempted, {}});
+            return true;
+        });
+        advance(writer, name, r, now, out, results);
+        const bool idle = r.state == record::phase::idle && r.pending.empty();
+        if (idle && now - r.last_used > 2 * writer.settings.bucket) {
+            it = writer.records.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sidecar's memory of orders
+//-----------------------------------------------------------------------------
+
+namespace {
+
+sent_order& remember(order_memory& memory, order_key key, time_point now) {
+    auto [it, added] = memory.orders.try_emplace(key);
+    if (added) memory.by_age.emplace_back(now, key);
+    it->second.touched = now;
+    return it->second;
+}
+
+} // namespace
+
+send_decision decide_send(order_memory& memory, const order_claim& claim, time_point now) {
+    sent_order& order = remember(memory, claim.key, now);
+    if (order.sent) return send_decision::already_sent;
+    const bool sealed =
+        !order.sealed_by.empty() && std::ranges::find(claim.unseals, order.sealed_by) == claim.unseals.end();
+    if (sealed) return send_decision::sealed;
+    order.sent = true;
+    return send_decision::send;
+}
+
+void note_outcome(order_memory& memory, order_key key, std::uint32_t status, std::string_view content_type,
+                  std::string_view body) {
+    const auto found = memory.orders.find(key);
+    if (found == memory.orders.end() || found->second.finished) return;
+    sent_order& order = found->second;
+    order.finished = true;
+    order.status = status;
+    order.content_type = content_type;
+    if (body.size() <= memory.settings.kept_body_limit) order.body = body;
+}
+
+seal_reply seal_order(order_memory& memory, const seal& asked, time_point now, random_source& random) {
+    sent_order& order = remember(memory, asked.key, now);
+    seal_reply reply;
+    reply.call = asked.call;
+    reply.key = asked.key;
+    if (order.finished) {
+        reply.state = seal_state::finished;
+        reply.status = order.status;
+        reply.content_type = order.content_type;
+        reply.body = order.body;
+    } else if (order.sent) {
+        reply.state = seal_state::running;
+    } else {
+        if (order.sealed_by.empty()) {
+            order.sealed_by = random.next_id<seal_id>();
+            order.sealed_at = now;
+        }
+        reply.id = order.sealed_by;
+        reply.age_us = static_cast<std::uint64_t>((now - order.sealed_at).count());
+    }
+    return reply;
+}
+
+void expire_orders(order_memory& memory, time_point now) {
+    const duration kept = memory.settings.past_limit + memory.settings.future_limit;
+    while (!memory.by_age.empty() && memory.by_age.front().first + kept < now) {
+        const auto [at, key] = memory.by_age.front();
+        memory.by_age.pop_front();
+        const auto found = memory.orders.find(key);
+        if (found == memory.orders.end()) continue;
+        if (found->second.touched + kept < now) {
+            memory.orders.erase(found);
+        } else {
+            memory.by_age.emplace_back(found->second.touched, key);
+        }
+    }
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_orders.hpp
@@ -0,0 +1,137 @@
+// At-most-once orders: the record in the key-value store decides which sidecar incarnation may send an order.
+//
+// Index of this file:
+// [SECTION] Keys and records
+// [SECTION] Group commit
+// [SECTION] Sidecar's memory of orders
+
+#pragma once
+
+#include "damaskhill_events.hpp"
+
+#include <deque>
+#include <map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Keys and records
+//-----------------------------------------------------------------------------
+
+struct order_settings {
+    duration bucket{10s};              // keys created in the same bucket share records
+    std::uint32_t shards{64};          // records for each bucket
+    duration past_limit{15min};        // older keys are refused
+    duration future_limit{30s};        // clock difference that is allowed between callers and routers
+    duration write_period{250ms};      // least time between two writes of one record by one router
+    duration call_timeout{500ms};      // of one call to the store
+    std::uint32_t call_attempts{6};    // calls before a claim is given up
+    std::size_t record_limit{900'000}; // bytes of entries in one record; the store allows 1 MB
+    std::size_t kept_body_limit{1024}; // bytes of an answer that a record keeps
+};
+
+/// Name of the record that decides about the key: "orders/<bucket>/<shard>".
+[[nodiscard]] std::string order_record(order_key key, const order_settings& settings);
+
+/// Checks the key's time; writes malformed_key or key_expired.
+[[nodiscard]] std::optional<order_key> parse_order_key(std::string_view text, time_point now,
+                                                       const order_settings& settings, failure& why);
+
+/// What a record says of one key.
+struct order_view {
+    const order_entry* intent{}; // the valid claim, or null
+    const order_entry* done{};   // outcome of the valid claim, or null
+    std::vector<seal_id> seals;  // all seals that earlier claims listed
+};
+
+/// The first intent of a key is valid; a later one is valid only if it supersedes the valid nonce. An intent
+/// without a sidecar makes the order void: nobody may send it until a later intent supersedes it.
+[[nodiscard]] order_view view_order(std::span<const order_entry> entries, order_key key);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Group commit
+//-----------------------------------------------------------------------------
+
+/// Answer to one append.
+struct append_result {
+    std::uint64_t ticket{};
+    bool known{};                     // the record was read or written after the append was asked for
+    bool may_be_written{};            // not known, and the entry may be in the record
+    std::vector<order_entry> entries; // of the key, in order
+};
+
+/// Appends entries to records by compare-and-swap; entries that arrive during a call share the next write.
+struct order_writer {
+    struct pending_entry {
+        std::uint64_t ticket{};
+        order_entry entry;
+        time_point deadline{};
+        bool look{};      // only reads: answered by the next read or write of the record
+        bool attempted{}; // part of a write that may have taken effect
+    };
+    struct record {
+        enum class phase : std::uint8_t { idle, reading, writing } state{phase::idle};
+        bool cached{}; // log and version are those of the store, or older
+        std::uint64_t version{};
+        order_log log;
+        std::vector<pending_entry> pending;
+        std::uint64_t call{};
+        time_point call_started{};
+        time_point next_write{};
+        time_point last_used{};
+        std::uint32_t failures{};
+    };
+    order_settings settings;
+    std::map<std::string, record, std::less<>> records;
+    std::map<std::uint64_t, std::string> calls; // open store call to record
+    std::uint64_t next_call{1};
+};
+
+/// Asks for an entry to be appended unless the key already has a valid claim that it does not supersede.
+void append_order(order_writer& writer, std::uint64_t ticket, const order_entry& entry, time_point now,
+                  time_point deadline, effects& out);
+/// Asks what the record holds for a key.
+void look_up_order(order_writer& writer, std::uint64_t ticket, order_key key, time_point now,
+                   time_point deadline, effects& out);
+/// Takes a reply of the store; finished appends go to `results`.
+void on_store_reply(order_writer& writer, const store_reply& reply, time_point now, effects& out,
+                    std::vector<append_result>& results);
+/// Starts delayed writes, times calls out, forgets old records.
+void on_tick(order_writer& writer, time_point now, effects& out, std::vector<append_result>& results);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sidecar's memory of orders
+//-----------------------------------------------------------------------------
+
+/// What one sidecar incarnation knows of one order.
+struct sent_order {
+    bool sent{};
+    bool finished{};
+    seal_id sealed_by; // empty: not sealed
+    time_point sealed_at{};
+    std::uint32_t status{}; // finished: HTTP status, 0 if the outcome is unknown
+    std::string content_type;
+    std::string body;
+    time_point touched{};
+};
+
+struct order_memory {
+    order_settings settings;
+    std::map<order_key, sent_order> orders;
+    std::deque<std::pair<time_point, order_key>> by_age;
+};
+
+enum class send_decision : std::uint8_t { send, already_sent, sealed };
+
+/// Decides whether the claim allows the order to be sent now, and notes it as sent if so.
+[[nodiscard]] send_decision decide_send(order_memory& memory, const order_claim& claim, time_point now);
+/// Notes the outcome of a sent order; status 0 if it is unknown.
+void note_outcome(order_memory& memory, order_key key, std::uint32_t status, std::string_view content_type,
+                  std::string_view body);
+/// Seals an order that has not been sent, or tells what became of it.
+[[nodiscard]] seal_reply seal_order(order_memory& memory, const seal& asked, time_point now,
+                                    random_source& random);
+/// Forgets orders whose keys have expired.
+void expire_orders(order_memory& memory, time_point now);
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_quarantine.hpp
@@ -0,0 +1,38 @@
+// Requests that crash the targets that run them: suspects and quarantine.
+//
+// Index of this file:
+// [SECTION] Crash records
+
+#pragma once
+
+#include "damaskhill_messages.hpp"
+
+#include <map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Crash records
+//-----------------------------------------------------------------------------
+
+struct quarantine_settings {
+    std::size_t record_limit{4096};
+};
+
+/// Grow-only record of requests that were in flight when a target crashed, by hash of account and body.
+struct quarantine {
+    quarantine_settings settings;
+    std::map<std::uint64_t, crash_record> records;
+};
+
+/// Identity of a request across callers' repeats and routers.
+[[nodiscard]] std::uint64_t crash_hash_of(account_id account, std::string_view body);
+/// Notes that an attempt was in flight at a crash; alone means that nothing else ran on the target.
+/// Returns true if the record changed.
+bool note_crash(quarantine& state, std::uint64_t crash_hash, attempt_id attempt, bool alone);
+/// Merges a record of a peer; returns true if something was new.
+bool merge_crash(quarantine& state, const crash_record& record);
+[[nodiscard]] bool is_quarantined(const quarantine& state, std::uint64_t crash_hash);
+[[nodiscard]] bool is_suspect(const quarantine& state, std::uint64_t crash_hash);
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_router.hpp
@@ -0,0 +1,225 @@
+// The router: ends callers' requests, holds their bodies, and hands them to sidecars that pull.
+//
+// Index of this file:
+// [SECTION] Settings
+// [SECTION] Requests
+// [SECTION] State
+// [SECTION] Reducer
+
+#pragma once
+
+#include "damaskhill_answers.hpp"
+#include "damaskhill_fairness.hpp"
+#include "damaskhill_membership.hpp"
+#include "damaskhill_orders.hpp"
+#include "damaskhill_placement.hpp"
+#include "damaskhill_quarantine.hpp"
+#include "damaskhill_retry.hpp"
+#include "damaskhill_versions.hpp"
+
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+struct router_settings {
+    std::string name; // unique name of the VM
+    std::string data_centre;
+    incarnation_id incarnation; // random, new for each start
+    std::uint64_t seed{1};      // of identifiers and jitter
+    membership_settings membership;
+    ledger_settings ledger;
+    order_settings orders;
+    retry_settings retry;
+    placement_settings placement;
+    answer_cache_settings answers;
+    quarantine_settings quarantine;
+    verdict_settings verdict;
+    duration interactive_timeout{30s}; // of a request without a timeout of its own
+    duration batch_timeout{600s};
+    duration reservation_period{100ms}; // between rows to sidecars that did not hear at once
+    duration isolation_limit{3s};       // without the store and without most peers
+    duration vm_list_period{1s};
+    duration drain_limit{30s};       // after which a stop abandons what still runs
+    duration claim_timeout{1500ms};  // of one claim on an order
+    duration seal_period{300ms};     // between two questions about a running order
+    std::size_t links_per_pool{16};  // sidecars of one pool that this router links to
+    std::size_t refusal_limit{1024}; // orders whose refusal is being settled
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Requests
+//-----------------------------------------------------------------------------
+
+enum class request_phase : std::uint8_t {
+    opening,  // orders: the record is being read
+    waiting,  // in a queue
+    claiming, // orders: a sidecar has pulled and the claim is being written
+    running,  // assigned to a sidecar
+    sealing,  // orders: another claim exists, and its sidecar is being asked
+    refusing  // orders: the refusal is being made definite
+};
+
+/// Progress of an order that must not be repeated.
+struct order_progress {
+    order_key key; // scoped by account
+    std::uint64_t body_hash{};
+    nonce_id nonce;                   // of the latest claim of this router
+    std::vector<nonce_id> unassigned; // own claims that were never given to a sidecar
+    std::vector<nonce_id> baseline;   // void claims that stood in the record when the request arrived
+    nonce_id supersedes;              // claim that the next one replaces
+    std::vector<seal_id> unseals;
+    order_entry other;      // sealing: the claim of another router
+    std::uint64_t ticket{}; // open append or look
+    time_point next_seal{};
+    failure_kind refusal{failure_kind::none};
+    bool polling{};                      // refusing: every sidecar of the pool is being asked to seal
+    std::vector<incarnation_id> to_seal; // refusing: sidecars that have not answered
+};
+
+using request_hook = boost::intrusive::list_member_hook<>;
+
+/// One request of a caller, from its arrival until its answer.
+struct request : boost::intrusive_ref_counter<request, boost::thread_unsafe_counter> {
+    caller_request input;
+    request_id id;
+    account_id account;
+    request_class cls{request_class::interactive};
+    request_phase phase{request_phase::waiting};
+    std::string version; // version stamp, empty: any
+    std::uint64_t crash_hash{};
+    double cost_hint{}; // service units
+    time_point arrived{};
+    time_point queued{}; // when it last began to wait
+    time_point deadline{};
+    time_point not_before{};  // earliest next attempt
+    std::uint32_t attempts{}; // that were sent
+    std::uint32_t preemptions{};
+    bool caller_present{true};
+    bool stream_begun{};
+    answer_assembly answer;
+    std::string content_type;
+    link_id link{};          // running: link of the sidecar; claiming: link of the pull
+    std::uint64_t pull_id{}; // claiming
+    time_point attempt_start{};
+    std::string traceparent; // of the router's span
+    std::string attempt_traceparent;
+    std::optional<order_progress> order;
+    request_hook hook;
+};
+using request_ptr = boost::intrusive_ptr<request>;
+
+/// Requests that any one reservation row stands for.
+struct queue_key {
+    std::string pool;
+    account_id account;
+    request_class cls{request_class::interactive};
+    std::string version;
+    friend auto operator<=>(const queue_key&, const queue_key&) = default;
+};
+using request_queue =
+    boost::intrusive::list<request, boost::intrusive::member_hook<request, request_hook, &request::hook>>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] State
+//-----------------------------------------------------------------------------
+
+/// A sidecar incarnation of which this router has heard.
+struct seen_sidecar {
+    std::string pool;
+    std::string name;
+    bool linked{};
+    time_point lost{}; // when its link closed
+};
+
+struct router_state {
+    explicit router_state(router_settings s);
+
+    router_settings settings;
+    random_source random;
+    time_point started{};
+    time_point now{};
+    configuration config;
+    membership members;
+    service_ledger ledger;
+    order_writer orders;
+    answer_cache answers;
+    quarantine crashes;
+    version_evidence evidence;
+    std::set<condemned_version> condemned;
+    std::map<std::string, version_verdict, std::less<>> verdicts; // by move name
+    std::map<std::string, retry_budget, std::less<>> budgets;     // by pool
+
+    // Requests are owned by `requests`; queues and indexes refer to them and are destroyed first.
+    std::unordered_map<request_id, request_ptr> requests;
+    std::unordered_map<caller_id, request_id> by_caller;
+    std::unordered_map<attempt_id, request_id> by_attempt;
+    std::map<std::uint64_t, request_id> by_ticket;
+    std::set<std::pair<time_point, request_id>> deadlines;
+    std::set<std::pair<time_point, request_id>> delayed; // waiting out a retry delay
+    std::map<queue_key, request_queue> queues;
+    std::map<std::pair<account_id, std::string>, std::uint32_t> waiting_by_account; // and pool
+    std::set<queue_key> dirty; // queues whose rows have to be sent
+
+    std::map<std::string, std::vector<link_id>, std::less<>> sidecars; // greeted links by pool
+    std::unordered_map<link_id, std::int64_t> reserved_room;           // rows sent since the last heartbeat
+    std::map<incarnation_id, seen_sidecar> seen_sidecars;
+    std::vector<vm_entry> vms;
+    bool vms_known{};
+
+    struct remote_claim {
+        order_entry entry;
+        bool look{};
+        time_point fallback{}; // when this router writes by itself
+        time_point deadline{};
+    };
+    struct served_claim {
+        link_id link{};
+        std::uint64_t call{};
+    };
+    struct open_fetch {
+        caller_id caller{};
+        account_id account;
+        request_id request;
+        std::uint32_t asked{};
+        time_point deadline{};
+    };
+    std::uint64_t next_ticket{1};
+    std::map<std::uint64_t, remote_claim> remote_claims; // by ticket
+    std::map<std::uint64_t, served_claim> served_claims; // by ticket
+    std::map<std::uint64_t, open_fetch> fetches;         // by call
+    std::uint64_t next_call{1};
+
+    time_point store_heard{};  // last successful call to the store by this router
+    time_point confirmed_at{}; // last successful read of the declarations known here, by any process
+    std::uint64_t store_revision{};
+    bool watching{};
+    time_point next_watch{};
+    std::uint64_t facts_version{};
+    bool facts_dirty{};
+    bool facts_in_flight{};
+    time_point next_facts{};
+    time_point next_flush{};
+    time_point next_report{};
+    time_point next_vm_list{};
+    bool stopping{};
+    time_point stop_at{};
+    bool exited{};
+    bool isolated{};
+    bool ready{};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reducer
+//-----------------------------------------------------------------------------
+
+/// Takes one event into the state and appends the effects that the program has to perform.
+/// Depends on nothing but its arguments.
+void reduce(router_state& state, const router_event& event, effects& out);
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_router_answers.cpp
@@ -0,0 +1,113 @@
+// Index of this file:
+// [SECTION] Copies
+// [SECTION] Fetching
+
+#include "damaskhill_router_internal.hpp"
+
+namespace damaskhill::detail {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Copies
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t answer_copies = 2; // beside the one of the router that produced the answer
+constexpr duration fetch_timeout = 1s;
+
+// Links of the routers that keep copies of the answer.
+std::vector<link_id> copy_links(const router_state& state, request_id request) {
+    const auto routers = live_routers(state.members, state.settings.name);
+    std::vector<link_id> links;
+    for (const std::string& name : rendezvous(routers, to_string(request), answer_copies)) {
+        const peer* p = find_peer_named(state.members, name);
+        if (p != nullptr) links.push_back(p->link);
+    }
+    return links;
+}
+
+} // namespace
+
+void keep_finished(router_state& state, const request& r, std::uint32_t status, std::string_view content_type,
+                   std::string_view body, effects& out) {
+    const finished_answer answer{r.id, r.account, status, std::string{content_type}, std::string{body}};
+    keep_answer(state.answers, answer, state.now);
+    for (const link_id link : copy_links(state, r.id))
+        out.emplace_back(send_message{link, answer_put{answer}});
+}
+
+void on_answer_put(router_state& state, const answer_put& put) {
+    keep_answer(state.answers, put.answer, state.now);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Fetching
+//-----------------------------------------------------------------------------
+
+namespace {
+
+void answer_fetch(caller_id caller, account_id account, const finished_answer& answer, effects& out) {
+    if (answer.account != account) {
+        // The same text as for an answer that does not exist: its identifier tells an outsider nothing.
+        refuse_caller(caller, answer.request, failure_kind::answer_expired, run_state::unknown, {}, out);
+        return;
+    }
+    out.emplace_back(answer_whole{caller, answer.request, answer.status, answer.content_type, answer.body});
+}
+
+} // namespace
+
+void on_fetch(router_state& state, const caller_request& input, account_id account, effects& out) {
+    const finished_answer* known = find_answer(state.answers, input.request);
+    if (known != nullptr) {
+        answer_fetch(input.caller, account, *known, out);
+        return;
+    }
+    const std::uint64_t call = state.next_call++;
+    router_state::open_fetch fetch{input.caller, account, input.request, 0, state.now + fetch_timeout};
+    for (const link_id link : copy_links(state, input.request)) {
+        ++fetch.asked;
+        out.emplace_back(send_message{link, answer_get{call, input.request}});
+    }
+    if (fetch.asked == 0) {
+        refuse_caller(input.caller, input.request, failure_kind::answer_expired, run_state::unknown, {}, out);
+        return;
+    }
+    state.fetches.emplace(call, fetch);
+}
+
+void on_answer_get(router_state& state, link_id link, const answer_get& get, effects& out) {
+    answer_value value{get.call, std::nullopt};
+    const finished_answer* known = find_answer(state.answers, get.request);
+    if (known != nullptr) value.answer = *known;
+    out.emplace_back(send_message{link, std::move(value)});
+}
+
+void on_answer_value(router_state& state, const answer_value& value, effects& out) {
+    const auto found = state.fetches.find(value.call);
+    if (found == state.fetches.end()) return;
+    auto& fetch = found->second;
+    if (value.answer && value.answer->request == fetch.request) {
+        answer_fetch(fetch.caller, fetch.account, *value.answer, out);
+        state.fetches.erase(found);
+        return;
+    }
+    if (--fetch.asked > 0) return;
+    refuse_caller(fetch.caller, fetch.request, failure_kind::answer_expired, run_state::unknown, {}, out);
+    state.fetches.erase(found);
+}
+
+void on_answers_tick(router_state& state, effects& out) {
+    expire_answers(state.answers, state.now);
+    for (auto it = state.fetches.begin(); it != state.fetches.end();) {
+        if (it->second.deadline > state.now) {
+            ++it;
+            continue;
+        }
+        refuse_caller(it->second.caller, it->second.request, failure_kind::answer_expired, run_state::unknown,
+                      {}, out);
+        it = state.fetches.erase(it);
+    }
+}
+
+} // namespace damaskhill::detail
--- /dev/null
+++ b/core/damaskhill_router_internal.hpp
@@ -0,0 +1,136 @@
+// Parts of the router's reducer, by concern. Not for use outside the router.
+//
+// Index of this file:
+// [SECTION] Requests
+// [SECTION] Reservations and fairness
+// [SECTION] Orders
+// [SECTION] Answers
+// [SECTION] Configuration, facts and versions
+// [SECTION] Peers
+
+#pragma once
+
+#include "damaskhill_router.hpp"
+
+namespace damaskhill::detail {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Requests
+//-----------------------------------------------------------------------------
+
+[[nodiscard]] request_ptr find_request(router_state& state, request_id id);
+void on_caller_request(router_state& state, const caller_request& input, effects& out);
+void on_caller_malformed(router_state& state, const caller_malformed& input, effects& out);
+void on_caller_gone(router_state& state, const caller_gone& input, effects& out);
+void on_pull(router_state& state, link_id link, const pull& asked, effects& out);
+void on_chunk(router_state& state, const chunk& piece, effects& out);
+void on_finish(router_state& state, link_id link, const finish& end, effects& out);
+void on_requests_tick(router_state& state, effects& out);
+/// Puts the request (back) into its queue, after `not_before` if that is in the future.
+void enqueue(router_state& state, request& r, effects& out);
+/// Takes the request out of its queue, if it is in one.
+void dequeue(router_state& state, request& r);
+/// Gives the request to the sidecar that has pulled.
+void assign_request(router_state& state, request& r, link_id link, std::uint64_t pull_id, effects& out);
+/// Every attempt on the link has failed.
+void fail_attempts_on(router_state& state, link_id link, effects& out);
+/// Ends the request with a refusal; orders use refuse_order.
+void refuse_request(router_state& state, request& r, failure_kind kind, run_state run, effects& out);
+/// Ends the request with a whole answer or the end of its stream.
+void answer_request(router_state& state, request& r, std::uint32_t status, std::string_view content_type,
+                    std::string_view body, effects& out);
+/// Refuses a request that has no state yet.
+void refuse_caller(caller_id caller, request_id id, failure_kind kind, run_state run, std::string detail,
+                   effects& out);
+[[nodiscard]] std::uint32_t retry_after_s(failure_kind kind);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reservations and fairness
+//-----------------------------------------------------------------------------
+
+/// Tells the sidecars that should hear of a new request at once.
+void announce_first(router_state& state, const queue_key& key, std::uint64_t prefix_hash, effects& out);
+/// Tells a sidecar that has just linked about everything that waits for its pool.
+void announce_all(router_state& state, link_id link, effects& out);
+/// Sends the rows of changed queues to every eligible sidecar.
+void flush_reservations(router_state& state, effects& out);
+/// Whether the sidecar may be given new work.
+[[nodiscard]] bool is_eligible(const router_state& state, const peer& sidecar);
+void charge_service(router_state& state, const request& r, double units);
+void on_fairness_tick(router_state& state, effects& out);
+void on_service_report(router_state& state, link_id link, const service_report& report, effects& out);
+void on_service_total(router_state& state, const service_total& total, effects& out);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Orders
+//-----------------------------------------------------------------------------
+
+/// Starts an order: reads its record before it waits.
+void open_order(router_state& state, request& r, effects& out);
+/// Writes the claim that allows the sidecar that has pulled to send the order.
+void claim_order(router_state& state, request& r, link_id link, std::uint64_t pull_id, effects& out);
+/// Ends an order with a refusal whose run state is true.
+void refuse_order(router_state& state, request& r, failure_kind kind, effects& out);
+/// The sidecar refused the order because it is sealed there.
+void on_sealed_attempt(router_state& state, request& r, const finish& end, effects& out);
+/// Writes the outcome of an order into its record.
+void record_outcome(router_state& state, const request& r, std::uint32_t status,
+                    std::string_view content_type, std::string_view body, effects& out);
+void on_claim(router_state& state, link_id link, const claim& asked, effects& out);
+void on_claim_reply(router_state& state, const claim_reply& reply, effects& out);
+void on_seal_reply(router_state& state, link_id link, const seal_reply& reply, effects& out);
+void on_order_store_reply(router_state& state, const store_reply& reply, effects& out);
+void on_orders_tick(router_state& state, effects& out);
+/// A pull that waited for a claim can no longer be served because its link closed.
+void on_orders_link_closed(router_state& state, link_id link, effects& out);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+/// Keeps a finished answer here and at the routers that rendezvous hashing names.
+void keep_finished(router_state& state, const request& r, std::uint32_t status, std::string_view content_type,
+                   std::string_view body, effects& out);
+void on_fetch(router_state& state, const caller_request& input, account_id account, effects& out);
+void on_answer_put(router_state& state, const answer_put& put);
+void on_answer_get(router_state& state, link_id link, const answer_get& get, effects& out);
+void on_answer_value(router_state& state, const answer_value& value, effects& out);
+void on_answers_tick(router_state& state, effects& out);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Configuration, facts and versions
+//-----------------------------------------------------------------------------
+
+void on_config_watched(router_state& state, const config_watched& watched, effects& out);
+void on_config_push(router_state& state, link_id link, const config_push& push, effects& out);
+void on_config_pull(router_state& state, link_id link, const config_pull& asked, effects& out);
+/// Compares a peer's revisions with those in force: asks for newer ones, sends newer ones.
+void compare_revisions(router_state& state, link_id link, std::span<const team_revision> theirs,
+                       effects& out);
+void on_config_tick(router_state& state, effects& out);
+void on_facts(router_state& state, link_id from, const facts& received, effects& out);
+void on_facts_reply(router_state& state, const facts_reply& reply, effects& out);
+[[nodiscard]] facts all_facts(const router_state& state);
+/// Notes a crash of the target while the attempt was in flight.
+void note_target_crash(router_state& state, const request& r, attempt_id attempt, bool alone, effects& out);
+/// Version that a new request of the pool must run on; empty: any.
+[[nodiscard]] std::string stamp_version(router_state& state, const pool_declaration& pool);
+void note_version_outcome(router_state& state, const request& r, const finish& end, effects& out);
+void on_evidence(router_state& state, const evidence& received, effects& out);
+void on_versions_tick(router_state& state, effects& out);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Peers
+//-----------------------------------------------------------------------------
+
+void on_peers_tick(router_state& state, effects& out);
+void on_link_opened(router_state& state, const link_opened& opened, effects& out);
+void on_link_closed(router_state& state, link_id link, effects& out);
+void on_hello(router_state& state, link_id link, const hello& greeting, effects& out);
+void on_heartbeat(router_state& state, link_id link, const heartbeat& beat, effects& out);
+void on_vm_list(router_state& state, const vm_list& list, effects& out);
+/// Sends a message to every greeted router.
+void send_to_routers(const router_state& state, const peer_message& message, effects& out,
+                     link_id except = 0);
+
+} // namespace damaskhill::detail
--- /dev/null
+++ b/core/damaskhill_router_requests.cpp
@@ -0,0 +1,572 @@
+// Index of this file:
+// [SECTION] Queues
+// [SECTION] Ends of requests
+// [SECTION] Arrival
+// [SECTION] Attempts
+// [SECTION] Failures of attempts
+// [SECTION] Time
+
+#include "damaskhill_router_internal.hpp"
+#include "damaskhill_trace.hpp"
+
+#include <algorithm>
+
+namespace damaskhill::detail {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Queues
+//-----------------------------------------------------------------------------
+
+namespace {
+
+queue_key key_of(const request& r) { return {r.input.pool, r.account, r.cls, r.version}; }
+
+void set_phase(router_state& state, request& r, request_phase phase) {
+    const bool was_waiting = r.phase != request_phase::running;
+    const bool is_waiting = phase != request_phase::running;
+    r.phase = phase;
+    if (was_waiting == is_waiting) return;
+    auto& waiting = state.waiting_by_account[{r.account, r.input.pool}];
+    waiting += is_waiting ? 1U : -1U;
+}
+
+} // namespace
+
+request_ptr find_request(router_state& state, request_id id) {
+    const auto found = state.requests.find(id);
+    return found == state.requests.end() ? request_ptr{} : found->second;
+}
+
+void enqueue(router_state& state, request& r, effects& out) {
+    set_phase(state, r, request_phase::waiting);
+    if (r.hook.is_linked()) return;
+    if (r.not_before > state.now) {
+        state.delayed.emplace(r.not_before, r.id);
+        return;
+    }
+    r.queued = state.now;
+    const queue_key key = key_of(r);
+    request_queue& queue = state.queues[key];
+    // An interrupted answer goes to the front: its caller already holds a part of it.
+    if (r.attempts > 0 || r.preemptions > 0) {
+        queue.push_front(r);
+    } else {
+        queue.push_back(r);
+    }
+    state.dirty.insert(key);
+    announce_first(state, key, r.input.prefix_hash, out);
+}
+
+void dequeue(router_state& state, request& r) {
+    state.delayed.erase({r.not_before, r.id});
+    if (!r.hook.is_linked()) return;
+    const queue_key key = key_of(r);
+    request_queue& queue = state.queues[key];
+    queue.erase(queue.iterator_to(r));
+    if (queue.empty()) state.queues.erase(key);
+    state.dirty.insert(key);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ends of requests
+//-----------------------------------------------------------------------------
+
+namespace {
+
+void finish_span(router_state& state, const request& r, bool ok, std::string_view detail, effects& out) {
+    out.emplace_back(span{r.traceparent, r.input.traceparent, "router.request", r.arrived, state.now, ok,
+                          r.input.pool + " " + std::string{detail}});
+}
+
+void forget_request(router_state& state, request& r) {
+    const request_ptr keep{&r};
+    dequeue(state, r);
+    if (r.phase != request_phase::running) --state.waiting_by_account[{r.account, r.input.pool}];
+    state.by_attempt.erase(r.answer.current);
+    state.by_caller.erase(r.input.caller);
+    state.deadlines.erase({r.deadline, r.id});
+    if (r.order) state.by_ticket.erase(r.order->ticket);
+    state.requests.erase(r.id);
+}
+
+} // namespace
+
+std::uint32_t retry_after_s(failure_kind kind) {
+    switch (kind) {
+    case failure_kind::queue_full:
+    case failure_kind::isolated:
+    case failure_kind::draining:
+    case failure_kind::order_store_unavailable:
+    case failure_kind::order_outcome_unknown:
+    case failure_kind::deadline_exceeded:
+    case failure_kind::retry_budget_exhausted:
+    case failure_kind::target_failed:
+        return 1;
+    default:
+        return 0;
+    }
+}
+
+void refuse_caller(caller_id caller, request_id id, failure_kind kind, run_state run, std::string detail,
+                   effects& out) {
+    out.emplace_back(count{"refusals_total", std::string{to_string(kind)}, 1});
+    out.emplace_back(refuse{caller, id, kind, run, retry_after_s(kind), std::move(detail)});
+}
+
+void refuse_request(router_state& state, request& r, failure_kind kind, run_state run, effects& out) {
+    if (r.caller_present) {
+        if (r.stream_begun) {
+            out.emplace_back(count{"streams_broken_total", std::string{to_string(kind)}, 1});
+            out.emplace_back(stream_end{r.input.caller, kind});
+        } else {
+            refuse_caller(r.input.caller, r.id, kind, run, {}, out);
+        }
+    }
+    finish_span(state, r, false, to_string(kind), out);
+    forget_request(state, r);
+}
+
+void answer_request(router_state& state, request& r, std::uint32_t status, std::string_view content_type,
+                    std::string_view body, effects& out) {
+    keep_finished(state, r, status, content_type, body, out);
+    if (r.caller_present) {
+        if (r.stream_begun) {
+            out.emplace_back(stream_end{r.input.caller, failure_kind::none});
+        } else if (r.input.stream && status < 400) {
+            out.emplace_back(stream_begin{r.input.caller, r.id});
+            out.emplace_back(stream_data{r.input.caller, std::string{body}});
+            out.emplace_back(stream_end{r.input.caller, failure_kind::none});
+        } else {
+            out.emplace_back(
+                answer_whole{r.input.caller, r.id, status, std::string{content_type}, std::string{body}});
+        }
+    }
+    out.emplace_back(count{"answers_total", r.input.pool, 1});
+    out.emplace_back(
+        observe{"request_seconds", std::string{to_string(r.cls)}, to_seconds(state.now - r.arrived)});
+    finish_span(state, r, status < 500, std::to_string(status), out);
+    forget_request(state, r);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Arrival
+//-----------------------------------------------------------------------------
+
+namespace {
+
+request_class class_of(const caller_request& input, const pool_declaration& pool) {
+    if (input.cls) return *input.cls;
+    return input.max_tokens > pool.batch_threshold ? request_class::batch : request_class::interactive;
+}
+
+double cost_hint_of(const caller_request& input, const pool_declaration& pool) {
+    constexpr double prompt_weight = 0.1;   // units for each prompt token
+    constexpr double expected_length = 0.5; // of max_tokens
+    constexpr double service_call_units = 1.0;
+    if (pool.kind == target_kind::service) return service_call_units;
+    return 1.0 + prompt_weight * input.prompt_tokens + expected_length * input.max_tokens;
+}
+
+struct admission {
+    const account_declaration* account{};
+    const pool_declaration* pool{};
+    std::optional<order_key> key;
+};
+
+// Checks that need no work of other parts. Refuses and returns no value when one fails.
+std::optional<admission> admit(router_state& state, const caller_request& input, effects& out) {
+    admission result;
+    const auto refuse_with = [&](failure_kind kind, run_state run, std::string detail) {
+        refuse_caller(input.caller, input.request, kind, run, std::move(detail), out);
+        return std::nullopt;
+    };
+    result.account = find_account(state.config, input.key_hash);
+    if (result.account == nullptr) {
+        return refuse_with(failure_kind::unauthorized, run_state::not_run, "Authorization: Bearer <key>");
+    }
+    if (input.route == caller_route::fetch_answer) return result;
+    result.pool = find_pool(state.config, input.pool);
+    if (result.pool == nullptr) {
+        return refuse_with(failure_kind::unknown_pool, run_state::not_run, input.pool);
+    }
+    if (result.pool->kind != target_kind::service || !is_order(*result.pool, input.method, input.path)) {
+        return result;
+    }
+    if (input.idempotency_key.empty()) {
+        return refuse_with(failure_kind::key_required, run_state::not_run, "Idempotency-Key: a UUIDv7");
+    }
+    failure why;
+    result.key = parse_order_key(input.idempotency_key, state.now, state.settings.orders, why);
+    if (!result.key) {
+        // An expired key may have run in its time; a malformed one never can.
+        const run_state run = why.kind == failure_kind::key_expired ? run_state::unknown : run_state::not_run;
+        return refuse_with(why.kind, run, describe(why));
+    }
+    return result;
+}
+
+request_ptr make_request(router_state& state, const caller_request& input, const admission& admitted) {
+    request_ptr r{new request};
+    r->input = input;
+    r->id = input.request.empty() ? state.random.next_id<request_id>() : input.request;
+    r->account = account_id_of(admitted.account->name);
+    r->cls = class_of(input, *admitted.pool);
+    r->crash_hash = crash_hash_of(r->account, input.body);
+    r->cost_hint = cost_hint_of(input, *admitted.pool);
+    r->arrived = state.now;
+    const duration timeout = input.timeout_ms > 0 ? duration{std::chrono::milliseconds{input.timeout_ms}}
+                             : r->cls == request_class::batch ? state.settings.batch_timeout
+                                                              : state.settings.interactive_timeout;
+    r->deadline = state.now + timeout;
+    r->traceparent = child_traceparent(input.traceparent, state.random);
+    if (admitted.key) {
+        r->order.emplace();
+        // Keys of different accounts must not meet in the records; the time stays in the upper half.
+        r->order->key = {admitted.key->high,
+                         stable_hash(format_hex128(admitted.key->high, admitted.key->low), r->account.value)};
+        r->order->body_hash = stable_hash(input.body, stable_hash(input.method + " " + input.path));
+    }
+    return r;
+}
+
+failure_kind reason_not_to_accept(const router_state& state, const request& r, std::uint32_t max_waiting) {
+    if (state.stopping) return failure_kind::draining;
+    if (state.isolated) return failure_kind::isolated;
+    if (is_quarantined(state.crashes, r.crash_hash)) return failure_kind::quarantined;
+    const auto waiting = state.waiting_by_account.find({r.account, r.input.pool});
+    if (waiting != state.waiting_by_account.end() && waiting->second >= max_waiting) {
+        return failure_kind::queue_full;
+    }
+    return failure_kind::none;
+}
+
+} // namespace
+
+void on_caller_malformed(router_state& /*state*/, const caller_malformed& input, effects& out) {
+    refuse_caller(input.caller, {}, input.kind, run_state::not_run, input.where, out);
+}
+
+void on_caller_request(router_state& state, const caller_request& input, effects& out) {
+    out.emplace_back(count{"requests_total", input.pool, 1});
+    const auto admitted = admit(state, input, out);
+    if (!admitted) return;
+    const account_id account = account_id_of(admitted->account->name);
+    if (input.route == caller_route::fetch_answer) {
+        on_fetch(state, input, account, out);
+        return;
+    }
+    const request_ptr r = make_request(state, input, *admitted);
+    if (state.requests.contains(r->id)) {
+        refuse_caller(input.caller, r->id, failure_kind::malformed_request, run_state::unknown,
+                      "X-Request-Id is in use by a request in progress", out);
+        return;
+    }
+    const failure_kind reason = reason_not_to_accept(state, *r, admitted->account->max_waiting);
+    if (reason != failure_kind::none && !r->order) {
+        refuse_caller(input.caller, r->id, reason, run_state::not_run, {}, out);
+        return;
+    }
+    state.requests.emplace(r->id, r);
+    state.by_caller.emplace(input.caller, r->id);
+    state.deadlines.emplace(r->deadline, r->id);
+    ++state.waiting_by_account[{r->account, input.pool}];
+    if (r->order) {
+        r->phase = request_phase::opening;
+        if (reason != failure_kind::none) {
+            refuse_order(state, *r, reason, out);
+        } else {
+            open_order(state, *r, out);
+        }
+        return;
+    }
+    r->version = stamp_version(state, *admitted->pool);
+    on_first_attempt(state.budgets[input.pool], state.settings.retry);
+    enqueue(state, *r, out);
+}
+
+void on_caller_gone(router_state& state, const caller_gone& input, effects& out) {
+    const auto found = state.by_caller.find(input.caller);
+    if (found == state.by_caller.end()) return;
+    const request_ptr r = find_request(state, found->second);
+    if (!r) return;
+    r->caller_present = false;
+    out.emplace_back(count{"callers_gone_total", std::string{to_string(r->cls)}, 1});
+    // An order goes on, since its caller will ask for the outcome with the same key; so does an answer that
+    // the caller can fetch by a request id of its own.
+    if (r->order || !r->input.request.empty()) return;
+    if (r->phase == request_phase::running)
+        out.emplace_back(send_message{r->link, cancel{r->answer.current}});
+    finish_span(state, *r, false, "caller gone", out);
+    forget_request(state, *r);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Attempts
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// Next request of the account and class that may run at this sidecar.
+request* next_for(router_state& state, const peer& sidecar, const pull& asked) {
+    for (const std::string& version : {sidecar.identity.version, std::string{}}) {
+        const auto queue = state.queues.find({sidecar.identity.pool, asked.account, asked.cls, version});
+        if (queue == state.queues.end()) continue;
+        for (request& r : queue->second) {
+            const bool suspect = is_suspect(state.crashes, r.crash_hash);
+            if (!suspect || asked.alone) return &r;
+        }
+        if (version.empty()) break;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+void on_pull(router_state& state, link_id link, const pull& asked, effects& out) {
+    const peer* sidecar = find_peer(state.members, link);
+    request* r = nullptr;
+    if (sidecar != nullptr && is_eligible(state, *sidecar)) r = next_for(state, *sidecar, asked);
+    if (r == nullptr) {
+        out.emplace_back(send_message{link, pull_empty{asked.pull_id}});
+        return;
+    }
+    const request_ptr keep{r};
+    dequeue(state, *r);
+    if (r->order) {
+        claim_order(state, *r, link, asked.pull_id, out);
+    } else {
+        assign_request(state, *r, link, asked.pull_id, out);
+    }
+}
+
+void assign_request(router_state& state, request& r, link_id link, std::uint64_t pull_id, effects& out) {
+    set_phase(state, r, request_phase::running);
+    r.link = link;
+    r.attempt_start = state.now;
+    ++r.attempts;
+    begin_attempt(r.answer, state.random.next_id<attempt_id>());
+    state.by_attempt.emplace(r.answer.current, r.id);
+    r.attempt_traceparent = child_traceparent(r.traceparent, state.random);
+    charge_service(state, r, r.cost_hint);
+    assign message;
+    message.pull_id = pull_id;
+    message.attempt = r.answer.current;
+    message.request = r.id;
+    message.account = r.account;
+    message.cls = r.cls;
+    message.method = r.input.method;
+    message.path = r.input.path;
+    message.content_type = r.input.content_type;
+    message.body = r.input.body;
+    message.stream = r.input.route != caller_route::service;
+    message.resume_offset = r.answer.text.size();
+    message.cost_hint = r.cost_hint;
+    message.crash_hash = r.crash_hash;
+    message.suspect = is_suspect(state.crashes, r.crash_hash);
+    message.preemptions = r.preemptions;
+    message.traceparent = r.attempt_traceparent;
+    if (r.order) message.order = order_claim{r.order->key, r.order->nonce, r.order->unseals};
+    message.revisions = revisions_of(state.config);
+    out.emplace_back(
+        observe{"queue_seconds", std::string{to_string(r.cls)}, to_seconds(state.now - r.queued)});
+    out.emplace_back(send_message{link, std::move(message)});
+}
+
+void on_chunk(router_state& state, const chunk& piece, effects& out) {
+    const auto found = state.by_attempt.find(piece.attempt);
+    const request_ptr r =
+        found == state.by_attempt.end() ? request_ptr{} : find_request(state, found->second);
+    if (!r) {
+        out.emplace_back(count{"chunks_dropped_total", "stale", 1});
+        return;
+    }
+    const bool first = r->answer.text.empty();
+    switch (accept_chunk(r->answer, piece)) {
+    case chunk_verdict::accepted:
+        break;
+    case chunk_verdict::gap:
+        // Only a fault of a peer can cause this: the link is ordered. The attempt is given up and resumed.
+        out.emplace_back(count{"chunks_dropped_total", "gap", 1});
+        out.emplace_back(send_message{r->link, cancel{piece.attempt}});
+        on_finish(state, r->link,
+                  finish{.attempt = piece.attempt, .outcome = attempt_outcome::connection_lost}, out);
+        return;
+    default:
+        out.emplace_back(count{"chunks_dropped_total", "duplicate", 1});
+        return;
+    }
+    if (first) {
+        out.emplace_back(observe{"first_byte_seconds", std::string{to_string(r->cls)},
+                                 to_seconds(state.now - r->arrived)});
+    }
+    if (!r->input.stream || !r->caller_present) return;
+    if (!r->stream_begun) {
+        r->stream_begun = true;
+        out.emplace_back(stream_begin{r->input.caller, r->id});
+    }
+    out.emplace_back(stream_data{r->input.caller, piece.data});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Failures of attempts
+//-----------------------------------------------------------------------------
+
+namespace {
+
+void end_attempt(router_state& state, request& r, const finish& end, effects& out) {
+    state.by_attempt.erase(r.answer.current);
+    r.answer.current = {};
+    charge_service(state, r, end.units - r.cost_hint);
+    const bool ok = end.outcome == attempt_outcome::completed;
+    out.emplace_back(span{r.attempt_traceparent, r.traceparent, "router.attempt", r.attempt_start, state.now,
+                          ok, std::string{to_string(end.outcome)}});
+    if (end.outcome != attempt_outcome::not_sent && !end.preempted) note_version_outcome(state, r, end, out);
+}
+
+// Puts an idempotent request back into its queue, or refuses it when retries are used up.
+void retry_request(router_state& state, request& r, effects& out) {
+    const auto& retry = state.settings.retry;
+    if (r.attempts >= retry.max_attempts) {
+        refuse_request(state, r, failure_kind::target_failed, run_state::unknown, out);
+        return;
+    }
+    if (!take_retry(state.budgets[r.input.pool])) {
+        refuse_request(state, r, failure_kind::retry_budget_exhausted, run_state::unknown, out);
+        return;
+    }
+    constexpr duration base = 20ms;
+    constexpr duration limit = 1s;
+    r.not_before = state.now + full_jitter_delay(base, limit, r.attempts, state.random);
+    out.emplace_back(count{"retries_total", r.input.pool, 1});
+    enqueue(state, r, out);
+}
+
+void on_not_sent(router_state& state, request& r, const finish& end, effects& out) {
+    // Never sent: another sidecar may have it at once, and it does not count as a retry.
+    --r.attempts;
+    if (r.order && end.sealed_by) {
+        on_sealed_attempt(state, r, end, out);
+        return;
+    }
+    if (r.order) r.order->unassigned.push_back(r.order->nonce);
+    constexpr duration pause = 20ms; // keeps a refusing sidecar from pulling the same request in a loop
+    r.not_before = state.now + pause;
+    enqueue(state, r, out);
+}
+
+void on_order_lost(router_state& state, request& r, effects& out) {
+    refuse_request(state, r, failure_kind::order_outcome_unknown, run_state::unknown, out);
+}
+
+void on_completed(router_state& state, request& r, const finish& end, bool complete, effects& out) {
+    if (!complete) {
+        out.emplace_back(count{"answers_incomplete_total", r.input.pool, 1});
+        if (r.order) {
+            on_order_lost(state, r, out);
+        } else {
+            // The text cannot be trusted beyond what the caller has already been given.
+            if (!r.stream_begun) r.answer.text.clear();
+            retry_request(state, r, out);
+        }
+        return;
+    }
+    const std::string text = r.answer.text;
+    if (r.order) record_outcome(state, r, end.status, end.content_type, text, out);
+    answer_request(state, r, end.status, end.content_type, text, out);
+}
+
+} // namespace
+
+void on_finish(router_state& state, link_id link, const finish& end, effects& out) {
+    if (!end.revisions.empty()) compare_revisions(state, link, end.revisions, out);
+    const auto found = state.by_attempt.find(end.attempt);
+    const request_ptr r =
+        found == state.by_attempt.end() ? request_ptr{} : find_request(state, found->second);
+    if (!r) {
+        out.emplace_back(count{"finishes_dropped_total", std::string{to_string(end.outcome)}, 1});
+        return;
+    }
+    const bool complete = is_complete(r->answer, end);
+    end_attempt(state, *r, end, out);
+    if (end.target_crashed) note_target_crash(state, *r, end.attempt, end.ran_alone, out);
+    if (end.preempted && !r->order) {
+        --r->attempts;
+        ++r->preemptions;
+        enqueue(state, *r, out);
+        return;
+    }
+    switch (end.outcome) {
+    case attempt_outcome::completed:
+        on_completed(state, *r, end, complete, out);
+        return;
+    case attempt_outcome::not_sent:
+        on_not_sent(state, *r, end, out);
+        return;
+    default:
+        break;
+    }
+    if (r->order) {
+        on_order_lost(state, *r, out);
+    } else if (is_quarantined(state.crashes, r->crash_hash)) {
+        refuse_request(state, *r, failure_kind::quarantined, run_state::unknown, out);
+    } else {
+        retry_request(state, *r, out);
+    }
+}
+
+void fail_attempts_on(router_state& state, link_id link, effects& out) {
+    std::vector<attempt_id> lost;
+    for (const auto& [attempt, id] : state.by_attempt) {
+        const request_ptr r = find_request(state, id);
+        if (r && r->link == link) lost.push_back(attempt);
+    }
+    std::ranges::sort(lost); // the order of a hash map must not reach the effects
+    for (const attempt_id attempt : lost) {
+        on_finish(state, link, finish{.attempt = attempt, .outcome = attempt_outcome::connection_lost}, out);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Time
+//-----------------------------------------------------------------------------
+
+namespace {
+
+void on_deadline(router_state& state, request& r, effects& out) {
+    state.deadlines.erase({r.deadline, r.id});
+    if (r.order && r.phase != request_phase::running && r.phase != request_phase::sealing) {
+        refuse_order(state, r, failure_kind::deadline_exceeded, out);
+        return;
+    }
+    if (r.order) {
+        refuse_request(state, r, failure_kind::order_outcome_unknown, run_state::unknown, out);
+        return;
+    }
+    const bool running = r.phase == request_phase::running;
+    if (running) out.emplace_back(send_message{r.link, cancel{r.answer.current}});
+    const bool ran = running || r.attempts > 0 || r.preemptions > 0;
+    refuse_request(state, r, failure_kind::deadline_exceeded, ran ? run_state::unknown : run_state::not_run,
+                   out);
+}
+
+} // namespace
+
+void on_requests_tick(router_state& state, effects& out) {
+    while (!state.deadlines.empty() && state.deadlines.begin()->first <= state.now) {
+        const auto [at, id] = *state.deadlines.begin();
+        const request_ptr r = find_request(state, id);
+        if (!r) {
+            state.deadlines.erase(state.deadlines.begin());
+            continue;
+        }
+        on_deadline(state, *r, out);
+    }
+    while (!state.delayed.empty() && state.delayed.begin()->first <= state.now) {
+        const auto [at, id] = *state.delayed.begin();
+        state.delayed.erase(state.delayed.begin());
+        const request_ptr r = find_request(state, id);
+        if (r && r->phase == request_phase::waiting) enqueue(state, *r, out);
+    }
+}
+
+} // namespace damaskhill::detail
--- /dev/null
+++ b/core/damaskhill_sidecar.hpp
@@ -0,0 +1,124 @@
+// The sidecar: the only sender to one target, which decides what the target runs next.
+//
+// Index of this file:
+// [SECTION] Settings
+// [SECTION] Calls
+// [SECTION] State
+// [SECTION] Reducer
+
+#pragma once
+
+#include "damaskhill_answers.hpp"
+#include "damaskhill_fairness.hpp"
+#include "damaskhill_limits.hpp"
+#include "damaskhill_membership.hpp"
+#include "damaskhill_orders.hpp"
+#include "damaskhill_quarantine.hpp"
+
+#include <array>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+struct sidecar_settings {
+    std::string name; // unique name of the VM
+    std::string data_centre;
+    std::string pool;
+    std::string version; // version that the target serves at start
+    target_kind kind{target_kind::model_engine};
+    bool checks_fencing{};      // the target refuses old fencing numbers
+    incarnation_id incarnation; // random, new for each start
+    std::uint64_t seed{1};
+    std::uint64_t fence{}; // fencing number: time of start in microseconds, grows with each incarnation
+    membership_settings membership;
+    limit_settings limits; // replaced by the pool's declaration when it is known
+    service_order_settings order_of_service;
+    order_settings orders;
+    duration isolation_limit{3s}; // without configuration confirmed by any router
+    duration drain_limit{30s};    // after which a stop abandons what still runs
+    duration idle_call_limit{5s}; // a model engine that sends nothing for so long is taken as lost
+    duration service_call_limit{30s};
+    std::uint32_t max_preemptions{2}; // of one stream
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Calls
+//-----------------------------------------------------------------------------
+
+/// One request that runs on the target.
+struct running_call {
+    assign work;
+    link_id link{}; // of the router that wants the answer
+    std::uint64_t chunks{};
+    std::uint64_t offset{};
+    std::uint64_t checksum{};
+    std::string kept; // orders: the answer, for repeats
+    time_point started{};
+    time_point first_byte{};
+    time_point last_byte{};
+    bool ran_alone{true}; // nothing else has run on the target since it started
+    std::string traceparent;
+};
+
+/// A pull that the router has not answered.
+struct open_pull {
+    link_id link{};
+    account_id account;
+    request_class cls{request_class::interactive};
+    double cost_hint{};
+    time_point asked{};
+};
+
+/// Requests of one account and class that wait in one router.
+struct waiting_row {
+    link_id link{};
+    std::string version;
+    std::uint32_t waiting{};
+    std::uint64_t oldest_ms{};
+    double cost_hint{};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] State
+//-----------------------------------------------------------------------------
+
+struct sidecar_state {
+    explicit sidecar_state(sidecar_settings s);
+
+    sidecar_settings settings;
+    random_source random;
+    time_point now{};
+    configuration config;
+    membership members;
+    target_limit limit;
+    std::array<service_order, 2> order; // by request_class
+    std::map<account_id, std::array<std::vector<waiting_row>, 2>> rows;
+    std::map<attempt_id, running_call> running;
+    std::map<std::uint64_t, open_pull> pulls;
+    std::uint64_t next_pull{1};
+    order_memory orders;
+    std::set<condemned_version> condemned;
+    target_status target;
+    bool target_known{};
+    time_point confirmed_at{};
+    bool stopping{};
+    time_point stop_at{};
+    bool exited{};
+    serving_state announced{serving_state::warming};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reducer
+//-----------------------------------------------------------------------------
+
+/// Takes one event into the state and appends the effects that the program has to perform.
+/// Depends on nothing but its arguments.
+void reduce(sidecar_state& state, const sidecar_event& event, effects& out);
+
+/// Whether the sidecar may take new work now.
+[[nodiscard]] serving_state serving(const sidecar_state& state);
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_types.hpp
@@ -0,0 +1,197 @@
+// Identifiers, time, enumerations and failures shared by every module of the core.
+//
+// Index of this file:
+// [SECTION] Time
+// [SECTION] Identifiers
+// [SECTION] Enumerations
+// [SECTION] Failures
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Time
+//-----------------------------------------------------------------------------
+
+using duration = std::chrono::microseconds;         // every interval of the core, in microseconds
+using time_point = std::chrono::sys_time<duration>; // Unix time; virtual in tests, benches and replays
+using namespace std::chrono_literals;
+
+/// Seconds as a floating point number.
+constexpr double to_seconds(duration d) { return std::chrono::duration<double>(d).count(); }
+/// Milliseconds as a floating point number.
+constexpr double to_milliseconds(duration d) { return to_seconds(d) * 1000.0; }
+
+//-----------------------------------------------------------------------------
+// [SECTION] Identifiers
+//-----------------------------------------------------------------------------
+
+/// 128-bit random identifier; the tag keeps identifiers of different things apart.
+template <class Tag>
+struct basic_id {
+    std::uint64_t high{};
+    std::uint64_t low{};
+    friend constexpr auto operator<=>(const basic_id&, const basic_id&) = default;
+    [[nodiscard]] constexpr bool empty() const { return high == 0 && low == 0; }
+};
+
+using incarnation_id = basic_id<struct incarnation_tag>; // one run of one process
+using request_id = basic_id<struct request_tag>;         // one request of a caller
+using attempt_id = basic_id<struct attempt_tag>;         // one try of a request on one target
+using nonce_id = basic_id<struct nonce_tag>;             // one write to the key-value store
+using seal_id = basic_id<struct seal_tag>;               // one promise of a sidecar not to send an order
+using order_key = basic_id<struct order_key_tag>;        // Idempotency-Key, a UUIDv7
+
+/// Hash of a full account name ("team/name"); 64 bits keep reservation rows small at 22,000 accounts.
+struct account_id {
+    std::uint64_t value{};
+    friend constexpr auto operator<=>(const account_id&, const account_id&) = default;
+};
+
+using link_id = std::uint64_t;   // one connection to a peer, local to the process
+using caller_id = std::uint64_t; // one open HTTP request of a caller, local to the process
+
+/// Parses 32 hexadecimal digits, with or without the dashes of a UUID.
+[[nodiscard]] std::optional<std::pair<std::uint64_t, std::uint64_t>> parse_hex128(std::string_view text);
+/// Formats 32 lowercase hexadecimal digits.
+[[nodiscard]] std::string format_hex128(std::uint64_t high, std::uint64_t low);
+
+template <class Tag>
+[[nodiscard]] std::string to_string(basic_id<Tag> id) {
+    return format_hex128(id.high, id.low);
+}
+template <class Id>
+[[nodiscard]] std::optional<Id> parse_id(std::string_view text) {
+    const auto parts = parse_hex128(text);
+    if (!parts) return std::nullopt;
+    return Id{parts->first, parts->second};
+}
+
+/// xxHash64 of the bytes; stable across processes and releases.
+[[nodiscard]] std::uint64_t stable_hash(std::string_view bytes, std::uint64_t seed = 0);
+/// Identifier of an account from its full name ("team/name").
+[[nodiscard]] account_id account_id_of(std::string_view full_name);
+/// Creation time that a UUIDv7 carries; empty if the version digit is not 7.
+[[nodiscard]] std::optional<time_point> uuid_v7_time(order_key key);
+
+/// Deterministic generator of identifiers and jitter (splitmix64); seeded by the program, recorded for
+/// replay.
+struct random_source {
+    std::uint64_t state{1};
+    std::uint64_t next();
+    double next_unit(); // uniform in [0, 1)
+    template <class Id>
+    Id next_id() {
+        const std::uint64_t high = next();
+        return Id{high, next() | 1U};
+    }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Enumerations
+//-----------------------------------------------------------------------------
+
+enum class request_class : std::uint8_t { interactive, batch };
+enum class process_role : std::uint8_t { router, sidecar, tool };
+enum class target_kind : std::uint8_t { model_engine, service };
+enum class serving_state : std::uint8_t { warming, serving, draining, stopped };
+enum class run_state : std::uint8_t { not_run, unknown };
+
+/// How one attempt on a target ended.
+enum class attempt_outcome : std::uint8_t {
+    completed,      // the target answered in full
+    target_error,   // the target answered with a 5xx status
+    not_sent,       // the sidecar never sent it: running it elsewhere is safe
+    connection_lost // the target or its connection failed while it ran
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Failures
+//-----------------------------------------------------------------------------
+
+/// Every reason for which this system refuses or fails; the name is the last part of a problem's type URI.
+enum class failure_kind : std::uint8_t {
+    none,
+    unauthorized,
+    malformed_request,
+    header_too_large,
+    body_too_large,
+    not_found,
+    unknown_pool,
+    queue_full,
+    deadline_exceeded,
+    isolated,
+    draining,
+    key_required,
+    malformed_key,
+    key_expired,
+    key_reused,
+    order_store_unavailable,
+    order_outcome_unknown,
+    quarantined,
+    target_failed,
+    retry_budget_exhausted,
+    answer_expired,
+    answer_incomplete,
+    malformed_document,
+    unknown_field,
+    wrong_type,
+    out_of_range,
+    missing_field,
+    malformed_frame,
+    frame_too_large,
+    unauthenticated_frame,
+    unsupported_protocol,
+    store_unreachable,
+    store_conflict,
+    store_timeout,
+    foreign_subtree,
+    stale_revision,
+    network,
+    internal
+};
+
+/// The last reason of a call that returned no value. Texts are for people; programs use the kind.
+struct failure {
+    failure_kind kind{failure_kind::none};
+    std::string where;   // file, JSON path, header or field
+    std::string found;   // what was there
+    std::string allowed; // what may be there
+};
+
+[[nodiscard]] std::string_view to_string(failure_kind kind);
+[[nodiscard]] std::string_view to_string(request_class value);
+[[nodiscard]] std::string_view to_string(process_role value);
+[[nodiscard]] std::string_view to_string(target_kind value);
+[[nodiscard]] std::string_view to_string(serving_state value);
+[[nodiscard]] std::string_view to_string(run_state value);
+[[nodiscard]] std::string_view to_string(attempt_outcome value);
+/// One line for logs and terminals: kind, where, found, allowed.
+[[nodiscard]] std::string describe(const failure& reason);
+
+} // namespace damaskhill
+
+template <class Tag>
+struct std::hash<damaskhill::basic_id<Tag>> {
+    std::size_t operator()(const damaskhill::basic_id<Tag>& id) const noexcept {
+        return static_cast<std::size_t>(id.high ^ (id.low * 0x9E3779B97F4A7C15ULL));
+    }
+};
+template <>
+struct std::hash<damaskhill::account_id> {
+    std::size_t operator()(const damaskhill::account_id& id) const noexcept {
+        return static_cast<std::size_t>(id.value);
+    }
+};
--- /dev/null
+++ b/programs/damaskhill_router.cpp
@@ -0,0 +1,140 @@
+// The router daemon: wires the router's reducer to callers' HTTP, links and the platform.
+//
+// Index of this file:
+// [SECTION] Effects
+// [SECTION] Program
+
+#include "damaskhill_router.hpp"
+#include "damaskhill_impl_curl.hpp"
+#include "damaskhill_impl_frontend.hpp"
+#include "damaskhill_impl_program.hpp"
+#include "damaskhill_impl_store.hpp"
+
+#include <cstdio>
+
+using namespace damaskhill;
+
+namespace {
+
+using host = reducer_host<router_state, router_event>;
+constexpr duration tick_period = 10ms;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Effects
+//-----------------------------------------------------------------------------
+
+struct effect_performer {
+    event_loop& loop;
+    caller_frontend& frontend;
+    router_platform& platform;
+
+    void operator()(const exit_process& /*unused*/) const {
+        loop.after(200ms, [this_loop = &loop] { this_loop->stop(); }); // lets the last replies leave
+    }
+    template <class Effect>
+    void operator()(const Effect& asked) const {
+        if constexpr (requires { frontend.perform(asked); }) {
+            frontend.perform(asked);
+        } else if constexpr (requires { platform.perform(asked); }) {
+            platform.perform(asked);
+        }
+    }
+};
+
+bool answer_operations(const http_request& request, const http_reply_ptr& reply, const router_state& state,
+                       const metrics_registry& metrics) {
+    if (request.target == "/healthz") {
+        reply->whole(200, {{"Content-Type", "text/plain"}}, "ok\n");
+    } else if (request.target == "/readyz") {
+        reply->whole(state.ready ? 200 : 503, {{"Content-Type", "text/plain"}},
+                     state.ready ? "ready\n" : "not ready\n");
+    } else if (request.target == "/metrics") {
+        reply->whole(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text());
+    } else if (request.target == "/debug/revisions") {
+        reply->whole(200, {{"Content-Type", "application/json"}},
+                     dump_json(encode_json(revisions_of(state.config))));
+    } else {
+        return false;
+    }
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Program
+//-----------------------------------------------------------------------------
+
+router_settings to_core(const router_daemon_settings& from) {
+    router_settings to;
+    to.name = from.name;
+    to.data_centre = from.data_centre;
+    to.seed = system_random();
+    to.incarnation = {system_random(), system_random()};
+    to.interactive_timeout = std::chrono::milliseconds{from.interactive_timeout_ms};
+    to.batch_timeout = std::chrono::milliseconds{from.batch_timeout_ms};
+    to.drain_limit = std::chrono::milliseconds{from.drain_limit_ms};
+    to.orders.shards = from.order_shards;
+    return to;
+}
+
+exit_code run(const router_daemon_settings& settings, const std::string& record_file) {
+    event_loop loop;
+    metrics_registry metrics;
+    span_writer spans{settings.trace_file, "damaskhill_router", settings.name};
+    router_state state{to_core(settings)};
+    host router{state, metrics, spans, record_file};
+    link_transport links{loop, {link_keys_of(settings.link_keys)}, callbacks_for(router, metrics)};
+    http_client http{loop};
+    store_client store{http, settings.store_url};
+    const auto submit = [&](router_input&& input) { router.submit(std::move(input)); };
+    router_platform platform{store, submit};
+    caller_frontend frontend{submit};
+    router.set_transport(&links);
+    router.set_handler([&](effect&& item) { std::visit(effect_performer{loop, frontend, platform}, item); });
+    http_server server{loop, {}};
+    failure why;
+    const auto on_request = [&](http_request&& request, http_reply_ptr reply) {
+        if (!answer_operations(request, reply, state, metrics)) {
+            frontend.on_request(std::move(request), std::move(reply));
+        }
+    };
+    const auto on_closed = [&](std::uint64_t connection) {
+        loop.post([&frontend, connection] { frontend.on_connection_closed(connection); });
+    };
+    if (!links.listen(settings.link_address, why) ||
+        !server.listen(settings.http_address, on_request, on_closed, why)) {
+        std::fprintf(stderr, "damaskhill_router: %s\n", describe(why).c_str());
+        return exit_code::network;
+    }
+    loop.every(tick_period, [&] {
+        const link_traffic traffic = links.traffic();
+        metrics.set(gauge{"link_bytes", "sent", static_cast<double>(traffic.sent)});
+        metrics.set(gauge{"link_bytes", "received", static_cast<double>(traffic.received)});
+        router.submit(tick{});
+    });
+    loop.on_terminate([&] { router.submit(stop_requested{}); });
+    log_line("listening for callers on " + settings.http_address + ", for links on " + settings.link_address);
+    loop.run();
+    return exit_code::ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    auto code = exit_code::ok;
+    const auto options =
+        parse_daemon_options({argv, static_cast<std::size_t>(argc)},
+                             "Ends callers' requests and hands them to sidecars that pull.", code);
+    if (!options) return static_cast<int>(code);
+    failure why;
+    const auto settings = load_router_settings(options->settings_file, why);
+    if (!settings) {
+        std::fprintf(stderr, "damaskhill_router: %s\n", describe(why).c_str());
+        return static_cast<int>(exit_code::settings);
+    }
+    if (options->check_only) {
+        std::printf("%s: ok\n", options->settings_file.c_str());
+        return 0;
+    }
+    start_logging(argv[0]);
+    return static_cast<int>(run(*settings, options->record_file));
+}
--- /dev/null
+++ b/programs/damaskhill_sidecar.cpp
@@ -0,0 +1,132 @@
+// The sidecar daemon: wires the sidecar's reducer to links and to the target on its VM.
+//
+// Index of this file:
+// [SECTION] Effects
+// [SECTION] Program
+
+#include "damaskhill_sidecar.hpp"
+#include "damaskhill_impl_curl.hpp"
+#include "damaskhill_impl_program.hpp"
+#include "damaskhill_impl_target.hpp"
+
+#include <cstdio>
+
+using namespace damaskhill;
+
+namespace {
+
+using host = reducer_host<sidecar_state, sidecar_event>;
+constexpr duration tick_period = 10ms;
+constexpr duration status_period = 200ms;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Effects
+//-----------------------------------------------------------------------------
+
+struct effect_performer {
+    event_loop& loop;
+    target_client& target;
+
+    void operator()(const start_call& asked) const { target.start(asked); }
+    void operator()(const cancel_call& asked) const { target.cancel(asked); }
+    void operator()(const load_version& asked) const { target.load(asked); }
+    void operator()(const exit_process& /*unused*/) const {
+        loop.after(200ms, [this_loop = &loop] { this_loop->stop(); });
+    }
+    template <class Effect>
+    void operator()(const Effect& /*unused*/) const {}
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Program
+//-----------------------------------------------------------------------------
+
+sidecar_settings to_core(const sidecar_daemon_settings& from) {
+    sidecar_settings to;
+    to.name = from.name;
+    to.data_centre = from.data_centre;
+    to.pool = from.pool;
+    to.version = from.version;
+    to.kind = from.kind;
+    to.checks_fencing = from.checks_fencing;
+    to.seed = system_random();
+    to.incarnation = {system_random(), system_random()};
+    to.fence = static_cast<std::uint64_t>(wall_clock().time_since_epoch().count());
+    to.limits.cold_limit = from.cold_limit;
+    to.limits.warm_limit = from.warm_limit;
+    to.drain_limit = std::chrono::milliseconds{from.drain_limit_ms};
+    return to;
+}
+
+void answer_operations(const http_request& request, const http_reply_ptr& reply, const sidecar_state& state,
+                       const metrics_registry& metrics) {
+    const bool ready = serving(state) == serving_state::serving;
+    if (request.target == "/healthz") {
+        reply->whole(200, {{"Content-Type", "text/plain"}}, "ok\n");
+    } else if (request.target == "/readyz") {
+        reply->whole(ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n");
+    } else if (request.target == "/metrics") {
+        reply->whole(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text());
+    } else if (request.target == "/debug/revisions") {
+        reply->whole(200, {{"Content-Type", "application/json"}},
+                     dump_json(encode_json(revisions_of(state.config))));
+    } else {
+        reply->whole(404, {{"Content-Type", "text/plain"}}, "not found\n");
+    }
+}
+
+exit_code run(const sidecar_daemon_settings& settings, const std::string& record_file) {
+    event_loop loop;
+    metrics_registry metrics;
+    span_writer spans{settings.trace_file, "damaskhill_sidecar", settings.name};
+    sidecar_state state{to_core(settings)};
+    host sidecar{state, metrics, spans, record_file};
+    link_transport links{loop, {link_keys_of(settings.link_keys)}, callbacks_for(sidecar, metrics)};
+    http_client http{loop};
+    target_client target{http, settings.target_url, settings.kind,
+                         [&](sidecar_input&& input) { sidecar.submit(std::move(input)); }};
+    sidecar.set_transport(&links);
+    sidecar.set_handler([&](effect&& item) { std::visit(effect_performer{loop, target}, item); });
+    http_server server{loop, {}};
+    failure why;
+    const auto on_request = [&](const http_request& request, const http_reply_ptr& reply) {
+        answer_operations(request, reply, state, metrics);
+    };
+    if (!links.listen(settings.link_address, why) ||
+        !server.listen(settings.metrics_address, on_request, {}, why)) {
+        std::fprintf(stderr, "damaskhill_sidecar: %s\n", describe(why).c_str());
+        return exit_code::network;
+    }
+    loop.every(tick_period, [&] {
+        const link_traffic traffic = links.traffic();
+        metrics.set(gauge{"link_bytes", "sent", static_cast<double>(traffic.sent)});
+        metrics.set(gauge{"link_bytes", "received", static_cast<double>(traffic.received)});
+        sidecar.submit(tick{});
+    });
+    loop.every(status_period, [&] { target.poll_status(); });
+    loop.on_terminate([&] { sidecar.submit(stop_requested{}); });
+    log_line("listening for links on " + settings.link_address + ", target " + settings.target_url);
+    loop.run();
+    return exit_code::ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    auto code = exit_code::ok;
+    const auto options = parse_daemon_options({argv, static_cast<std::size_t>(argc)},
+                                              "The only sender to the target on its VM.", code);
+    if (!options) return static_cast<int>(code);
+    failure why;
+    const auto settings = load_sidecar_settings(options->settings_file, why);
+    if (!settings) {
+        std::fprintf(stderr, "damaskhill_sidecar: %s\n", describe(why).c_str());
+        return static_cast<int>(exit_code::settings);
+    }
+    if (options->check_only) {
+        std::printf("%s: ok\n", options->settings_file.c_str());
+        return 0;
+    }
+    start_logging(argv[0]);
+    return static_cast<int>(run(*settings, options->record_file));
+}
--- /dev/null
+++ b/standins/standin_engine.cpp
@@ -0,0 +1,289 @@
+// Stand-in for a model engine: continuous batching in limited memory, cold start, prefix cache, streams that
+// resume and cancel, late cache events, lagging load, versions, and fencing numbers that it honours or
+// ignores. The text of an answer depends on the prompt alone, so that a check can tell a right answer from a
+// wrong one. A prompt with the word CRASH takes the engine down: open streams break and it starts again,
+// cold.
+//
+// Index of this file:
+// [SECTION] Engine
+// [SECTION] Generation
+// [SECTION] Handlers
+// [SECTION] Program
+
+#include "common.hpp"
+
+#include <list>
+
+using namespace damaskhill;
+using namespace damaskhill::standin;
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Engine
+//-----------------------------------------------------------------------------
+
+struct settings {
+    std::uint64_t room{16};      // streams that run at full speed
+    std::uint64_t cold_limit{2}; // streams that it bears while cold
+    duration cold_time{500ms};   // of work until it is warm
+    duration token_time{4ms};    // between two tokens when not overloaded
+    duration load_time{300ms};   // of a version from the weight store
+    bool honours_fencing{true};
+};
+
+struct faults {
+    double fail_rate{};           // share of requests answered with 500
+    std::uint64_t slow_factor{1}; // of the token time
+    bool silent{};                // accepts requests and never sends a byte
+};
+
+struct stream {
+    http_reply_ptr reply;
+    std::uint64_t connection{};
+    bool chat{};
+    std::string prompt;
+    std::uint64_t next_token{};
+    std::uint64_t tokens{};
+    std::uint64_t skip_bytes{}; // of a resumed stream
+    double progress{};          // of the next token, 0 to 1
+};
+
+struct engine {
+    settings config;
+    std::map<std::string, faults> fault_by_version;
+    std::string version;
+    std::uint64_t boot{1};
+    std::uint64_t fence{};
+    time_point warm_at{};
+    time_point ready_at{};
+    std::list<stream> streams;
+    std::set<std::uint64_t> prefixes;
+    std::vector<json> cache_events;
+    std::uint64_t reported_running{}; // lags behind
+    std::uint64_t requests{};
+    std::uint64_t cold_overloads{}; // requests that arrived beyond the cold limit while cold
+    std::uint64_t crashes{};
+    std::uint64_t refused_orders{};
+    random_source random;
+};
+
+faults& fault_of(engine& e) { return e.fault_by_version[e.version]; }
+
+std::string token_text(const std::string& prompt, std::uint64_t index) {
+    return "w" + std::to_string(stable_hash(prompt, index + 1) % 1000) + " ";
+}
+
+void crash(engine& e) {
+    ++e.crashes;
+    ++e.boot;
+    for (stream& s : e.streams)
+        s.reply->abort();
+    e.streams.clear();
+    e.prefixes.clear();
+    e.warm_at = wall_clock() + e.config.cold_time;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Generation
+//-----------------------------------------------------------------------------
+
+std::string event_of(const stream& s, const std::string& text) {
+    json choice{{"index", 0}};
+    if (s.chat) {
+        choice["delta"] = {{"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    return "data: " + dump_json(json{{"choices", json::array({choice})}}) + "\n\n";
+}
+
+void emit_token(stream& s) {
+    std::string text = token_text(s.prompt, s.next_token++);
+    const std::size_t skipped = std::min<std::size_t>(s.skip_bytes, text.size());
+    s.skip_bytes -= skipped;
+    text.erase(0, skipped);
+    if (!text.empty()) s.reply->chunk(event_of(s, text));
+}
+
+// One step of the batch: every stream advances, more slowly when the engine is cold or beyond its room.
+void step(engine& e, duration elapsed) {
+    const bool cold = wall_clock() < e.warm_at;
+    const double room = static_cast<double>(cold ? e.config.cold_limit : e.config.room);
+    const double load = std::max(1.0, static_cast<double>(e.streams.size()) / room);
+    const double slow = (cold ? 3.0 : 1.0) * load * static_cast<double>(fault_of(e).slow_factor);
+    const double advance = to_seconds(elapsed) / (to_seconds(e.config.token_time) * slow);
+    for (auto it = e.streams.begin(); it != e.streams.end();) {
+        stream& s = *it;
+        // A resumed stream does not generate again what its caller has: its KV cache is imported.
+        while (s.skip_bytes > 0 && s.next_token < s.tokens)
+            emit_token(s);
+        for (s.progress += advance; s.progress >= 1.0 && s.next_token < s.tokens; s.progress -= 1.0)
+            emit_token(s);
+        if (s.next_token < s.tokens) {
+            ++it;
+            continue;
+        }
+        s.reply->chunk("data: [DONE]\n\n");
+        s.reply->end();
+        it = e.streams.erase(it);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Handlers
+//-----------------------------------------------------------------------------
+
+std::string prompt_of(const json& body) {
+    if (body.contains("prompt") && body["prompt"].is_string()) return body["prompt"].get<std::string>();
+    std::string text;
+    for (const json& message : body.value("messages", json::array()))
+        text += message.value("content", "");
+    return text;
+}
+
+void remember_prefix(engine& e, const std::string& prompt) {
+    constexpr std::size_t prefix_bytes = 256;
+    constexpr std::size_t cache_entries = 64;
+    const std::uint64_t hash = stable_hash(std::string_view{prompt}.substr(0, prefix_bytes));
+    if (!e.prefixes.insert(hash).second) return;
+    if (e.random.next_unit() > 0.1) e.cache_events.push_back({{"prefix_hash", hash}, {"stored", true}});
+    if (e.prefixes.size() <= cache_entries) return;
+    e.cache_events.push_back({{"prefix_hash", *e.prefixes.begin()}, {"stored", false}});
+    e.prefixes.erase(e.prefixes.begin());
+}
+
+void on_generate(engine& e, http_request&& request, const http_reply_ptr& reply) {
+    const json body = body_of(request);
+    const std::string prompt = prompt_of(body);
+    ++e.requests;
+    const bool cold = wall_clock() < e.warm_at;
+    if (cold && e.streams.size() >= e.config.cold_limit) ++e.cold_overloads;
+    if (prompt.find("CRASH") != std::string::npos) {
+        crash(e);
+        reply->abort();
+        return;
+    }
+    if (fault_of(e).silent) {
+        e.streams.push_back({reply, request.connection, false, prompt, 0, 1U << 30U, 0, -1e9});
+        return;
+    }
+    if (e.random.next_unit() < fault_of(e).fail_rate) {
+        reply_json(reply, 500, {{"error", "internal"}});
+        return;
+    }
+    remember_prefix(e, prompt);
+    stream s;
+    s.reply = reply;
+    s.connection = request.connection;
+    s.chat = request.target == "/v1/chat/completions";
+    s.prompt = prompt;
+    s.tokens = body.value("max_tokens", std::uint64_t{128});
+    s.skip_bytes =
+        std::strtoull(std::string{find_header(request.headers, "X-Resume-Offset")}.c_str(), nullptr, 10);
+    reply->begin(200, {{"Content-Type", "text/event-stream"}});
+    e.streams.push_back(std::move(s));
+}
+
+void on_load(engine& e, const json& body, const http_reply_ptr& reply) {
+    const auto fence = body.value("fence", std::uint64_t{0});
+    if (e.config.honours_fencing && fence < e.fence) {
+        ++e.refused_orders;
+        reply_json(reply, 409, {{"error", "old fencing number"}});
+        return;
+    }
+    e.fence = std::max(e.fence, fence);
+    e.version = body.value("version", e.version);
+    e.ready_at = wall_clock() + e.config.load_time;
+    e.warm_at = e.ready_at + e.config.cold_time;
+    reply_json(reply, 200, {{"version", e.version}});
+}
+
+void on_fault(engine& e, const json& body, const http_reply_ptr& reply) {
+    faults& fault = e.fault_by_version[body.value("version", e.version)];
+    take(body, "fail_rate", fault.fail_rate);
+    take(body, "slow_factor", fault.slow_factor);
+    take(body, "silent", fault.silent);
+    if (body.value("cold", false)) e.warm_at = wall_clock() + e.config.cold_time;
+    reply_json(reply, 200, json::object());
+}
+
+json status_of(const engine& e) {
+    return {{"ready", wall_clock() >= e.ready_at},
+            {"version", e.version},
+            {"running", e.reported_running},
+            {"boot", e.boot}};
+}
+
+json stats_of(const engine& e) {
+    return {{"requests", e.requests},
+            {"running", e.streams.size()},
+            {"cold_overloads", e.cold_overloads},
+            {"crashes", e.crashes},
+            {"refused_orders", e.refused_orders}};
+}
+
+void on_request(engine& e, http_request&& request, const http_reply_ptr& reply) {
+    const std::string target = request.target;
+    if (target == "/v1/completions" || target == "/v1/chat/completions") {
+        on_generate(e, std::move(request), reply);
+    } else if (target == "/status") {
+        reply_json(reply, 200, status_of(e));
+    } else if (target == "/cache_events") {
+        reply_json(reply, 200, e.cache_events);
+        e.cache_events.clear();
+    } else if (target == "/admin/load") {
+        on_load(e, body_of(request), reply);
+    } else if (target == "/admin/fault") {
+        on_fault(e, body_of(request), reply);
+    } else if (target == "/admin/stats") {
+        reply_json(reply, 200, stats_of(e));
+    } else {
+        reply_json(reply, 404, {{"error", "not found"}});
+    }
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Program
+//-----------------------------------------------------------------------------
+
+int main(int argc, char** argv) {
+    const auto options = parse_options(argc, argv,
+                                       {{"address", "127.0.0.1:7100"},
+                                        {"version", "v1"},
+                                        {"room", "16"},
+                                        {"cold-limit", "2"},
+                                        {"cold-ms", "500"},
+                                        {"token-ms", "4"},
+                                        {"load-ms", "300"},
+                                        {"fencing", "honour"},
+                                        {"seed", "1"}});
+    constexpr duration step_period = 2ms;
+    constexpr duration report_period = 500ms;
+    engine e;
+    e.config.room = number(options, "room");
+    e.config.cold_limit = number(options, "cold-limit");
+    e.config.cold_time = std::chrono::milliseconds{number(options, "cold-ms")};
+    e.config.token_time = std::chrono::milliseconds{number(options, "token-ms")};
+    e.config.load_time = std::chrono::milliseconds{number(options, "load-ms")};
+    e.config.honours_fencing = options.at("fencing") == "honour";
+    e.version = options.at("version");
+    e.random.state = number(options, "seed");
+    e.boot = static_cast<std::uint64_t>(wall_clock().time_since_epoch().count());
+    e.warm_at = wall_clock() + e.config.cold_time;
+    event_loop loop;
+    loop.every(step_period, [&] { step(e, step_period); });
+    loop.every(report_period, [&] { e.reported_running = e.streams.size(); });
+    return serve(
+        loop, options.at("address"),
+        [&](http_request&& request, const http_reply_ptr& reply) {
+            on_request(e, std::move(request), reply);
+        },
+        [&](std::uint64_t connection) {
+            loop.post([&e, connection] {
+                std::erase_if(e.streams, [&](const stream& s) { return s.connection == connection; });
+            });
+        });
+}
--- /dev/null
+++ b/standins/standin_service.cpp
@@ -0,0 +1,137 @@
+// Stand-in for a plain service: idempotent stock lookups, and orders and reservations that may not be
+// repeated. It runs every order that it is sent and counts how often each one ran, so that a second run is
+// seen; it does not check who sends them unless --dedupe is "yes".
+//
+// Index of this file:
+// [SECTION] Service
+// [SECTION] Handlers
+// [SECTION] Program
+
+#include "common.hpp"
+
+using namespace damaskhill;
+using namespace damaskhill::standin;
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Service
+//-----------------------------------------------------------------------------
+
+struct faults {
+    std::uint64_t slow_ms{};
+    double lose_replies{}; // share of orders whose reply is lost after they ran
+    bool silent{};
+};
+
+struct service {
+    faults fault;
+    duration work_time{5ms};
+    bool dedupe{};
+    std::string version{"v1"};
+    std::uint64_t boot{};
+    std::uint64_t running{};
+    std::uint64_t lookups{};
+    std::map<std::string, std::uint64_t> runs_by_order; // by the "order" member of the body
+    std::set<std::string> keys;
+    random_source random;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Handlers
+//-----------------------------------------------------------------------------
+
+void on_lookup(service& s, const http_request& request, const http_reply_ptr& reply) {
+    ++s.lookups;
+    const std::string item = request.target.substr(request.target.rfind('/') + 1);
+    reply_json(reply, 200, {{"item", item}, {"stock", stable_hash(item) % 100}});
+}
+
+void on_order(service& s, const http_request& request, const http_reply_ptr& reply) {
+    const json body = body_of(request);
+    const std::string order = body.value("order", request.body);
+    const std::string key{find_header(request.headers, "Idempotency-Key")};
+    if (s.dedupe && !s.keys.insert(key).second) {
+        reply_json(reply, 409, {{"error", "already run"}});
+        return;
+    }
+    ++s.runs_by_order[order];
+    if (s.random.next_unit() < s.fault.lose_replies) {
+        reply->abort();
+        return;
+    }
+    reply_json(reply, 201, {{"order", order}, {"confirmed", true}});
+}
+
+json stats_of(const service& s) {
+    std::uint64_t second_runs = 0;
+    for (const auto& [order, runs] : s.runs_by_order)
+        second_runs += runs - 1;
+    return {{"orders", s.runs_by_order.size()},
+            {"second_runs", second_runs},
+            {"lookups", s.lookups},
+            {"runs_by_order", s.runs_by_order}};
+}
+
+void on_request(service& s, event_loop& loop, http_request&& request, const http_reply_ptr& reply) {
+    if (request.target == "/status") {
+        reply_json(reply, 200,
+                   {{"ready", true}, {"version", s.version}, {"running", s.running}, {"boot", s.boot}});
+        return;
+    }
+    if (request.target == "/admin/stats") {
+        reply_json(reply, 200, stats_of(s));
+        return;
+    }
+    if (request.target == "/admin/fault") {
+        const json body = body_of(request);
+        take(body, "slow_ms", s.fault.slow_ms);
+        take(body, "lose_replies", s.fault.lose_replies);
+        take(body, "silent", s.fault.silent);
+        reply_json(reply, 200, json::object());
+        return;
+    }
+    ++s.running;
+    const duration delay = s.work_time + std::chrono::milliseconds{s.fault.slow_ms};
+    loop.after(delay, [&s, request = std::move(request), reply] {
+        --s.running;
+        if (request.method == "GET") {
+            on_lookup(s, request, reply);
+        } else {
+            on_order(s, request, reply);
+        }
+    });
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Program
+//-----------------------------------------------------------------------------
+
+int main(int argc, char** argv) {
+    const auto options = parse_options(argc, argv,
+                                       {{"address", "127.0.0.1:7200"},
+                                        {"version", "v1"},
+                                        {"work-ms", "5"},
+                                        {"dedupe", "no"},
+                                        {"seed", "1"}});
+    event_loop loop;
+    service s;
+    s.version = options.at("version");
+    s.work_time = std::chrono::milliseconds{number(options, "work-ms")};
+    s.dedupe = options.at("dedupe") == "yes";
+    s.random.state = number(options, "seed");
+    s.boot = static_cast<std::uint64_t>(wall_clock().time_since_epoch().count());
+    std::vector<http_reply_ptr> silent; // kept open for good
+    return serve(loop, options.at("address"),
+                 [&](http_request&& request, const http_reply_ptr& reply) {
+                     const bool admin = request.target.starts_with("/admin/") || request.target == "/status";
+                     if (s.fault.silent && !admin) {
+                         silent.push_back(reply);
+                         return;
+                     }
+                     on_request(s, loop, std::move(request), reply);
+                 },
+                 {});
+}
