Add an in-memory fleet that drives the real reducers with a virtual clock

Benches and tests need several processes at once. The fleet wires router and sidecar reducers to a fake store and fake targets through one event queue, with lists of delays, drops and pauses.

Measured: a question, a stream and an order repeated through three routers give the expected answers; the order runs once (tests fleet_path, in virtual time).

--- /dev/null
+++ b/bench/damaskhill_bench_fleet.cpp
@@ -0,0 +1,647 @@
+// Index of this file:
+// [SECTION] Answers of targets
+// [SECTION] Event queue
+// [SECTION] Nodes
+// [SECTION] Effects
+// [SECTION] Store
+// [SECTION] Targets
+// [SECTION] Faults
+
+#include "damaskhill_bench_fleet.hpp"
+
+#include "damaskhill_impl_thrift.hpp"
+
+#include <algorithm>
+
+namespace damaskhill::bench {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers of targets
+//-----------------------------------------------------------------------------
+
+std::string expected_text(std::string_view body, std::uint64_t tokens) {
+    std::uint64_t state = stable_hash(body);
+    std::string text;
+    text.reserve(tokens);
+    for (std::uint64_t i = 0; i < tokens; ++i) {
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        text.push_back(static_cast<char>('a' + (state >> 59U) % 26));
+    }
+    return text;
+}
+
+std::uint64_t tokens_of(std::string_view body) {
+    constexpr std::string_view mark = "tokens=";
+    constexpr std::uint64_t default_tokens = 16;
+    const auto at = body.find(mark);
+    if (at == std::string_view::npos) return default_tokens;
+    return std::strtoull(std::string{body.substr(at + mark.size(), 12)}.c_str(), nullptr, 10);
+}
+
+std::string order_of(std::string_view body) {
+    constexpr std::string_view mark = "order=";
+    const auto at = body.find(mark);
+    if (at == std::string_view::npos) return {};
+    const std::string_view rest = body.substr(at + mark.size());
+    return std::string{rest.substr(0, rest.find(' '))};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Event queue
+//-----------------------------------------------------------------------------
+
+void fleet::at(time_point when, std::function<void()> work) {
+    queue_.push({std::max(when, now_), next_number_++, std::move(work)});
+}
+
+void fleet::run_until(time_point end) {
+    while (!queue_.empty() && queue_.top().at <= end) {
+        const queued next = queue_.top();
+        queue_.pop();
+        now_ = next.at;
+        next.work();
+    }
+    now_ = end;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Nodes
+//-----------------------------------------------------------------------------
+
+fleet::fleet(fleet_settings settings)
+    : settings_(std::move(settings)), random_{settings_.seed}, now_{std::chrono::hours{24 * 365 * 50}} {
+    const std::size_t centres = settings_.data_centres.size();
+    for (std::size_t i = 0; i < settings_.routers; ++i) {
+        node n;
+        n.name = "router-" + std::to_string(i);
+        n.data_centre = settings_.data_centres[i % centres];
+        nodes_.push_back(std::move(n));
+    }
+    for (const pool_settings& pool : settings_.pools) {
+        for (std::size_t i = 0; i < pool.replicas; ++i) {
+            node n;
+            n.name = pool.name + "-" + std::to_string(i);
+            n.data_centre = settings_.data_centres[i % centres];
+            n.pool = pool.name;
+            n.target.settings = pool.target;
+            n.target.version = pool.target.version;
+            nodes_.push_back(std::move(n));
+        }
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        vm_entry vm{nodes_[i].name,        nodes_[i].name, process_role::sidecar,
+                    nodes_[i].data_centre, nodes_[i].pool, false};
+        if (i < settings_.routers) vm.role = process_role::router;
+        store_.vms.push_back(vm);
+        start(i);
+    }
+}
+
+void fleet::boot_router(std::size_t i) {
+    router_settings s;
+    s.name = nodes_[i].name;
+    s.data_centre = nodes_[i].data_centre;
+    s.incarnation = random_.next_id<incarnation_id>();
+    s.seed = random_.next();
+    if (settings_.tune_router) settings_.tune_router(s);
+    nodes_[i].router = std::make_unique<router_state>(std::move(s));
+}
+
+void fleet::boot_sidecar(std::size_t i) {
+    sidecar_settings s;
+    const node& n = nodes_[i];
+    s.name = n.name;
+    s.data_centre = n.data_centre;
+    s.pool = n.pool;
+    s.version = n.target.version;
+    s.kind = n.target.settings.kind;
+    s.incarnation = random_.next_id<incarnation_id>();
+    s.seed = random_.next();
+    s.fence = static_cast<std::uint64_t>(now_.time_since_epoch().count());
+    s.limits.cold_limit = static_cast<std::uint32_t>(n.target.settings.cold_limit);
+    s.limits.warm_limit = static_cast<std::uint32_t>(n.target.settings.room);
+    if (settings_.tune_sidecar) settings_.tune_sidecar(s);
+    nodes_[i].sidecar = std::make_unique<sidecar_state>(std::move(s));
+}
+
+void fleet::start(std::size_t i) {
+    node& n = nodes_[i];
+    n.up = true;
+    n.paused = false;
+    ++n.generation;
+    if (i < settings_.routers) {
+        boot_router(i);
+    } else {
+        boot_sidecar(i);
+        if (n.target.boot == 1 && n.target.started == 0)
+            n.target.cold_until = now_ + n.target.settings.cold_time;
+    }
+    const std::uint64_t generation = n.generation;
+    // Ticks of different nodes do not coincide.
+    const duration offset{static_cast<std::int64_t>(random_.next() % 10'000)};
+    at(now_ + offset, [this, i, generation] { tick_node(i, generation); });
+}
+
+void fleet::tick_node(std::size_t i, std::uint64_t generation) {
+    node& n = nodes_[i];
+    if (n.generation != generation || !n.up) return;
+    if (!n.paused) {
+        if (n.router) {
+            give(i, router_input{tick{}});
+        } else {
+            step_target(i);
+            give(i, sidecar_input{tick{}});
+        }
+    } else if (n.sidecar) {
+        step_target(i); // the target runs on while its sidecar is paused
+    }
+    at(now_ + settings_.tick_period, [this, i, generation] { tick_node(i, generation); });
+}
+
+template <class Input>
+void fleet::deliver(std::size_t i, std::uint64_t generation, Input input) {
+    node& n = nodes_[i];
+    if (!n.up || n.generation != generation) return;
+    if (n.paused) {
+        n.deferred.push_back([this, i, generation, input] { deliver(i, generation, input); });
+        return;
+    }
+    give(i, std::move(input));
+}
+
+void fleet::give(std::size_t i, router_input input) {
+    effects out;
+    reduce(*nodes_[i].router, router_event{now_, std::move(input)}, out);
+    if (observer) observer(i, out);
+    for (effect& item : out)
+        perform(i, item);
+}
+
+void fleet::give(std::size_t i, sidecar_input input) {
+    effects out;
+    reduce(*nodes_[i].sidecar, sidecar_event{now_, std::move(input)}, out);
+    if (observer) observer(i, out);
+    for (effect& item : out)
+        perform(i, item);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Effects
+//-----------------------------------------------------------------------------
+
+void fleet::perform(std::size_t i, effect& item) {
+    if (auto* message = std::get_if<send_message>(&item)) {
+        perform_message(i, *message);
+    } else if (auto* wanted = std::get_if<dial>(&item)) {
+        perform_dial(i, *wanted);
+    } else if (auto* closing = std::get_if<close_link>(&item)) {
+        perform_close(i, closing->link);
+    } else if (auto* call = std::get_if<start_call>(&item)) {
+        start_target_call(i, *call);
+    } else if (auto* ended = std::get_if<cancel_call>(&item)) {
+        nodes_[i].target.calls.erase(ended->attempt);
+    } else if (auto* order = std::get_if<load_version>(&item)) {
+        fake_target& target = nodes_[i].target;
+        target.version = order->version;
+        target.cold_until = now_ + target.settings.cold_time;
+    } else if (auto* counter = std::get_if<count>(&item)) {
+        counters[counter->name + "/" + counter->label] += counter->amount;
+    } else if (std::holds_alternative<exit_process>(item)) {
+        at(now_, [this, i] { kill(i); });
+    } else if (auto* whole = std::get_if<answer_whole>(&item)) {
+        caller_result& r = results_[whole->caller];
+        r.answered = true;
+        r.status = whole->status;
+        r.text = whole->body;
+        if (r.first == time_point{}) r.first = now_;
+        end_caller(r);
+    } else if (auto* data = std::get_if<stream_data>(&item)) {
+        caller_result& r = results_[data->caller];
+        if (r.first == time_point{}) r.first = now_;
+        r.text += data->text;
+    } else if (auto* end = std::get_if<stream_end>(&item)) {
+        caller_result& r = results_[end->caller];
+        r.answered = end->reason == failure_kind::none;
+        r.broken = !r.answered;
+        r.refusal = end->reason;
+        r.state = run_state::unknown;
+        r.status = 200;
+        end_caller(r);
+    } else if (auto* refused = std::get_if<refuse>(&item)) {
+        caller_result& r = results_[refused->caller];
+        r.refusal = refused->kind;
+        r.state = refused->state;
+        end_caller(r);
+    } else {
+        perform_store(i, item);
+    }
+}
+
+void fleet::end_caller(caller_result& result) {
+    result.ended = now_;
+    if (on_end) on_end(result);
+}
+
+caller_id fleet::ask(std::size_t router, caller_request request) {
+    const caller_id caller = next_caller_++;
+    request.caller = caller;
+    caller_result& r = results_[caller];
+    r.caller = caller;
+    r.router = router;
+    r.asked = now_;
+    r.request = request;
+    node& n = nodes_[router];
+    if (!n.up) {
+        r.broken = true;
+        at(now_, [this, caller] { end_caller(results_[caller]); });
+        return caller;
+    }
+    at(now_, [this, router, generation = n.generation, request = std::move(request)] {
+        deliver(router, generation, router_input{request});
+    });
+    return caller;
+}
+
+void fleet::perform_message(std::size_t i, const send_message& message) {
+    node& n = nodes_[i];
+    const auto found = n.links.find(message.link);
+    if (found == n.links.end()) return;
+    fleet_link& link = found->second;
+    ++n.messages_sent;
+    if (settings_.measure_bytes) {
+        const std::size_t bytes =
+            encode_message(message.message).size() + frame_length_size + frame_head_size;
+        n.bytes_sent += bytes;
+        const bool data = std::holds_alternative<assign>(message.message) ||
+                          std::holds_alternative<chunk>(message.message) ||
+                          std::holds_alternative<answer_put>(message.message) ||
+                          std::holds_alternative<answer_value>(message.message);
+        if (data) n.data_bytes_sent += bytes;
+    }
+    if (is_cut(i, link.peer)) link.broken = true;
+    if (link.broken) return;
+    link.last_arrival = std::max(link.last_arrival, now_ + settings_.link_delay);
+    const std::size_t peer = link.peer;
+    at(link.last_arrival,
+       [this, peer, generation = nodes_[peer].generation, to = link.peer_link, content = message.message] {
+           node& receiver = nodes_[peer];
+           if (!receiver.links.contains(to)) return;
+           if (receiver.router) {
+               deliver(peer, generation, router_input{link_message{to, content}});
+           } else {
+               deliver(peer, generation, sidecar_input{link_message{to, content}});
+           }
+       });
+}
+
+void fleet::perform_dial(std::size_t i, const dial& target) {
+    const auto found = std::ranges::find(nodes_, target.name, &node::name);
+    const std::uint64_t generation = nodes_[i].generation;
+    const auto peer = static_cast<std::size_t>(found - nodes_.begin());
+    const bool reachable = found != nodes_.end() && found->up && !is_cut(i, peer);
+    at(now_ + 2 * settings_.link_delay, [this, i, peer, generation, reachable, name = target.name] {
+        node& n = nodes_[i];
+        if (!n.up || n.generation != generation) return;
+        if (!reachable || !nodes_[peer].up) {
+            deliver(i, generation, router_input{dial_failed{name}});
+            return;
+        }
+        node& other = nodes_[peer];
+        const link_id mine = n.next_link++;
+        const link_id theirs = other.next_link++;
+        n.links[mine] = {peer, theirs, false, {}};
+        other.links[theirs] = {i, mine, false, {}};
+        if (other.router) {
+            deliver(peer, other.generation, router_input{link_opened{theirs, {}}});
+        } else {
+            deliver(peer, other.generation, sidecar_input{link_opened{theirs, {}}});
+        }
+        deliver(i, generation, router_input{link_opened{mine, name}});
+    });
+}
+
+void fleet::perform_close(std::size_t i, link_id link) {
+    const auto found = nodes_[i].links.find(link);
+    if (found == nodes_[i].links.end()) return;
+    const fleet_link closed = found->second;
+    nodes_[i].links.erase(found);
+    if (closed.broken || is_cut(i, closed.peer)) return; // the other end hears nothing
+    at(now_ + settings_.link_delay, [this, closed, generation = nodes_[closed.peer].generation] {
+        node& other = nodes_[closed.peer];
+        if (other.links.erase(closed.peer_link) == 0) return;
+        const link_closed event{closed.peer_link, failure_kind::network};
+        if (other.router) {
+            deliver(closed.peer, generation, router_input{event});
+        } else {
+            deliver(closed.peer, generation, sidecar_input{event});
+        }
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Store
+//-----------------------------------------------------------------------------
+
+bool fleet::store_reachable(std::size_t i) const {
+    return !store_.faults.down && !store_.cut.contains(nodes_[i].name);
+}
+
+void fleet::declare(team_declarations declared) {
+    declared.revision = store_.teams[declared.team].revision + 1;
+    store_.team_changed[declared.team] = ++store_.revision;
+    store_.teams[declared.team] = std::move(declared);
+}
+
+void fleet::answer_watch(std::size_t i, std::uint64_t generation, std::uint64_t after, time_point until) {
+    constexpr duration poll = 10ms;
+    config_watched watched;
+    if (!store_reachable(i)) {
+        watched.result = failure_kind::store_unreachable;
+        deliver(i, generation, router_input{watched});
+        return;
+    }
+    for (const auto& [team, changed] : store_.team_changed) {
+        if (changed > after) watched.teams.push_back(store_.teams[team]);
+    }
+    if (watched.teams.empty() && now_ < until) {
+        at(now_ + poll, [this, i, generation, after, until] { answer_watch(i, generation, after, until); });
+        return;
+    }
+    watched.store_revision = store_.revision;
+    deliver(i, generation, router_input{watched});
+}
+
+void fleet::perform_store(std::size_t i, const effect& item) {
+    const std::uint64_t generation = nodes_[i].generation;
+    const duration delay = store_.faults.delay;
+    const auto reply_later = [this, i, generation, delay](router_input input) {
+        at(now_ + delay, [this, i, generation, input = std::move(input)] { deliver(i, generation, input); });
+    };
+    if (std::holds_alternative<list_vms>(item)) {
+        if (!store_.cut.contains(nodes_[i].name)) reply_later(vm_list{store_.vms});
+    } else if (const auto* watch = std::get_if<watch_config>(&item)) {
+        ++store_.watches;
+        answer_watch(i, generation, watch->after, now_ + 1s);
+    } else if (const auto* read = std::get_if<store_read>(&item)) {
+        ++store_.reads;
+        if (random_.next_unit() < store_.faults.lost_requests) return;
+        if (!store_reachable(i)) {
+            reply_later(store_reply{read->call, failure_kind::store_unreachable, 0, {}});
+            return;
+        }
+        const auto& [version, log] = store_.orders[read->key];
+        if (random_.next_unit() < store_.faults.lost_replies) return;
+        reply_later(store_reply{read->call, failure_kind::none, version, log});
+    } else if (const auto* swap = std::get_if<store_swap>(&item)) {
+        ++store_.writes;
+        if (random_.next_unit() < store_.faults.lost_requests) return;
+        if (!store_reachable(i)) {
+            reply_later(store_reply{swap->call, failure_kind::store_unreachable, 0, {}});
+            return;
+        }
+        const auto write = [this, asked = *swap] {
+            auto& [version, log] = store_.orders[asked.key];
+            if (version != asked.expected) return std::pair{false, version};
+            log = asked.log;
+            return std::pair{true, ++version};
+        };
+        if (random_.next_unit() < store_.faults.late_writes) {
+            at(now_ + store_.faults.late_by, [write] { write(); });
+            return;
+        }
+        const auto [ok, version] = write();
+        if (random_.next_unit() < store_.faults.lost_replies) return;
+        reply_later(
+            store_reply{swap->call, ok ? failure_kind::none : failure_kind::store_conflict, version, {}});
+    } else if (const auto* wanted = std::get_if<store_facts>(&item)) {
+        if (!store_reachable(i)) {
+            reply_later(facts_reply{failure_kind::store_unreachable, 0, {}});
+            return;
+        }
+        const bool conflict = wanted->expected && *wanted->expected != store_.facts_version;
+        if (wanted->expected && !conflict) {
+            ++store_.writes;
+            store_.known = wanted->value;
+            ++store_.facts_version;
+        }
+        reply_later(facts_reply{conflict ? failure_kind::store_conflict : failure_kind::none,
+                                store_.facts_version, store_.known});
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Targets
+//-----------------------------------------------------------------------------
+
+std::vector<std::size_t> fleet::sidecars(std::string_view pool) const {
+    std::vector<std::size_t> found;
+    for (std::size_t i = settings_.routers; i < nodes_.size(); ++i) {
+        if (nodes_[i].pool == pool) found.push_back(i);
+    }
+    return found;
+}
+
+void fleet::start_target_call(std::size_t i, const start_call& call) {
+    fake_target& target = nodes_[i].target;
+    if (!target.up) {
+        at(now_, [this, i, attempt = call.attempt] {
+            call_finished done;
+            done.attempt = attempt;
+            done.sent = false;
+            deliver(i, nodes_[i].generation, sidecar_input{done});
+        });
+        return;
+    }
+    ++target.started;
+    const bool cold = now_ < target.cold_until;
+    if (cold && static_cast<double>(target.calls.size()) >= target.settings.cold_limit) {
+        ++target.refused_cold;
+        if (target.settings.overload_refuses) {
+            at(now_ + 1ms, [this, i, attempt = call.attempt] {
+                call_finished done;
+                done.attempt = attempt;
+                done.transport_ok = true;
+                done.overloaded = true;
+                done.status = 503;
+                deliver(i, nodes_[i].generation, sidecar_input{done});
+            });
+            return;
+        }
+    }
+    target_call running;
+    running.call = call;
+    running.started = now_;
+    const bool engine = target.settings.kind == target_kind::model_engine;
+    running.work = engine ? static_cast<double>(tokens_of(call.body)) : 1.0;
+    running.done = engine ? static_cast<double>(call.resume_offset) : 0.0;
+    running.sent = engine ? call.resume_offset : 0;
+    running.silent = target.faults.silent;
+    target.calls.emplace(call.attempt, std::move(running));
+    if (cold) target.max_running_cold = std::max<std::uint64_t>(target.max_running_cold, target.calls.size());
+    if (target.faults.crash_marked && call.body.find("CRASH") != std::string::npos) {
+        at(now_ + 5ms, [this, i] { crash_target(i); });
+    }
+}
+
+void fleet::finish_target_call(std::size_t i, attempt_id attempt, bool transport_ok, std::uint32_t status) {
+    fake_target& target = nodes_[i].target;
+    const auto found = target.calls.find(attempt);
+    if (found == target.calls.end()) return;
+    call_finished done;
+    done.attempt = attempt;
+    done.transport_ok = transport_ok;
+    done.status = status;
+    done.content_type =
+        target.settings.kind == target_kind::model_engine ? "text/event-stream" : "application/json";
+    done.tokens = static_cast<std::uint32_t>(found->second.done);
+    target.calls.erase(found);
+    deliver(i, nodes_[i].generation, sidecar_input{done});
+}
+
+void fleet::advance_call(std::size_t i, target_call& call, double amount) {
+    fake_target& target = nodes_[i].target;
+    const attempt_id attempt = call.call.attempt;
+    if (call.silent) return;
+    if (!call.began) {
+        call.began = true;
+        if (random_.next_unit() < target.faults.fail_rate) {
+            finish_target_call(i, attempt, true, 500);
+            return;
+        }
+    }
+    call.done = std::min(call.work, call.done + amount);
+    if (target.settings.kind == target_kind::service) {
+        if (call.done < call.work) return;
+        const std::string order = order_of(call.call.body);
+        if (!order.empty()) ++order_runs[order];
+        if (random_.next_unit() < target.faults.lost_replies) {
+            finish_target_call(i, attempt, false, 0);
+            return;
+        }
+        deliver(i, nodes_[i].generation, sidecar_input{call_chunk{attempt, "done " + order}});
+        finish_target_call(i, attempt, true, 200);
+        return;
+    }
+    const auto whole = static_cast<std::uint64_t>(call.done);
+    if (whole > call.sent) {
+        const std::string text = expected_text(call.call.body, whole).substr(call.sent);
+        call.sent = whole;
+        deliver(i, nodes_[i].generation, sidecar_input{call_chunk{attempt, text}});
+    }
+    if (call.done >= call.work) finish_target_call(i, attempt, true, 200);
+}
+
+void fleet::step_target(std::size_t i) {
+    fake_target& target = nodes_[i].target;
+    const target_settings& s = target.settings;
+    const double elapsed = to_seconds(settings_.tick_period);
+    const bool cold = now_ < target.cold_until;
+    const auto running = static_cast<double>(target.calls.size());
+    target.busy_seconds += std::min(running, s.room) * elapsed;
+    const double load = std::max(1.0, running / (cold ? s.cold_limit : s.room));
+    const double slow = load * (cold ? s.cold_factor : 1.0) * target.faults.slow_factor;
+    const double step_time = to_seconds(s.kind == target_kind::model_engine ? s.token_time : s.work_time);
+    std::vector<attempt_id> attempts;
+    for (const auto& [attempt, call] : target.calls)
+        attempts.push_back(attempt);
+    for (const attempt_id attempt : attempts) {
+        const auto found = target.calls.find(attempt);
+        if (found == target.calls.end()) continue;
+        target_call& call = found->second;
+        const bool engine = s.kind == target_kind::model_engine;
+        const duration first =
+            duration{static_cast<std::int64_t>(to_seconds(s.first_token_time) * slow * 1e6)};
+        if (engine && now_ - call.started < first) continue;
+        advance_call(i, call, elapsed / (step_time * slow));
+    }
+    constexpr duration status_period = 200ms;
+    if ((now_ - time_point{}) % status_period < settings_.tick_period) {
+        target_status status{target.up, target.up, target.version, static_cast<std::uint32_t>(running),
+                             target.boot};
+        deliver(i, nodes_[i].generation, sidecar_input{status});
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Faults
+//-----------------------------------------------------------------------------
+
+bool fleet::is_cut(std::size_t a, std::size_t b) const { return cuts_.contains(std::minmax(a, b)); }
+void fleet::cut(std::size_t a, std::size_t b) { cuts_.insert(std::minmax(a, b)); }
+void fleet::heal(std::size_t a, std::size_t b) { cuts_.erase(std::minmax(a, b)); }
+void fleet::heal_all() { cuts_.clear(); }
+
+void fleet::close_all_links(std::size_t i) {
+    std::vector<link_id> open;
+    for (const auto& [link, state] : nodes_[i].links)
+        open.push_back(link);
+    for (const link_id link : open)
+        perform_close(i, link);
+}
+
+void fleet::kill(std::size_t i) {
+    node& n = nodes_[i];
+    if (!n.up) return;
+    close_all_links(i);
+    n.up = false;
+    n.deferred.clear();
+    if (i < settings_.routers) {
+        for (auto& [caller, r] : results_) {
+            if (r.router != i || r.ended != time_point{}) continue;
+            r.broken = true;
+            at(now_, [this, id = caller] { end_caller(results_[id]); });
+        }
+        return;
+    }
+    // Calls of a sidecar that is gone end at the target, whose side effects stay.
+    if (n.target.settings.kind == target_kind::model_engine) n.target.calls.clear();
+}
+
+void fleet::restart(std::size_t i, bool target_too) {
+    kill(i);
+    if (target_too && i >= settings_.routers) {
+        fake_target& target = nodes_[i].target;
+        target.calls.clear();
+        ++target.boot;
+        target.cold_until = now_ + target.settings.cold_time;
+    }
+    start(i);
+}
+
+void fleet::pause(std::size_t i) { nodes_[i].paused = true; }
+
+void fleet::resume(std::size_t i) {
+    node& n = nodes_[i];
+    if (!n.paused) return;
+    n.paused = false;
+    std::vector<std::function<void()>> events;
+    events.swap(n.deferred);
+    for (const auto& event : events)
+        event();
+}
+
+void fleet::stop(std::size_t i) {
+    if (i < settings_.routers) {
+        deliver(i, nodes_[i].generation, router_input{stop_requested{}});
+    } else {
+        deliver(i, nodes_[i].generation, sidecar_input{stop_requested{}});
+    }
+}
+
+void fleet::crash_target(std::size_t i) {
+    fake_target& target = nodes_[i].target;
+    ++target.crashes;
+    ++target.boot;
+    target.cold_until = now_ + target.settings.cold_time;
+    std::vector<attempt_id> lost;
+    for (const auto& [attempt, call] : target.calls)
+        lost.push_back(attempt);
+    for (const attempt_id attempt : lost)
+        finish_target_call(i, attempt, false, 0);
+}
+
+void fleet::turn_cold(std::size_t i) {
+    nodes_[i].target.cold_until = now_ + nodes_[i].target.settings.cold_time;
+}
+
+} // namespace damaskhill::bench
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,67 @@
+// Runs benches and prints one JSON object a line; exits with 1 if a bound is missed.
+
+#include "damaskhill_bench.hpp"
+#include "damaskhill_impl_json.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <getopt.h>
+
+namespace damaskhill::bench {
+
+std::vector<registration>& registrations() {
+    static std::vector<registration> all;
+    return all;
+}
+
+} // namespace damaskhill::bench
+
+using namespace damaskhill;
+
+namespace {
+
+bool print_row(const bench::row& r, std::uint64_t seed) {
+    json line{{"bench", r.bench}, {"value", r.value}, {"unit", r.unit},
+              {"bound", r.bound}, {"ok", r.ok},       {"seed", seed}};
+    if (!r.detail.empty()) line["detail"] = r.detail;
+    std::printf("%s\n", dump_json(line).c_str());
+    std::fflush(stdout);
+    return r.ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    static const option long_options[] = {{"only", required_argument, nullptr, 'o'},
+                                          {"seed", required_argument, nullptr, 's'},
+                                          {"help", no_argument, nullptr, 'h'},
+                                          {nullptr, 0, nullptr, 0}};
+    std::string only;
+    std::uint64_t seed = 1;
+    for (int letter = 0; (letter = getopt_long(argc, argv, "o:s:h", long_options, nullptr)) != -1;) {
+        switch (letter) {
+        case 'o':
+            only = optarg;
+            break;
+        case 's':
+            seed = std::strtoull(optarg, nullptr, 10);
+            break;
+        default:
+            std::printf("Usage: %s [--only NAME] [--seed N]\n", argv[0]);
+            return letter == 'h' ? 0 : 2;
+        }
+    }
+    auto all = bench::registrations();
+    std::ranges::sort(all, {}, &bench::registration::name);
+    bool ok = true;
+    bool any = false;
+    for (const auto& r : all) {
+        if (!only.empty() && r.name != only) continue;
+        any = true;
+        for (const bench::row& line : r.run(seed))
+            ok = print_row(line, seed) && ok;
+    }
+    if (!any) std::fprintf(stderr, "no such bench: %s\n", only.c_str());
+    return any && ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/test_fleet.cpp
@@ -0,0 +1,106 @@
+// The whole path in virtual time: real reducers, fake platform and targets.
+
+#include "damaskhill_bench_fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+using namespace damaskhill::bench;
+
+BOOST_AUTO_TEST_SUITE(fleet_path)
+
+namespace {
+
+team_declarations sample_team() {
+    team_declarations team;
+    team.team = "t";
+    team.accounts.push_back({"t/a", 1.0, {std::string(64, 'a')}, 256});
+    pool_declaration lm;
+    lm.name = "lm";
+    lm.warm_limit = 16;
+    team.pools.push_back(lm);
+    pool_declaration app;
+    app.name = "app";
+    app.kind = target_kind::service;
+    app.cold_limit = 4;
+    app.warm_limit = 16;
+    app.order_routes.push_back({"POST", "/orders"});
+    team.pools.push_back(app);
+    return team;
+}
+
+fleet_settings sample_fleet() {
+    fleet_settings s;
+    s.pools.push_back({"lm", 3, {}});
+    target_settings service;
+    service.kind = target_kind::service;
+    service.cold_limit = 4;
+    s.pools.push_back({"app", 3, service});
+    return s;
+}
+
+caller_request question(std::string body) {
+    caller_request r;
+    r.pool = "lm";
+    r.method = "POST";
+    r.path = "/v1/completions";
+    r.key_hash = std::string(64, 'a');
+    r.body = std::move(body);
+    r.max_tokens = 16;
+    return r;
+}
+
+order_key key_at(time_point now, std::uint64_t number) {
+    const auto ms = static_cast<std::uint64_t>(
+        std::chrono::floor<std::chrono::milliseconds>(now).time_since_epoch().count());
+    return {(ms << 16U) | 0x7000U, 0x8000000000000000U | number};
+}
+
+caller_request order(time_point now, std::uint64_t number) {
+    caller_request r;
+    r.route = caller_route::service;
+    r.pool = "app";
+    r.method = "POST";
+    r.path = "/orders";
+    r.key_hash = std::string(64, 'a');
+    r.idempotency_key = to_string(key_at(now, number));
+    r.body = "order=" + std::to_string(number) + " ";
+    return r;
+}
+
+} // namespace
+
+// Guards against a break anywhere between caller and target.
+BOOST_AUTO_TEST_CASE(question_is_answered_whole) {
+    fleet f{sample_fleet()};
+    f.declare(sample_team());
+    f.run_for(3s);
+    const caller_id whole = f.ask(0, question("q tokens=40 "));
+    caller_request streamed = question("s tokens=300 ");
+    streamed.stream = true;
+    const caller_id stream = f.ask(1, streamed);
+    f.run_for(20s);
+    BOOST_TEST(f.result(whole).answered);
+    BOOST_TEST(f.result(whole).text == expected_text("q tokens=40 ", 40));
+    BOOST_TEST(f.result(stream).text == expected_text("s tokens=300 ", 300));
+}
+
+// Guards against an order that runs again when its caller repeats it through other routers.
+BOOST_AUTO_TEST_CASE(repeated_order_runs_once) {
+    fleet f{sample_fleet()};
+    f.declare(sample_team());
+    f.run_for(3s);
+    const caller_request o = order(f.now(), 1);
+    const caller_id first = f.ask(0, o);
+    const caller_id second = f.ask(1, o);
+    f.run_for(5s);
+    const caller_id third = f.ask(2, o);
+    f.run_for(5s);
+    for (const caller_id caller : {first, second, third}) {
+        BOOST_TEST(f.result(caller).answered);
+        BOOST_TEST(f.result(caller).text == "done 1");
+    }
+    BOOST_TEST(f.order_runs["1"] == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
