Bind link frames to their connection and close aborted replies

Cause: a recorded frame could be sent again on a new connection, since its MAC covered only direction and position; and a stand-in that gave up a reply left its connection open, so that a lost reply looked like a silent service, which only the sidecar's call limit (30 s) ends. Both sides now open with a random salt that every MAC covers. An aborted reply announces more bytes than follow.

--- a/backends/damaskhill_impl_asio.cpp
+++ b/backends/damaskhill_impl_asio.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <deque>
 #include <map>
+#include <random>
+#include <set>
 
 #include <asio.hpp>
 
@@ -96,6 +98,9 @@
     bool dialer{};
     std::string name;
     asio::ip::tcp::socket socket;
+    std::string own_salt;
+    std::string peer_salt;
+    std::string session;
     std::array<unsigned char, frame_length_size> head{};
     std::string body;
     std::uint64_t frames_in{};
@@ -119,6 +124,8 @@
 
     void accept();
     void start(const connection_ptr& connection);
+    void exchange_salts(const connection_ptr& connection);
+    void open(const connection_ptr& connection);
     void read_head(const connection_ptr& connection);
     void read_body(const connection_ptr& connection);
     void on_frame(const connection_ptr& connection);
@@ -130,6 +137,7 @@
     link_callbacks callbacks;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
     std::map<link_id, connection_ptr> connections;
+    std::set<connection_ptr> greeting; // connections whose salts are on their way
     link_id next_id{1};
     link_traffic traffic;
     bool stopped{};
@@ -148,6 +156,49 @@
 void link_transport::implementation::start(const connection_ptr& connection) {
     asio::error_code ignored;
     connection->socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    exchange_salts(connection);
+}
+
+void link_transport::implementation::exchange_salts(const connection_ptr& connection) {
+    connection->own_salt.resize(session_salt_size);
+    connection->peer_salt.resize(session_salt_size);
+    std::random_device device;
+    for (char& byte : connection->own_salt)
+        byte = static_cast<char>(device());
+    greeting.insert(connection);
+    // A peer that never sends its salt must not hold the connection for good.
+    auto timer = std::make_shared<asio::steady_timer>(context, settings.dial_timeout);
+    timer->async_wait([connection](const asio::error_code& error) {
+        asio::error_code ignored;
+        if (!error) connection->socket.close(ignored);
+    });
+    const auto fail = [self = shared_from_this(), connection, timer] {
+        timer->cancel();
+        if (self->greeting.erase(connection) > 0 && connection->dialer && !self->stopped) {
+            self->callbacks.dial_failed(connection->name);
+        }
+    };
+    asio::async_write(connection->socket, asio::buffer(connection->own_salt),
+                      [fail](const asio::error_code& error, std::size_t) {
+                          if (error) fail();
+                      });
+    asio::async_read(
+        connection->socket, asio::buffer(connection->peer_salt),
+        [self = shared_from_this(), connection, timer, fail](const asio::error_code& error, std::size_t) {
+            if (error || !self->greeting.contains(connection)) {
+                fail();
+                return;
+            }
+            timer->cancel();
+            self->greeting.erase(connection);
+            self->open(connection);
+        });
+}
+
+void link_transport::implementation::open(const connection_ptr& connection) {
+    if (stopped) return;
+    connection->session = connection->dialer ? connection->own_salt + connection->peer_salt
+                                             : connection->peer_salt + connection->own_salt;
     connection->id = next_id++;
     connections[connection->id] = connection;
     callbacks.opened(connection->id, connection->name);
@@ -189,7 +240,7 @@
     if (connection->closed) return;
     traffic.received += frame_length_size + connection->body.size();
     failure why;
-    const frame_position position{!connection->dialer, connection->frames_in++};
+    const frame_position position{!connection->dialer, connection->frames_in++, connection->session};
     const auto bytes = open_frame(connection->body, settings.keys, position, why);
     auto message = bytes ? decode_message(*bytes, why) : std::nullopt;
     if (message) {
@@ -240,6 +291,8 @@
     if (impl_->acceptor) impl_->acceptor->close(ignored);
     for (const auto& [id, connection] : impl_->connections)
         connection->socket.close(ignored);
+    for (const connection_ptr& connection : impl_->greeting)
+        connection->socket.close(ignored);
 }
 
 std::optional<bool> link_transport::listen(std::string_view address, failure& why) {
@@ -288,7 +341,7 @@
     const auto found = impl_->connections.find(link);
     if (found == impl_->connections.end()) return;
     const connection_ptr connection = found->second;
-    const frame_position position{connection->dialer, connection->frames_out++};
+    const frame_position position{connection->dialer, connection->frames_out++, connection->session};
     connection->unsent.push_back(seal_frame(encode_message(message), impl_->settings.keys, position));
     connection->unsent_bytes += connection->unsent.back().size();
     if (connection->unsent_bytes > impl_->settings.send_limit) {
--- a/backends/damaskhill_impl_program.cpp
+++ b/backends/damaskhill_impl_program.cpp
@@ -207,7 +207,12 @@
                      json::array({{{"resource", resource},
                                    {"scopeSpans", json::array({{{"scope", {{"name", "damaskhill"}}},
                                                                 {"spans", json::array({record})}}})}}})}};
-    out_ << dump_json(line) << std::endl;
+    out_ << dump_json(line) << '\n';
+    // A flush for each span would cost a system call for each hop.
+    constexpr duration flush_period = 1s;
+    if (finished.end - flushed_ < flush_period) return;
+    flushed_ = finished.end;
+    out_.flush();
 }
 
 } // namespace damaskhill
--- a/backends/damaskhill_impl_program.hpp
+++ b/backends/damaskhill_impl_program.hpp
@@ -146,6 +146,7 @@
     std::ofstream out_;
     std::string service_;
     std::string instance_;
+    time_point flushed_{};
 };
 
 //-----------------------------------------------------------------------------
--- a/backends/damaskhill_impl_restinio.cpp
+++ b/backends/damaskhill_impl_restinio.cpp
@@ -70,12 +70,19 @@
     }
 
     void abort() override {
-        // RESTinio has no call for it: dropping the builder leaves the body without its end, and the
-        // connection is closed by the reply limit or by the client.
+        // RESTinio has no call that closes a connection. A stream ends without the end marker of its content;
+        // a reply that has not begun announces more bytes than follow before the connection closes.
         if (stream_) {
             stream_->connection_close();
-            stream_.reset();
+            end();
         }
+        if (!request_) return;
+        constexpr std::size_t missing_bytes = 64;
+        auto response = request_->create_response<restinio::user_controlled_output_t>(status_line(200));
+        response.set_content_length(missing_bytes);
+        response.connection_close();
+        response.flush();
+        response.done();
         request_.reset();
     }
 
--- a/backends/damaskhill_impl_thrift.cpp
+++ b/backends/damaskhill_impl_thrift.cpp
@@ -255,7 +255,8 @@
 std::array<char, frame_mac_size> mac_of(std::string_view message, std::string_view secret,
                                         frame_position position) {
     std::string covered;
-    covered.reserve(message.size() + 9);
+    covered.reserve(position.session.size() + message.size() + 9);
+    covered += position.session;
     covered.push_back(position.from_dialer ? 'D' : 'A');
     append_u64(covered, position.number);
     covered += message;
--- a/backends/damaskhill_impl_thrift.hpp
+++ b/backends/damaskhill_impl_thrift.hpp
@@ -24,10 +24,13 @@
 //-----------------------------------------------------------------------------
 
 // Frame: length of the rest (4 bytes, big-endian), key number (1), MAC (16), message. The MAC is HMAC-SHA256,
-// cut to 128 bits, over direction, position in the stream and message, so that a frame cannot be moved.
+// cut to 128 bits, over session, direction, position in the stream and message, so that a frame can be
+// neither moved nor sent again on another connection. The session is the two random salts that open a
+// connection.
 inline constexpr std::size_t frame_limit = 16U << 20U; // bytes of one frame
 inline constexpr std::size_t frame_length_size = 4;
 inline constexpr std::size_t frame_mac_size = 16;
+inline constexpr std::size_t session_salt_size = 16;
 inline constexpr std::size_t frame_head_size = 1 + frame_mac_size;
 
 /// A shared key of the links; during a rotation several are accepted and the first one signs.
@@ -40,6 +43,7 @@
 struct frame_position {
     bool from_dialer{};
     std::uint64_t number{};
+    std::string_view session; // salt of the dialler, then salt of the other side
 };
 
 [[nodiscard]] std::string seal_frame(std::string_view message, std::span<const link_key> keys,
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -60,15 +60,16 @@
 BOOST_AUTO_TEST_CASE(frame_is_bound_to_key_position_and_content) {
     const std::vector<link_key> keys{{1, "0123456789abcdef"}};
     const std::vector<link_key> others{{1, "fedcba9876543210"}};
-    const std::string frame = seal_frame("message", keys, {true, 4}).substr(frame_length_size);
+    const std::string frame = seal_frame("message", keys, {true, 4, "salts"}).substr(frame_length_size);
     failure why;
-    BOOST_TEST(open_frame(frame, keys, {true, 4}, why).has_value());
-    BOOST_TEST(!open_frame(frame, others, {true, 4}, why).has_value());
-    BOOST_TEST(!open_frame(frame, keys, {true, 5}, why).has_value());
-    BOOST_TEST(!open_frame(frame, keys, {false, 4}, why).has_value());
+    BOOST_TEST(open_frame(frame, keys, {true, 4, "salts"}, why).has_value());
+    BOOST_TEST(!open_frame(frame, others, {true, 4, "salts"}, why).has_value());
+    BOOST_TEST(!open_frame(frame, keys, {true, 5, "salts"}, why).has_value());
+    BOOST_TEST(!open_frame(frame, keys, {false, 4, "salts"}, why).has_value());
+    BOOST_TEST(!open_frame(frame, keys, {true, 4, "other"}, why).has_value());
     std::string altered = frame;
     altered.back() ^= 1;
-    BOOST_TEST(!open_frame(altered, keys, {true, 4}, why).has_value());
+    BOOST_TEST(!open_frame(altered, keys, {true, 4, "salts"}, why).has_value());
     BOOST_TEST((why.kind == failure_kind::unauthenticated_frame));
 }
 
