Give damaged events of an engine a typed error and a counter

Cause: an event of the engine's stream that could not be read was skipped, so that the text after the gap was taken as the answer. The decoder is a function of its own now; a damaged event ends the call as lost, and the stream resumes.

--- a/backends/damaskhill_impl_target.cpp
+++ b/backends/damaskhill_impl_target.cpp
@@ -14,8 +14,13 @@
 //-----------------------------------------------------------------------------
 
 target_client::target_client(http_client& http, std::string url, target_kind kind,
-                             std::function<void(sidecar_input&&)> submit)
-    : http_(http), url_(std::move(url)), kind_(kind), submit_(std::move(submit)) {}
+                             std::function<void(sidecar_input&&)> submit,
+                             std::function<void(failure_kind)> rejected)
+    : http_(http),
+      url_(std::move(url)),
+      kind_(kind),
+      submit_(std::move(submit)),
+      rejected_(std::move(rejected)) {}
 
 namespace {
 
@@ -74,7 +79,8 @@
     done.overloaded = result.transport_ok && (result.status == 429 || result.status == 503);
     done.tokens = found->second.tokens;
     const bool engine_stream = kind_ == target_kind::model_engine && result.status == 200;
-    done.transport_ok = result.transport_ok && (!engine_stream || found->second.ended);
+    done.transport_ok =
+        result.transport_ok && (!engine_stream || (found->second.ended && !found->second.malformed));
     calls_.erase(found);
     submit_(std::move(done));
 }
@@ -98,32 +104,47 @@
     std::size_t start = 0;
     for (std::size_t end = call.unparsed.find('\n'); end != std::string::npos;
          end = call.unparsed.find('\n', start)) {
-        on_engine_event(attempt, call, std::string_view{call.unparsed}.substr(start, end - start));
+        on_engine_line(attempt, call, std::string_view{call.unparsed}.substr(start, end - start));
         start = end + 1;
     }
     call.unparsed.erase(0, start);
 }
 
-void target_client::on_engine_event(attempt_id attempt, open_call& call, std::string_view line) {
+void target_client::on_engine_line(attempt_id attempt, open_call& call, std::string_view line) {
+    failure why;
+    auto event = decode_engine_event(line, why);
+    if (!event) {
+        // The rest of the stream cannot be placed any more: the call ends as lost and is resumed elsewhere.
+        call.malformed = true;
+        rejected_(why.kind);
+        return;
+    }
+    if (event->end) call.ended = true;
+    if (call.malformed || event->text.empty()) return;
+    ++call.tokens;
+    submit_(call_chunk{attempt, std::move(event->text)});
+}
+
+std::optional<engine_event> decode_engine_event(std::string_view line, failure& why) {
     constexpr std::string_view prefix = "data: ";
-    if (!line.starts_with(prefix)) return;
+    engine_event event;
+    if (!line.starts_with(prefix)) return event;
     line.remove_prefix(prefix.size());
     if (line.starts_with("[DONE]")) {
-        call.ended = true;
-        return;
+        event.end = true;
+        return event;
     }
-    failure why;
-    const auto document = parse_json(line, "event", why);
-    if (!document) return; // an event that cannot be read leaves a gap that the checks at the end find
+    const auto document = parse_json(line, "event of an engine", why);
+    if (!document) return std::nullopt;
     try {
         const json& choice = document->at("choices").at(0);
-        std::string text = choice.contains("delta") ? choice["delta"].value("content", std::string{})
-                                                    : choice.value("text", std::string{});
-        ++call.tokens;
-        submit_(call_chunk{attempt, std::move(text)});
-    } catch (const json::exception&) {
-        call.ended = false;
+        event.text = choice.contains("delta") ? choice["delta"].value("content", std::string{})
+                                              : choice.value("text", std::string{});
+    } catch (const json::exception& error) {
+        why = {failure_kind::malformed_document, "event of an engine", error.what(), "choices with a text"};
+        return std::nullopt;
     }
+    return event;
 }
 
 //-----------------------------------------------------------------------------
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -22,8 +22,15 @@
 namespace {
 
 bool print_row(const bench::row& r, std::uint64_t seed) {
-    json line{{"bench", r.bench}, {"value", r.value}, {"unit", r.unit},
-              {"bound", r.bound}, {"ok", r.ok},       {"seed", seed}};
+    // "name.measure": one bench may print several measures.
+    const auto dot = r.bench.find('.');
+    json line{{"bench", r.bench.substr(0, dot)},
+              {"value", r.value},
+              {"unit", r.unit},
+              {"bound", r.bound},
+              {"ok", r.ok},
+              {"seed", seed}};
+    if (dot != std::string::npos) line["measure"] = r.bench.substr(dot + 1);
     if (!r.detail.empty()) line["detail"] = r.detail;
     std::printf("%s\n", dump_json(line).c_str());
     std::fflush(stdout);
--- a/programs/damaskhill_sidecar.cpp
+++ b/programs/damaskhill_sidecar.cpp
@@ -83,8 +83,12 @@
     host sidecar{state, metrics, spans, record_file};
     link_transport links{loop, {link_keys_of(settings.link_keys)}, callbacks_for(sidecar, metrics)};
     http_client http{loop};
-    target_client target{http, settings.target_url, settings.kind,
-                         [&](sidecar_input&& input) { sidecar.submit(std::move(input)); }};
+    target_client target{
+        http, settings.target_url, settings.kind,
+        [&](sidecar_input&& input) { sidecar.submit(std::move(input)); },
+        [&](failure_kind kind) {
+            metrics.add(count{"target_events_rejected_total", std::string{to_string(kind)}, 1});
+        }};
     sidecar.set_transport(&links);
     sidecar.set_handler([&](effect&& item) { std::visit(effect_performer{loop, target}, item); });
     http_server server{loop, {}};
--- /dev/null
+++ b/tests/test_target.cpp
@@ -0,0 +1,36 @@
+// Decoding of what targets send.
+
+#include "damaskhill_impl_target.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace damaskhill;
+
+BOOST_AUTO_TEST_SUITE(target_events)
+
+// Guards against text that is lost or invented between the engine's event and the chunk.
+BOOST_AUTO_TEST_CASE(events_of_both_forms_are_decoded) {
+    failure why;
+    const auto text = decode_engine_event(R"(data: {"choices":[{"text":"w1 "}]})", why);
+    const auto delta = decode_engine_event(R"(data: {"choices":[{"delta":{"content":"w2 "}}]})", why);
+    const auto end = decode_engine_event("data: [DONE]", why);
+    BOOST_REQUIRE((text && delta && end));
+    BOOST_TEST(text->text == "w1 ");
+    BOOST_TEST(delta->text == "w2 ");
+    BOOST_TEST(end->end);
+}
+
+// Guards against a crash on damaged events: every line gives an event or a typed failure.
+RC_BOOST_PROP(damaged_event_is_refused_with_a_type,
+              (const std::vector<std::pair<std::uint8_t, std::uint8_t>>& changes, std::uint8_t cut)) {
+    std::string line = R"(data: {"choices":[{"index":0,"delta":{"content":"w1 "}}]})";
+    for (const auto& [at, value] : changes)
+        line[at % line.size()] = static_cast<char>(value);
+    line.resize(line.size() - cut % line.size());
+    failure why;
+    const auto event = decode_engine_event(line, why);
+    RC_ASSERT(event.has_value() || why.kind == failure_kind::malformed_document);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
