--- a/backends/damaskhill_impl_json.cpp
+++ b/backends/damaskhill_impl_json.cpp
@@ -100,6 +100,7 @@
     return dump_json(json{{"team", record.team},
                           {"revision", record.revision},
                           {"nonce", record.nonce},
+                          {"recent", record.recent},
                           {"files", record.files}});
 }
 
@@ -112,7 +113,9 @@
         decode_json(document->value("team", json{}), record.team, "$.team", unknown_keys::skip, why) &&
         decode_json(document->value("revision", json{}), record.revision, "$.revision", unknown_keys::skip,
                     why) &&
-        decode_json(document->value("nonce", json{}), record.nonce, "$.nonce", unknown_keys::skip, why);
+        decode_json(document->value("nonce", json{}), record.nonce, "$.nonce", unknown_keys::skip, why) &&
+        decode_json(document->value("recent", json::array()), record.recent, "$.recent", unknown_keys::skip,
+                    why);
     if (!ok) {
         if (why.kind == failure_kind::none) {
             why = {failure_kind::missing_field, "team record: $.files", "no object", "an object of files"};
--- a/backends/damaskhill_impl_json.hpp
+++ b/backends/damaskhill_impl_json.hpp
@@ -224,9 +224,13 @@
     std::string team;
     std::uint64_t revision{};
     std::string nonce;                 // of the change that wrote it
+    std::vector<std::string> recent;   // nonces of the changes before, latest first, at most recent_limit
     std::map<std::string, json> files; // path below the team's folder to document
 };
 
+/// Changes that a record remembers: one whose reply was lost is found again below later ones.
+inline constexpr std::size_t recent_limit = 16;
+
 [[nodiscard]] std::string encode_team_record(const team_record& record);
 [[nodiscard]] std::optional<team_record> decode_team_record(std::string_view text, failure& why);
 /// Typed declarations of a record; the folder of each file decides its type.
--- /dev/null
+++ b/backends/damaskhill_impl_operator.cpp
@@ -0,0 +1,550 @@
+// Index of this file:
+// [SECTION] Checkout
+// [SECTION] Store
+// [SECTION] Checks
+// [SECTION] Changes
+// [SECTION] Status
+
+#include "damaskhill_impl_operator.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+namespace damaskhill {
+
+namespace fs = std::filesystem;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Checkout
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr const char* base_file = ".revision";
+constexpr const char* theirs_suffix = ".theirs";
+
+bool file_failed(failure& why, const std::string& path, const std::string& found) {
+    why = {failure_kind::internal, path, found, "a file that can be written"};
+    return false;
+}
+
+// Writes beside the file and renames, so that an interrupted command leaves the old or the new content.
+bool write_file(const fs::path& path, const std::string& text, failure& why) {
+    std::error_code error;
+    fs::create_directories(path.parent_path(), error);
+    const fs::path part = path.string() + ".part";
+    {
+        std::ofstream out{part, std::ios::binary | std::ios::trunc};
+        out << text;
+        out.flush();
+        if (!out) return file_failed(why, part.string(), "a failed write");
+    }
+    fs::rename(part, path, error);
+    return !error || file_failed(why, path.string(), error.message());
+}
+
+bool read_base(checkout& local, failure& why) {
+    const std::string path = (fs::path{local.folder} / base_file).string();
+    if (!fs::exists(path)) return true; // never taken from a store: revision 0
+    const auto text = read_file(path, why);
+    const auto document = text ? parse_json(*text, path, why) : std::nullopt;
+    if (!document) return false;
+    const auto fail = [&](const char* where, const char* allowed) {
+        why = {failure_kind::malformed_document, path + ": " + where, dump_json(*document).substr(0, 60),
+               std::string{allowed} + "; run `damaskhillctl get` to write it anew"};
+        return false;
+    };
+    if (!document->is_object() || !document->contains("revision") || !document->contains("files") ||
+        !(*document)["files"].is_object()) {
+        return fail("$", "an object with revision and files");
+    }
+    if (!decode_json((*document)["revision"], local.base.revision, "$.revision", unknown_keys::reject, why)) {
+        return fail("$.revision", "a revision number");
+    }
+    for (const auto& [name, hash] : (*document)["files"].items()) {
+        if (!hash.is_number_unsigned()) return fail("$.files", "a hash for each file");
+        local.base.hashes.emplace(name, hash.get<std::uint64_t>());
+    }
+    return true;
+}
+
+bool read_entry(checkout& local, const fs::path& path, failure& why) {
+    const std::string name = fs::relative(path, local.folder).generic_string();
+    if (name.ends_with(theirs_suffix)) {
+        why = {failure_kind::stale_revision, path.string(),
+               "the store's side of a file that both have changed",
+               "merge it into the file beside it, then remove it"};
+        return false;
+    }
+    if (path.extension() != ".json") return true;
+    const auto text = read_file(path.string(), why);
+    const auto document = text ? parse_json(*text, path.string(), why) : std::nullopt;
+    if (!document) return false;
+    local.record.files.emplace(name, *document);
+    return true;
+}
+
+} // namespace
+
+std::uint64_t document_hash(const json& document) { return stable_hash(dump_json(document)); }
+
+std::optional<checkout> read_checkout(const std::string& root, const std::string& team, failure& why) {
+    checkout local;
+    local.folder = (fs::path{root} / "teams" / team).string();
+    local.record.team = team;
+    if (!fs::is_directory(local.folder)) {
+        why = {failure_kind::not_found, local.folder, "no folder",
+               "a folder with the team's declarations; `damaskhillctl get` creates it"};
+        return std::nullopt;
+    }
+    if (!read_base(local, why)) return std::nullopt;
+    std::vector<fs::path> paths;
+    for (const auto& item : fs::recursive_directory_iterator{local.folder}) {
+        if (item.is_regular_file()) paths.push_back(item.path());
+    }
+    std::ranges::sort(paths); // the first error is the same on every machine
+    for (const fs::path& path : paths) {
+        if (!read_entry(local, path, why)) return std::nullopt;
+    }
+    return local;
+}
+
+std::optional<bool> write_checkout_file(const checkout& target, const std::string& path, const json& document,
+                                        failure& why) {
+    const fs::path file = fs::path{target.folder} / path;
+    if (document.is_null()) {
+        std::error_code error;
+        fs::remove(file, error);
+        if (!error || file_failed(why, file.string(), error.message())) return true;
+        return std::nullopt;
+    }
+    if (!write_file(file, dump_json(document, 2) + "\n", why)) return std::nullopt;
+    return true;
+}
+
+std::optional<bool> write_base(const checkout& target, const checkout_base& base, failure& why) {
+    const json document{{"revision", base.revision}, {"files", base.hashes}};
+    if (!write_file(fs::path{target.folder} / base_file, dump_json(document, 2) + "\n", why))
+        return std::nullopt;
+    return true;
+}
+
+checkout_base base_of(const team_record& record) {
+    checkout_base base{record.revision, {}};
+    for (const auto& [path, document] : record.files)
+        base.hashes.emplace(path, document_hash(document));
+    return base;
+}
+
+namespace {
+
+std::optional<std::uint64_t> hash_in(const std::map<std::string, std::uint64_t>& hashes,
+                                     const std::string& path) {
+    const auto found = hashes.find(path);
+    return found == hashes.end() ? std::nullopt : std::optional{found->second};
+}
+
+} // namespace
+
+std::vector<file_difference> compare_files(const checkout& local, const team_record& stored) {
+    const auto here = base_of(local.record).hashes;
+    const auto there = base_of(stored).hashes;
+    std::set<std::string> paths;
+    for (const auto* side : {&here, &there, &local.base.hashes}) {
+        for (const auto& [path, hash] : *side)
+            paths.insert(path);
+    }
+    std::vector<file_difference> differences;
+    for (const std::string& path : paths) {
+        const auto base = hash_in(local.base.hashes, path);
+        const auto mine = hash_in(here, path);
+        const auto theirs = hash_in(there, path);
+        if (mine == theirs && mine == base) continue;
+        differences.push_back({path, mine != base, theirs != base, mine == theirs});
+    }
+    return differences;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Store
+//-----------------------------------------------------------------------------
+
+namespace {
+
+bool unreachable(const store_result& result) {
+    return result.result == failure_kind::store_unreachable || result.result == failure_kind::store_timeout;
+}
+
+std::string record_key(const std::string& team) { return "config/" + team; }
+
+// Revision that the change with this nonce made, if the record still remembers it.
+std::optional<std::uint64_t> revision_of_change(const team_record& record, const std::string& nonce) {
+    if (record.nonce == nonce) return record.revision;
+    const auto found = std::ranges::find(record.recent, nonce);
+    if (found == record.recent.end()) return std::nullopt;
+    const auto later = static_cast<std::uint64_t>(found - record.recent.begin()) + 1;
+    return record.revision - std::min(later, record.revision);
+}
+
+} // namespace
+
+std::optional<stored_team> read_stored(const operator_store& store, const std::string& team, failure& why) {
+    const store_result present = store.read(record_key(team));
+    if (unreachable(present)) {
+        why = {present.result, store.name, "no answer", "a key-value store that answers"};
+        return std::nullopt;
+    }
+    stored_team stored;
+    stored.record.team = team;
+    if (present.values.empty() || present.values.front().version == 0) return stored;
+    stored.version = present.values.front().version;
+    auto record = decode_team_record(present.values.front().value, why);
+    if (!record) {
+        why.where = store.name + " " + record_key(team) + ": " + why.where;
+        return std::nullopt;
+    }
+    stored.record = std::move(*record);
+    return stored;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Checks
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// Path of the file whose document has this name, for messages.
+std::string file_of(const team_record& record, std::string_view folder, std::string_view name) {
+    for (const auto& [path, document] : record.files) {
+        if (path.starts_with(folder) && document.is_object() && document.value("name", "") == name)
+            return path;
+    }
+    return std::string{folder};
+}
+
+bool taken(failure& why, const std::string& file, const std::string& name, const std::string& owner) {
+    why = {failure_kind::foreign_subtree, file + ": $.name", "\"" + name + "\"",
+           "a name that team \"" + owner + "\" has not declared"};
+    return false;
+}
+
+bool check_against(const team_record& record, const team_declarations& mine, const team_declarations& other,
+                   failure& why) {
+    for (const pool_declaration& pool : mine.pools) {
+        if (std::ranges::find(other.pools, pool.name, &pool_declaration::name) == other.pools.end()) continue;
+        const std::string folder = pool.kind == target_kind::service ? "services/" : "pools/";
+        return taken(why, file_of(record, folder, pool.name), pool.name, other.team);
+    }
+    for (const data_centre_declaration& centre : mine.data_centres) {
+        const auto found = std::ranges::find(other.data_centres, centre.name, &data_centre_declaration::name);
+        if (found == other.data_centres.end()) continue;
+        return taken(why, file_of(record, "data_centres/", centre.name), centre.name, other.team);
+    }
+    for (const move_declaration& move : mine.moves) {
+        if (std::ranges::find(other.pools, move.pool, &pool_declaration::name) == other.pools.end()) continue;
+        why = {failure_kind::foreign_subtree, file_of(record, "moves/", move.name) + ": $.pool",
+               "\"" + move.pool + "\"", "a pool of team \"" + mine.team + "\""};
+        return false;
+    }
+    for (const account_declaration& account : mine.accounts) {
+        for (const account_declaration& theirs : other.accounts) {
+            const auto shared = std::ranges::find_first_of(account.key_hashes, theirs.key_hashes);
+            if (shared == account.key_hashes.end()) continue;
+            why = {failure_kind::foreign_subtree,
+                   file_of(record, "accounts/", account.name) + ": $.key_hashes", "\"" + *shared + "\"",
+                   "a key that account \"" + theirs.name + "\" does not have"};
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<bool> check_record(const operator_store& store, const team_record& record, failure& why) {
+    const auto mine = declarations_of(record, why);
+    if (!mine) return std::nullopt;
+    const store_result all = store.read_all();
+    if (unreachable(all)) {
+        why = {all.result, store.name, "no answer", "a key-value store that answers"};
+        return std::nullopt;
+    }
+    for (const stored_value& value : all.values) {
+        failure ignored; // a record that no process can decode is in force nowhere
+        const auto other = decode_team_record(value.value, ignored);
+        const auto theirs = other ? declarations_of(*other, ignored) : std::nullopt;
+        if (!theirs || theirs->team == mine->team) continue;
+        if (!check_against(record, *mine, *theirs, why)) return std::nullopt;
+    }
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Changes
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr int write_attempts = 6;
+
+// Text for the operator whose checkout is older than the store.
+failure stale_checkout(const checkout& local, const team_record& stored) {
+    std::string files;
+    for (const file_difference& d : compare_files(local, stored)) {
+        if (d.same) continue;
+        files += files.empty() ? "" : ", ";
+        files += d.path;
+        files += d.changed_here && d.changed_in_store ? " (changed here and in the store)"
+                 : d.changed_in_store                 ? " (changed in the store)"
+                                                      : " (changed here)";
+    }
+    return {failure_kind::stale_revision, local.folder,
+            "a checkout of revision " + std::to_string(local.base.revision) +
+                " while the store holds revision " + std::to_string(stored.revision) +
+                "; files that differ: " + files,
+            "the newest revision: run `damaskhillctl get`, look at the files, then apply again"};
+}
+
+// The next record after `stored`; remembers the nonces before it.
+team_record successor(const stored_team& stored, std::map<std::string, json> files,
+                      const std::string& nonce) {
+    team_record next = stored.record;
+    next.files = std::move(files);
+    next.revision = stored.record.revision + 1;
+    next.nonce = nonce;
+    if (!stored.record.nonce.empty()) next.recent.insert(next.recent.begin(), stored.record.nonce);
+    if (next.recent.size() > recent_limit) next.recent.resize(recent_limit);
+    return next;
+}
+
+enum class write_state : std::uint8_t { written, lost_race, not_known };
+
+// One write. A lost reply is settled by the next read, which finds the nonce or the old version.
+write_state write_once(const operator_store& store, const stored_team& stored, const team_record& next) {
+    const store_result written = store.swap(record_key(next.team), stored.version, encode_team_record(next));
+    if (written.result == failure_kind::none) return write_state::written;
+    return unreachable(written) ? write_state::not_known : write_state::lost_race;
+}
+
+void not_settled(const operator_store& store, failure& why) {
+    if (why.kind == failure_kind::store_unreachable || why.kind == failure_kind::store_timeout) return;
+    why = {failure_kind::store_unreachable, store.name,
+           "no answer that tells whether the change was accepted",
+           "run the command again: it finds out, and does nothing twice"};
+}
+
+} // namespace
+
+std::optional<std::uint64_t> apply_checkout(const operator_store& store, checkout& local,
+                                            const std::string& nonce, failure& why) {
+    if (!check_record(store, local.record, why)) return std::nullopt;
+    for (int i = 0; i < write_attempts; ++i) {
+        const auto stored = read_stored(store, local.record.team, why);
+        if (!stored && why.kind == failure_kind::malformed_document) return std::nullopt;
+        if (!stored) continue;
+        const bool equal = stored->version > 0 && stored->record.files == local.record.files;
+        const auto mine = revision_of_change(stored->record, nonce);
+        if (equal || mine) {
+            // Later changes of others stay unseen until `get`: the base is the own change.
+            local.base = base_of(local.record);
+            local.base.revision = equal ? stored->record.revision : *mine;
+            if (!write_base(local, local.base, why)) return std::nullopt;
+            return local.base.revision;
+        }
+        if (stored->record.revision != local.base.revision) {
+            why = stale_checkout(local, stored->record);
+            return std::nullopt;
+        }
+        const team_record next = successor(*stored, local.record.files, nonce);
+        if (write_once(store, *stored, next) != write_state::written) continue;
+        local.base = base_of(next);
+        if (!write_base(local, local.base, why)) return std::nullopt;
+        return next.revision;
+    }
+    not_settled(store, why);
+    return std::nullopt;
+}
+
+namespace {
+
+bool same_document(const std::map<std::string, json>& files, const std::string& path,
+                   const std::map<std::string, std::uint64_t>& hashes) {
+    const auto file = files.find(path);
+    const auto present = file == files.end() ? std::nullopt : std::optional{document_hash(file->second)};
+    return present == hash_in(hashes, path);
+}
+
+std::optional<std::uint64_t> note_edit(checkout& local, const std::string& path, const team_record& accepted,
+                                       bool was_newest, failure& why) {
+    const json& document = accepted.files.at(path);
+    if (!write_checkout_file(local, path, document, why)) return std::nullopt;
+    local.record.files[path] = document;
+    local.base.hashes[path] = document_hash(document);
+    // Other files that have changed in the store stay unseen: the base keeps its revision until `get`.
+    if (was_newest) local.base.revision = accepted.revision;
+    if (!write_base(local, local.base, why)) return std::nullopt;
+    return accepted.revision;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> apply_edit(const operator_store& store, checkout& local, const std::string& path,
+                                        const document_edit& edit, const std::string& nonce, failure& why) {
+    if (!same_document(local.record.files, path, local.base.hashes)) {
+        why = {failure_kind::stale_revision, local.folder + "/" + path, "a change that has not been applied",
+               "apply or undo it first"};
+        return std::nullopt;
+    }
+    team_record tried;
+    bool newest = false; // nothing unseen was below the change that was tried
+    for (int i = 0; i < write_attempts; ++i) {
+        const auto stored = read_stored(store, local.record.team, why);
+        if (!stored && why.kind == failure_kind::malformed_document) return std::nullopt;
+        if (!stored) continue;
+        if (const auto mine = revision_of_change(stored->record, nonce)) {
+            tried.revision = *mine;
+            return note_edit(local, path, tried, newest, why);
+        }
+        if (!same_document(stored->record.files, path, local.base.hashes)) {
+            why = stale_checkout(local, stored->record);
+            return std::nullopt;
+        }
+        auto files = stored->record.files;
+        const auto edited = edit(files.contains(path) ? files[path] : json{}, why);
+        if (!edited) return std::nullopt;
+        files[path] = *edited;
+        const team_record next = successor(*stored, std::move(files), nonce);
+        if (!check_record(store, next, why)) {
+            if (why.kind == failure_kind::store_unreachable || why.kind == failure_kind::store_timeout)
+                continue;
+            return std::nullopt;
+        }
+        tried = next;
+        newest = stored->record.revision == local.base.revision;
+        if (write_once(store, *stored, next) != write_state::written) continue;
+        return note_edit(local, path, next, newest, why);
+    }
+    not_settled(store, why);
+    return std::nullopt;
+}
+
+std::optional<std::vector<std::string>> update_checkout(const operator_store& store, checkout& local,
+                                                        failure& why) {
+    const auto stored = read_stored(store, local.record.team, why);
+    if (!stored) return std::nullopt;
+    std::vector<std::string> conflicts;
+    for (const file_difference& d : compare_files(local, stored->record)) {
+        if (d.same || !d.changed_in_store) continue;
+        const auto theirs = stored->record.files.find(d.path);
+        const json document = theirs == stored->record.files.end() ? json{} : theirs->second;
+        if (d.changed_here) {
+            // A file that the store has deleted is shown as an empty object.
+            const json shown = document.is_null() ? json::object() : document;
+            if (!write_checkout_file(local, d.path + theirs_suffix, shown, why)) return std::nullopt;
+            conflicts.push_back(d.path + theirs_suffix);
+            continue;
+        }
+        if (!write_checkout_file(local, d.path, document, why)) return std::nullopt;
+        if (document.is_null()) {
+            local.record.files.erase(d.path);
+        } else {
+            local.record.files[d.path] = document;
+        }
+    }
+    local.base = base_of(stored->record);
+    if (!write_base(local, local.base, why)) return std::nullopt;
+    return conflicts;
+}
+
+std::string find_named(const team_record& record, std::string_view folder, std::string_view name) {
+    for (const auto& [path, document] : record.files) {
+        if (path.starts_with(folder) && document.is_object() && document.value("name", json{}) == name)
+            return path;
+    }
+    return {};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Status
+//-----------------------------------------------------------------------------
+
+void mark_behind(std::vector<process_status>& processes, std::span<const team_revision> stored) {
+    for (process_status& p : processes) {
+        p.behind.clear();
+        if (!p.answered) continue;
+        for (const team_revision& wanted : stored) {
+            const auto has = std::ranges::find(p.revisions, wanted.team, &team_revision::team);
+            const bool missing = has == p.revisions.end();
+            if (missing && p.vm.role == process_role::sidecar) continue;
+            if (missing || has->revision < wanted.revision) p.behind.push_back(wanted.team);
+        }
+    }
+}
+
+namespace {
+
+std::string state_of(const process_status& p) {
+    if (!p.answered) return p.vm.http.empty() ? "no address" : "no answer";
+    if (p.vm.leaving) return "leaving";
+    return p.ready ? "ready" : "not ready";
+}
+
+std::string revision_cell(const process_status& p, const team_revision& wanted) {
+    const auto has = std::ranges::find(p.revisions, wanted.team, &team_revision::team);
+    if (has == p.revisions.end()) return "-";
+    const std::string text = std::to_string(has->revision);
+    return has->revision < wanted.revision ? text + " behind" : text;
+}
+
+} // namespace
+
+std::string status_table(std::span<const process_status> processes, std::span<const team_revision> stored) {
+    std::vector<std::vector<std::string>> rows{{"PROCESS", "ROLE", "DATA CENTRE", "STATE"}};
+    for (const team_revision& team : stored)
+        rows.front().push_back(team.team + " @" + std::to_string(team.revision));
+    for (const process_status& p : processes) {
+        std::vector<std::string> row{p.vm.name, std::string{to_string(p.vm.role)}, p.vm.data_centre,
+                                     state_of(p)};
+        for (const team_revision& team : stored)
+            row.push_back(revision_cell(p, team));
+        rows.push_back(std::move(row));
+    }
+    std::vector<std::size_t> widths(rows.front().size());
+    for (const auto& row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i)
+            widths[i] = std::max(widths[i], row[i].size());
+    }
+    std::string text;
+    for (const auto& row : rows) {
+        std::string line;
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            line += row[i];
+            if (i + 1 < row.size()) line.append(widths[i] - row[i].size() + 2, ' ');
+        }
+        text += line + "\n";
+    }
+    return text;
+}
+
+json status_json(std::span<const process_status> processes, std::span<const team_revision> stored) {
+    json list = json::array();
+    for (const process_status& p : processes) {
+        json revisions = json::object();
+        for (const team_revision& r : p.revisions)
+            revisions[r.team] = r.revision;
+        list.push_back({{"process", p.vm.name},
+                        {"role", std::string{to_string(p.vm.role)}},
+                        {"data_centre", p.vm.data_centre},
+                        {"pool", p.vm.pool},
+                        {"state", state_of(p)},
+                        {"revisions", revisions},
+                        {"behind", p.behind}});
+    }
+    json wanted = json::object();
+    for (const team_revision& r : stored)
+        wanted[r.team] = r.revision;
+    return {{"store", wanted}, {"processes", list}};
+}
+
+} // namespace damaskhill
--- a/core/damaskhill_events.hpp
+++ b/core/damaskhill_events.hpp
@@ -170,11 +170,13 @@
     std::string data_centre;
     std::string pool;
     bool leaving{};
+    std::string http; // IP number and port of /metrics, /readyz and /debug/revisions; may be empty
     static constexpr auto fields() {
         using t = vm_entry;
         return std::tuple{field{1, "name", &t::name}, field{2, "address", &t::address},
                           field{3, "role", &t::role}, field{4, "data_centre", &t::data_centre},
-                          field{5, "pool", &t::pool}, field{6, "leaving", &t::leaving}};
+                          field{5, "pool", &t::pool}, field{6, "leaving", &t::leaving},
+                          field{7, "http", &t::http}};
     }
 };
 
--- a/programs/damaskhillctl.cpp
+++ b/programs/damaskhillctl.cpp
@@ -1,15 +1,19 @@
 // The operators' command line: works on a checkout of declarations and on one team's subtree of the store.
 //
 // Index of this file:
-// [SECTION] Checkout
+// [SECTION] Options
 // [SECTION] Store
-// [SECTION] Commands
+// [SECTION] Checkout commands
+// [SECTION] One-step commands
+// [SECTION] Status
 // [SECTION] Program
 
 #include "damaskhill_impl_curl.hpp"
+#include "damaskhill_impl_operator.hpp"
 #include "damaskhill_impl_program.hpp"
-#include "damaskhill_impl_store.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <cstdio>
 #include <filesystem>
 
@@ -19,53 +23,53 @@
 
 namespace {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Options
+//-----------------------------------------------------------------------------
+
 struct options {
     std::string store_url;
     std::string team;
     std::string root{"."};
+    bool as_json{};
+    std::vector<std::string> arguments; // after the command
 };
 
-int report(const failure& why, exit_code code) {
+int report(const failure& why) {
     std::fprintf(stderr, "damaskhillctl: %s\n", describe(why).c_str());
-    return static_cast<int>(code);
+    switch (why.kind) {
+    case failure_kind::stale_revision:
+    case failure_kind::store_conflict:
+        return static_cast<int>(exit_code::conflict);
+    case failure_kind::store_unreachable:
+    case failure_kind::store_timeout:
+        return static_cast<int>(exit_code::store_unreachable);
+    case failure_kind::network:
+        return static_cast<int>(exit_code::network);
+    case failure_kind::malformed_request:
+        return static_cast<int>(exit_code::usage);
+    default:
+        return static_cast<int>(exit_code::settings);
+    }
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Checkout
-//-----------------------------------------------------------------------------
-
-// Files of the team below <root>/teams/<team>.
-std::optional<team_record> read_checkout(const options& o, failure& why) {
-    namespace fs = std::filesystem;
-    const fs::path folder = fs::path{o.root} / "teams" / o.team;
-    if (!fs::is_directory(folder)) {
-        why = {failure_kind::not_found, folder.string(), "no folder",
-               "a folder with the team's declarations"};
-        return std::nullopt;
-    }
-    team_record record;
-    record.team = o.team;
-    for (const auto& item : fs::recursive_directory_iterator{folder}) {
-        if (!item.is_regular_file() || item.path().extension() != ".json") continue;
-        const auto text = read_file(item.path().string(), why);
-        const auto document = text ? parse_json(*text, item.path().string(), why) : std::nullopt;
-        if (!document) return std::nullopt;
-        record.files.emplace(fs::relative(item.path(), folder).generic_string(), *document);
-    }
-    if (!declarations_of(record, why)) return std::nullopt;
-    return record;
+int usage_error(const std::string& what) {
+    std::fprintf(stderr, "damaskhillctl: %s; see damaskhillctl --help\n", what.c_str());
+    return static_cast<int>(exit_code::usage);
 }
 
+std::string new_nonce() { return format_hex128(system_random(), system_random()); }
+
 //-----------------------------------------------------------------------------
 // [SECTION] Store
 //-----------------------------------------------------------------------------
 
 // Runs one call of the store to its end.
 template <class Start>
-store_result call_store(const options& o, Start&& start) {
+store_result call_store(const std::string& url, Start&& start) {
     event_loop loop;
     http_client http{loop};
-    store_client store{http, o.store_url};
+    store_client store{http, url};
     store_result answer;
     start(store, [&](store_result&& result) {
         answer = std::move(result);
@@ -75,78 +79,320 @@
     return answer;
 }
 
-store_result read_team(const options& o) {
-    return call_store(o, [&](store_client& store, auto done) { store.read("config/" + o.team, done); });
-}
-
-bool unreachable(const store_result& result) {
-    return result.result == failure_kind::store_unreachable || result.result == failure_kind::store_timeout;
+operator_store store_of(const options& o) {
+    const std::string url = o.store_url;
+    operator_store store;
+    store.name = url;
+    store.read = [url](const std::string& key) {
+        return call_store(url, [&](store_client& s, auto done) { s.read(key, done); });
+    };
+    store.swap = [url](const std::string& key, std::uint64_t expected, const std::string& value) {
+        return call_store(url, [&](store_client& s, auto done) { s.swap(key, expected, value, done); });
+    };
+    store.read_all = [url] {
+        return call_store(url, [&](store_client& s, auto done) { s.watch("config/", 0, duration{0}, done); });
+    };
+    return store;
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Commands
+// [SECTION] Checkout commands
 //-----------------------------------------------------------------------------
 
+int accepted(const options& o, std::uint64_t revision) {
+    std::printf("team %s: revision %llu accepted\n", o.team.c_str(),
+                static_cast<unsigned long long>(revision));
+    return 0;
+}
+
+// Without --store, the files are checked alone; with it, against the names of other teams too.
 int validate(const options& o) {
     failure why;
-    if (!read_checkout(o, why)) return report(why, exit_code::settings);
+    const auto local = read_checkout(o.root, o.team, why);
+    if (!local) return report(why);
+    const bool ok = o.store_url.empty() ? declarations_of(local->record, why).has_value()
+                                        : check_record(store_of(o), local->record, why).has_value();
+    if (!ok) {
+        if (!why.where.starts_with(local->folder)) why.where = local->folder + "/" + why.where;
+        return report(why);
+    }
     std::printf("team %s: ok\n", o.team.c_str());
     return 0;
 }
 
+void print_side(const char* sign, const json& document) {
+    const std::string text = dump_json(document, 2);
+    for (std::size_t at = 0; at < text.size();) {
+        const std::size_t end = std::min(text.find('\n', at), text.size());
+        std::printf("%s%s\n", sign, text.substr(at, end - at).c_str());
+        at = end + 1;
+    }
+}
+
+void print_difference(const file_difference& d, const checkout& local, const team_record& stored) {
+    const char* who = d.changed_here && d.changed_in_store ? "changed here and in the store"
+                      : d.changed_in_store                 ? "changed in the store"
+                                                           : "changed here";
+    std::printf("%s: %s\n", d.path.c_str(), who);
+    const auto theirs = stored.files.find(d.path);
+    const auto mine = local.record.files.find(d.path);
+    if (theirs != stored.files.end()) print_side("- ", theirs->second);
+    if (mine != local.record.files.end()) print_side("+ ", mine->second);
+}
+
+int diff(const options& o) {
+    failure why;
+    const auto local = read_checkout(o.root, o.team, why);
+    if (!local) return report(why);
+    const auto stored = read_stored(store_of(o), o.team, why);
+    if (!stored) return report(why);
+    std::printf("team %s: checkout of revision %llu, store holds revision %llu\n", o.team.c_str(),
+                static_cast<unsigned long long>(local->base.revision),
+                static_cast<unsigned long long>(stored->record.revision));
+    for (const file_difference& d : compare_files(*local, stored->record)) {
+        if (!d.same) print_difference(d, *local, stored->record);
+    }
+    return 0;
+}
+
 int apply(const options& o) {
     failure why;
-    auto record = read_checkout(o, why);
-    if (!record) return report(why, exit_code::settings);
-    record->nonce = format_hex128(system_random(), system_random());
-    constexpr int attempts = 5;
-    for (int i = 0; i < attempts; ++i) {
-        const store_result present = read_team(o);
-        if (unreachable(present)) continue;
-        std::uint64_t version = 0;
-        if (!present.values.empty()) {
-            version = present.values.front().version;
-            const auto known = decode_team_record(present.values.front().value, why);
-            if (known && known->nonce == record->nonce) {
-                std::printf("team %s: revision %llu accepted\n", o.team.c_str(),
-                            static_cast<unsigned long long>(known->revision));
-                return 0; // an earlier write whose reply was lost
-            }
-            record->revision = known ? known->revision : version;
+    auto local = read_checkout(o.root, o.team, why);
+    if (!local) return report(why);
+    const auto revision = apply_checkout(store_of(o), *local, new_nonce(), why);
+    if (revision) return accepted(o, *revision);
+    return report(why);
+}
+
+int get(const options& o) {
+    failure why;
+    const operator_store store = store_of(o);
+    if (o.as_json) {
+        const auto stored = read_stored(store, o.team, why);
+        if (!stored) return report(why);
+        std::printf("%s\n", stored->version == 0 ? "{}" : encode_team_record(stored->record).c_str());
+        return 0;
+    }
+    std::error_code error;
+    std::filesystem::create_directories(std::filesystem::path{o.root} / "teams" / o.team, error);
+    auto local = read_checkout(o.root, o.team, why);
+    if (!local) return report(why);
+    const auto conflicts = update_checkout(store, *local, why);
+    if (!conflicts) return report(why);
+    std::printf("team %s: checkout of revision %llu\n", o.team.c_str(),
+                static_cast<unsigned long long>(local->base.revision));
+    for (const std::string& path : *conflicts) {
+        std::fprintf(stderr,
+                     "damaskhillctl: %s/%s: changed here and in the store; merge it, then remove it\n",
+                     local->folder.c_str(), path.c_str());
+    }
+    return static_cast<int>(conflicts->empty() ? exit_code::ok : exit_code::conflict);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] One-step commands
+//-----------------------------------------------------------------------------
+
+int edit_one(const options& o, std::string_view folder, const std::string& name, bool may_create,
+             const document_edit& edit) {
+    failure why;
+    auto local = read_checkout(o.root, o.team, why);
+    if (!local) return report(why);
+    std::string path = find_named(local->record, folder, name);
+    if (path.empty() && !may_create) {
+        why = {failure_kind::not_found, local->folder + "/" + std::string{folder},
+               "no file that declares \"" + name + "\"", "a name that the checkout declares"};
+        return report(why);
+    }
+    if (path.empty()) path = std::string{folder} + name + ".json";
+    const auto revision = apply_edit(store_of(o), *local, path, edit, new_nonce(), why);
+    if (revision) return accepted(o, *revision);
+    return report(why);
+}
+
+int set_in_service(const options& o, bool in_service) {
+    if (o.arguments.size() != 1) return usage_error("one data centre is needed");
+    return edit_one(o, "data_centres/", o.arguments.front(), false,
+                    [&](const json& present, failure&) -> std::optional<json> {
+                        json document = present;
+                        document["in_service"] = in_service;
+                        return document;
+                    });
+}
+
+int take_back(const options& o) {
+    if (o.arguments.size() != 1) return usage_error("one move is needed");
+    return edit_one(o, "moves/", o.arguments.front(), false,
+                    [](const json& present, failure&) -> std::optional<json> {
+                        json document = present;
+                        document["take_back"] = true;
+                        return document;
+                    });
+}
+
+// A time as the declarations write it, or minutes from now as "+30".
+std::optional<json> time_argument(const std::string& text, const char* name, failure& why) {
+    if (text.size() > 1 && text.front() == '+') {
+        std::int64_t minutes = 0;
+        const char* end = text.data() + text.size();
+        const auto read = std::from_chars(text.data() + 1, end, minutes);
+        constexpr std::int64_t longest = 60 * 24 * 365;
+        if (read.ec == std::errc{} && read.ptr == end && minutes >= 0 && minutes <= longest) {
+            return (wall_clock() + std::chrono::minutes{minutes}).time_since_epoch().count();
         }
-        ++record->revision;
-        const store_result written = call_store(o, [&](store_client& store, auto done) {
-            store.swap("config/" + o.team, version, encode_team_record(*record), done);
-        });
-        if (written.result == failure_kind::none) {
-            std::printf("team %s: revision %llu accepted\n", o.team.c_str(),
-                        static_cast<unsigned long long>(record->revision));
-            return 0;
+        why = {failure_kind::malformed_request, name, text, "+ and minutes from now, such as +30"};
+        return std::nullopt;
+    }
+    time_point parsed;
+    if (!detail::decode_time(json(text), parsed, name, why)) {
+        why.kind = failure_kind::malformed_request;
+        return std::nullopt;
+    }
+    return json(text);
+}
+
+int move(const options& o) {
+    const auto& a = o.arguments;
+    if (a.size() != 5 && a.size() != 6) return usage_error("move needs NAME POOL FROM TO DEADLINE [START]");
+    failure why;
+    const auto deadline = time_argument(a[4], "DEADLINE", why);
+    if (!deadline) return report(why);
+    const auto start = time_argument(a.size() == 6 ? a[5] : "+0", "START", why);
+    if (!start) return report(why);
+    const json document{{"name", a[0]},       {"pool", a[1]},    {"from_version", a[2]},
+                        {"to_version", a[3]}, {"start", *start}, {"deadline", *deadline}};
+    return edit_one(o, "moves/", a[0], true,
+                    [&](const json& present, failure& reason) -> std::optional<json> {
+                        if (present.is_null()) return document;
+                        reason = {failure_kind::out_of_range, "moves/" + a[0] + ".json: $.name", a[0],
+                                  "the name of a move that is not declared yet"};
+                        return std::nullopt;
+                    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Status
+//-----------------------------------------------------------------------------
+
+constexpr duration process_timeout = 2s;
+
+// Asks all processes at once; returns when each has answered or timed out.
+struct status_query {
+    event_loop loop;
+    http_client http{loop};
+    std::vector<process_status> processes;
+    std::size_t open{};
+
+    void finish_one() {
+        if (--open == 0) loop.stop();
+    }
+    void ask(std::size_t i) {
+        const std::string url = "http://" + processes[i].vm.http;
+        open += 2;
+        http.start({"GET", url + "/debug/revisions", {}, {}, process_timeout, 1s},
+                   {{}, [this, i](http_result&& reply) {
+                        failure why;
+                        auto revisions = reply.transport_ok && reply.status == 200
+                                             ? parse_as<std::vector<team_revision>>(reply.body, "revisions",
+                                                                                    unknown_keys::skip, why)
+                                             : std::nullopt;
+                        processes[i].answered = revisions.has_value();
+                        if (revisions) processes[i].revisions = std::move(*revisions);
+                        finish_one();
+                    }});
+        http.start({"GET", url + "/readyz", {}, {}, process_timeout, 1s},
+                   {{}, [this, i](http_result&& reply) {
+                        processes[i].ready = reply.transport_ok && reply.status == 200;
+                        finish_one();
+                    }});
+    }
+    void run() {
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            if (!processes[i].vm.http.empty()) ask(i);
         }
+        if (open > 0) loop.run();
     }
-    return report({failure_kind::store_unreachable, o.store_url, "no answer", {}},
-                  exit_code::store_unreachable);
+};
+
+std::optional<std::vector<process_status>> listed_processes(const options& o, failure& why) {
+    event_loop loop;
+    http_client http{loop};
+    store_client store{http, o.store_url};
+    std::optional<vm_list> listed;
+    store.list_vms([&](std::optional<vm_list>&& list) {
+        listed = std::move(list);
+        loop.stop();
+    });
+    loop.run();
+    if (!listed) {
+        why = {failure_kind::store_unreachable, o.store_url + "/v1/vms", "no list of VMs",
+               "the platform's list"};
+        return std::nullopt;
+    }
+    std::vector<process_status> processes;
+    for (vm_entry& vm : listed->vms)
+        processes.push_back({std::move(vm), false, false, {}, {}});
+    return processes;
 }
 
-int get(const options& o) {
-    const store_result present = read_team(o);
-    if (unreachable(present)) {
-        return report({present.result, o.store_url, "no answer", {}}, exit_code::store_unreachable);
+std::optional<std::vector<team_revision>> stored_revisions(const options& o, failure& why) {
+    const store_result all = store_of(o).read_all();
+    if (all.result != failure_kind::none) {
+        why = {all.result, o.store_url, "no answer", "a key-value store that answers"};
+        return std::nullopt;
     }
-    std::printf("%s\n", present.values.empty() ? "{}" : present.values.front().value.c_str());
-    return 0;
+    std::vector<team_revision> revisions;
+    for (const stored_value& value : all.values) {
+        failure ignored;
+        const auto record = decode_team_record(value.value, ignored);
+        if (record && (o.team.empty() || record->team == o.team))
+            revisions.push_back({record->team, record->revision});
+    }
+    std::ranges::sort(revisions, {}, &team_revision::team);
+    return revisions;
+}
+
+// Exits with 7 when a process does not answer or is behind, so that scripts can wait for a change.
+int status(const options& o) {
+    failure why;
+    auto processes = listed_processes(o, why);
+    const auto stored = processes ? stored_revisions(o, why) : std::nullopt;
+    if (!stored) return report(why);
+    status_query query;
+    query.processes = std::move(*processes);
+    query.run();
+    mark_behind(query.processes, *stored);
+    const std::string text = o.as_json ? dump_json(status_json(query.processes, *stored), 2) + "\n"
+                                       : status_table(query.processes, *stored);
+    std::printf("%s", text.c_str());
+    const bool all_well = std::ranges::all_of(query.processes, [](const process_status& p) {
+        return p.vm.leaving || (p.answered && p.behind.empty());
+    });
+    return static_cast<int>(all_well ? exit_code::ok : exit_code::check_failed);
 }
 
 void print_usage() {
     std::printf(
-        "Usage: damaskhillctl [options] COMMAND\n\n"
-        "  -s, --store URL   key-value store\n"
+        "Usage: damaskhillctl [options] COMMAND [arguments]\n\n"
+        "  -s, --store URL   key-value store and list of VMs\n"
         "  -t, --team NAME   team whose subtree is used\n"
-        "  -C, --root DIR    checkout of the declarations (default .)\n"
+        "  -C, --root DIR    checkout of the declarations, holds teams/<team>/ (default .)\n"
+        "  -j, --json        status, get: print JSON; get then leaves the checkout as it is\n"
         "  -h, --help        print this text and exit\n"
         "  -V, --version     print the version and exit\n\n"
-        "Commands: validate, apply, get\n"
-        "Exit codes: 0 ok, 2 usage, 3 declarations, 5 race lost, 6 store unreachable, 7 check failed.\n");
+        "Commands:\n"
+        "  validate          check the files; with --store also against the names of other teams\n"
+        "  diff              show what differs between the checkout and the store\n"
+        "  apply             make the checkout the team's declarations\n"
+        "  get               bring the store's changes into the checkout\n"
+        "  status            state of every process and the revision that it has in force\n"
+        "  leave DC          take a data centre out of service\n"
+        "  return DC         take it back into service\n"
+        "  move NAME POOL FROM TO DEADLINE [START]\n"
+        "                    move a pool to another version; times are 2026-12-04T05:00:00Z or +MINUTES\n"
+        "  take-back MOVE    roll a move back\n\n"
+        "Exit codes: 0 ok, 2 usage, 3 declarations, 4 network, 5 the store holds a newer revision,\n"
+        "6 store unreachable, 7 status: a process does not answer or is behind.\n");
 }
 
 } // namespace
@@ -155,13 +401,56 @@
 // [SECTION] Program
 //-----------------------------------------------------------------------------
 
+namespace {
+
+struct command {
+    const char* name;
+    bool needs_store;
+    bool needs_team;
+    std::function<int(const options&)> run;
+};
+
+const std::vector<command>& commands() {
+    static const std::vector<command> all{
+        {"validate", false, true, validate},
+        {"diff", true, true, diff},
+        {"apply", true, true, apply},
+        {"get", true, true, get},
+        {"status", true, false, status},
+        {"leave", true, true, [](const options& o) { return set_in_service(o, false); }},
+        {"return", true, true, [](const options& o) { return set_in_service(o, true); }},
+        {"move", true, true, move},
+        {"take-back", true, true, take_back}};
+    return all;
+}
+
+// A team's name is one folder and one key: nothing in it may lead out of either.
+bool is_team_name(const std::string& name) {
+    return !name.empty() && name.front() != '.' && name.find('/') == std::string::npos;
+}
+
+int run_command(const std::string& name, const options& o) {
+    const auto found = std::ranges::find_if(commands(), [&](const command& c) { return name == c.name; });
+    if (found == commands().end())
+        return usage_error(name.empty() ? "no command" : "unknown command " + name);
+    if (found->needs_store && o.store_url.empty()) return usage_error(name + " needs --store");
+    if (found->needs_team && !is_team_name(o.team))
+        return usage_error(name + " needs --team with a name without \"/\" and without a leading \".\"");
+    return found->run(o);
+}
+
+} // namespace
+
 int main(int argc, char** argv) {
-    static const option long_options[] = {
-        {"store", required_argument, nullptr, 's'}, {"team", required_argument, nullptr, 't'},
-        {"root", required_argument, nullptr, 'C'},  {"help", no_argument, nullptr, 'h'},
-        {"version", no_argument, nullptr, 'V'},     {nullptr, 0, nullptr, 0}};
+    static const option long_options[] = {{"store", required_argument, nullptr, 's'},
+                                          {"team", required_argument, nullptr, 't'},
+                                          {"root", required_argument, nullptr, 'C'},
+                                          {"json", no_argument, nullptr, 'j'},
+                                          {"help", no_argument, nullptr, 'h'},
+                                          {"version", no_argument, nullptr, 'V'},
+                                          {nullptr, 0, nullptr, 0}};
     options o;
-    for (int letter = 0; (letter = getopt_long(argc, argv, "s:t:C:hV", long_options, nullptr)) != -1;) {
+    for (int letter = 0; (letter = getopt_long(argc, argv, "s:t:C:jhV", long_options, nullptr)) != -1;) {
         switch (letter) {
         case 's':
             o.store_url = optarg;
@@ -172,6 +461,9 @@
         case 'C':
             o.root = optarg;
             break;
+        case 'j':
+            o.as_json = true;
+            break;
         case 'h':
             print_usage();
             return 0;
@@ -182,10 +474,8 @@
             return static_cast<int>(exit_code::usage);
         }
     }
-    const std::string command = optind < argc ? argv[optind] : "";
-    if (command == "validate") return validate(o);
-    if (command == "apply") return apply(o);
-    if (command == "get") return get(o);
-    print_usage();
-    return static_cast<int>(exit_code::usage);
+    const std::string name = optind < argc ? argv[optind] : "";
+    for (int i = optind + 1; i < argc; ++i)
+        o.arguments.emplace_back(argv[i]);
+    return run_command(name, o);
 }
--- /dev/null
+++ b/tests/test_operator.cpp
@@ -0,0 +1,350 @@
+// The operators' command line against a fake store that loses replies and has other writers.
+
+#include "damaskhill_impl_operator.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <filesystem>
+
+#include <unistd.h>
+
+using namespace damaskhill;
+namespace fs = std::filesystem;
+
+BOOST_AUTO_TEST_SUITE(operators)
+
+namespace {
+
+struct fake_records {
+    std::map<std::string, std::pair<std::uint64_t, std::string>> values;
+    int lose_replies{};             // of the next writes, after they took effect
+    int lose_requests{};            // of the next writes
+    std::function<void()> on_write; // runs once, before the next write arrives
+    int writes{};
+
+    operator_store connect() {
+        operator_store store;
+        store.name = "fake";
+        store.read = [this](const std::string& key) {
+            store_result r;
+            if (values.contains(key)) r.values.push_back({key, values[key].first, values[key].second});
+            return r;
+        };
+        store.swap = [this](const std::string& key, std::uint64_t expected, const std::string& value) {
+            if (on_write) std::exchange(on_write, {})();
+            store_result r;
+            r.result = failure_kind::store_timeout;
+            if (lose_requests > 0) {
+                --lose_requests;
+                return r;
+            }
+            auto& [version, present] = values[key];
+            if (version != expected) {
+                r.result = failure_kind::store_conflict;
+                return r;
+            }
+            ++writes;
+            ++version;
+            present = value;
+            if (lose_replies > 0) {
+                --lose_replies;
+                return r;
+            }
+            r.result = failure_kind::none;
+            return r;
+        };
+        store.read_all = [this] {
+            store_result r;
+            for (const auto& [key, value] : values)
+                r.values.push_back({key, value.first, value.second});
+            return r;
+        };
+        return store;
+    }
+    team_record record(const std::string& team) {
+        failure why;
+        return decode_team_record(values.at("config/" + team).second, why).value();
+    }
+};
+
+// A folder that goes away with the test.
+struct scratch {
+    fs::path root;
+    scratch() {
+        static int number = 0;
+        root = fs::temp_directory_path() /
+               ("config-test-" + std::to_string(getpid()) + "-" + std::to_string(++number));
+    }
+    ~scratch() {
+        std::error_code ignored;
+        fs::remove_all(root, ignored);
+    }
+    scratch(const scratch&) = delete;
+    scratch& operator=(const scratch&) = delete;
+    void put(const std::string& team, const std::string& path, const json& document) const {
+        checkout target;
+        target.folder = (root / "teams" / team).string();
+        failure why;
+        BOOST_REQUIRE(write_checkout_file(target, path, document, why));
+    }
+    checkout open(const std::string& team) const {
+        failure why;
+        auto local = read_checkout(root.string(), team, why);
+        BOOST_REQUIRE_MESSAGE(local, describe(why));
+        return *local;
+    }
+};
+
+json centre(const char* name, bool in_service) { return {{"name", name}, {"in_service", in_service}}; }
+
+document_edit set_service(bool in_service) {
+    return [in_service](const json& present, failure&) {
+        json document = present;
+        document["in_service"] = in_service;
+        return std::optional{document};
+    };
+}
+
+} // namespace
+
+// Guards against a lost reply that makes `apply` report a failure, or write a second revision.
+BOOST_AUTO_TEST_CASE(apply_settles_a_lost_reply) {
+    scratch s;
+    fake_records store;
+    s.put("t", "data_centres/a.json", centre("a", true));
+    store.lose_replies = 1;
+    store.lose_requests = 1;
+    checkout local = s.open("t");
+    failure why;
+    BOOST_TEST(apply_checkout(store.connect(), local, "n1", why).value_or(0) == 1U);
+    BOOST_TEST(store.writes == 1);
+    BOOST_TEST(s.open("t").base.revision == 1U);
+}
+
+// Guards against reporting a refusal for a change that was accepted and then covered by another operator's.
+BOOST_AUTO_TEST_CASE(lost_reply_is_found_below_a_later_change) {
+    scratch s;
+    scratch other;
+    fake_records store;
+    s.put("t", "data_centres/a.json", centre("a", true));
+    checkout local = s.open("t");
+    const operator_store link = store.connect();
+    operator_store lossy = link;
+    lossy.swap = [&](const std::string& key, std::uint64_t expected, const std::string& value) {
+        link.swap(key, expected, value);
+        fs::create_directories(other.root / "teams" / "t");
+        checkout theirs = other.open("t");
+        failure ignored;
+        BOOST_REQUIRE(update_checkout(link, theirs, ignored));
+        BOOST_REQUIRE(apply_edit(link, theirs, "data_centres/a.json", set_service(false), "n2", ignored));
+        store_result lost;
+        lost.result = failure_kind::store_timeout;
+        return lost;
+    };
+    failure why;
+    BOOST_TEST(apply_checkout(lossy, local, "n1", why).value_or(0) == 1U);
+    BOOST_TEST(store.record("t").revision == 2U);
+    // The checkout has not seen revision 2, so the next apply must not overwrite it.
+    checkout again = s.open("t");
+    BOOST_TEST(!apply_checkout(link, again, "n3", why));
+    BOOST_TEST((why.kind == failure_kind::stale_revision));
+    BOOST_TEST(store.record("t").files["data_centres/a.json"]["in_service"] == false);
+}
+
+// Guards against `apply` silently overwriting what another operator applied since the checkout was taken,
+// before it starts or between its read and its write.
+BOOST_AUTO_TEST_CASE(apply_refuses_a_stale_checkout) {
+    for (const bool during : {false, true}) {
+        scratch mine;
+        scratch other;
+        fake_records store;
+        mine.put("t", "data_centres/a.json", centre("a", true));
+        checkout local = mine.open("t");
+        failure why;
+        BOOST_REQUIRE(apply_checkout(store.connect(), local, "n1", why));
+        const auto race = [&] {
+            fs::create_directories(other.root / "teams" / "t");
+            checkout theirs = other.open("t");
+            failure ignored;
+            BOOST_REQUIRE(update_checkout(store.connect(), theirs, ignored));
+            other.put("t", "data_centres/b.json", centre("b", true));
+            theirs = other.open("t");
+            BOOST_REQUIRE(apply_checkout(store.connect(), theirs, "n2", ignored));
+        };
+        mine.put("t", "data_centres/a.json", centre("a", false));
+        local = mine.open("t");
+        if (during) {
+            store.on_write = race;
+        } else {
+            race();
+        }
+        BOOST_TEST(!apply_checkout(store.connect(), local, "n3", why));
+        BOOST_TEST((why.kind == failure_kind::stale_revision));
+        BOOST_TEST(why.found.find("data_centres/b.json (changed in the store)") != std::string::npos);
+        BOOST_TEST(why.found.find("data_centres/a.json (changed here)") != std::string::npos);
+        BOOST_TEST(store.record("t").files.contains("data_centres/b.json"));
+        // After `get` the own change is still there and can be applied on top.
+        local = mine.open("t");
+        const auto conflicts = update_checkout(store.connect(), local, why);
+        BOOST_REQUIRE(conflicts);
+        BOOST_TEST(conflicts->empty());
+        local = mine.open("t");
+        BOOST_TEST(apply_checkout(store.connect(), local, "n4", why).value_or(0) == 3U);
+        BOOST_TEST(store.record("t").files.at("data_centres/a.json")["in_service"] == false);
+        BOOST_TEST(store.record("t").files.contains("data_centres/b.json"));
+    }
+}
+
+// Guards against `get` that drops a local edit, and against an `apply` before the sides were merged.
+BOOST_AUTO_TEST_CASE(get_keeps_both_sides_of_a_file_that_both_changed) {
+    scratch mine;
+    fake_records store;
+    mine.put("t", "data_centres/a.json", centre("a", true));
+    checkout local = mine.open("t");
+    failure why;
+    BOOST_REQUIRE(apply_checkout(store.connect(), local, "n1", why));
+    scratch other;
+    fs::create_directories(other.root / "teams" / "t");
+    checkout theirs = other.open("t");
+    BOOST_REQUIRE(update_checkout(store.connect(), theirs, why));
+    BOOST_REQUIRE(apply_edit(store.connect(), theirs, "data_centres/a.json", set_service(false), "n2", why));
+    mine.put("t", "data_centres/a.json", {{"name", "a2"}});
+    local = mine.open("t");
+    const auto conflicts = update_checkout(store.connect(), local, why);
+    BOOST_REQUIRE(conflicts);
+    BOOST_TEST(conflicts->size() == 1U);
+    BOOST_TEST(!read_checkout(mine.root.string(), "t", why).has_value());
+    fs::remove(mine.root / "teams/t" / conflicts->front());
+    BOOST_TEST(mine.open("t").record.files["data_centres/a.json"]["name"] == "a2");
+}
+
+// Guards against `leave` that is held up by, or carries along, edits of other files on either side.
+BOOST_AUTO_TEST_CASE(leave_changes_one_file_only) {
+    scratch mine;
+    fake_records store;
+    mine.put("t", "data_centres/a.json", centre("a", true));
+    mine.put("t", "data_centres/b.json", centre("b", true));
+    checkout local = mine.open("t");
+    failure why;
+    BOOST_REQUIRE(apply_checkout(store.connect(), local, "n1", why));
+    scratch other;
+    fs::create_directories(other.root / "teams" / "t");
+    checkout theirs = other.open("t");
+    BOOST_REQUIRE(update_checkout(store.connect(), theirs, why));
+    BOOST_REQUIRE(apply_edit(store.connect(), theirs, "data_centres/b.json", set_service(false), "n2", why));
+    mine.put("t", "data_centres/c.json", centre("c", true));
+    local = mine.open("t");
+    BOOST_TEST(find_named(local.record, "data_centres/", "a") == "data_centres/a.json");
+    BOOST_REQUIRE(apply_edit(store.connect(), local, "data_centres/a.json", set_service(false), "n3", why));
+    const team_record stored = store.record("t");
+    BOOST_TEST(stored.files.at("data_centres/a.json")["in_service"] == false);
+    BOOST_TEST(stored.files.at("data_centres/b.json")["in_service"] == false);
+    BOOST_TEST(!stored.files.contains("data_centres/c.json"));
+    // The other operator's change is still unseen here.
+    local = mine.open("t");
+    BOOST_TEST(!apply_checkout(store.connect(), local, "n4", why));
+    BOOST_TEST((why.kind == failure_kind::stale_revision));
+}
+
+// Guards against a change that takes a name of another team.
+BOOST_AUTO_TEST_CASE(names_of_other_teams_are_refused_with_file_and_path) {
+    fake_records store;
+    scratch s;
+    const json pool{{"name", "lm"}};
+    const std::string key(64, 'a');
+    s.put("first", "pools/lm.json", pool);
+    s.put("first", "data_centres/a.json", centre("a", true));
+    s.put("first", "accounts/x.json", {{"name", "first/x"}, {"key_hashes", {key}}});
+    checkout first = s.open("first");
+    failure why;
+    BOOST_REQUIRE(apply_checkout(store.connect(), first, "n1", why));
+    const std::vector<std::pair<std::string, json>> intruders{
+        {"pools/mine.json", pool},
+        {"data_centres/mine.json", centre("a", false)},
+        {"accounts/mine.json", {{"name", "first/y"}}},
+        {"accounts/mine.json", {{"name", "second/y"}, {"key_hashes", {key}}}},
+        {"moves/mine.json",
+         {{"name", "m"},
+          {"pool", "lm"},
+          {"from_version", "1"},
+          {"to_version", "2"},
+          {"start", 0},
+          {"deadline", 9}}}};
+    for (const auto& [path, document] : intruders) {
+        scratch other;
+        other.put("second", path, document);
+        checkout second = other.open("second");
+        BOOST_TEST(!apply_checkout(store.connect(), second, "n2", why));
+        BOOST_TEST((why.kind == failure_kind::foreign_subtree));
+        BOOST_TEST(why.where.find(path.substr(0, path.find('/'))) != std::string::npos);
+        BOOST_TEST(!why.found.empty());
+        BOOST_TEST(!why.allowed.empty());
+    }
+    BOOST_TEST(!store.values.contains("config/second"));
+}
+
+// Guards against a lost or repeated change when operators race with lost replies: every accepted change
+// makes exactly one revision, and the last accepted value of each file is in the store.
+RC_BOOST_PROP(racing_operators_lose_nothing, (const std::vector<std::uint8_t>& steps)) {
+    fake_records store;
+    std::vector<std::unique_ptr<scratch>> operators;
+    failure why;
+    for (int i = 0; i < 2; ++i) {
+        operators.push_back(std::make_unique<scratch>());
+        fs::create_directories(operators.back()->root / "teams" / "t");
+    }
+    operators[0]->put("t", "data_centres/0.json", centre("0", true));
+    operators[0]->put("t", "data_centres/1.json", centre("1", true));
+    checkout first = operators[0]->open("t");
+    RC_ASSERT(apply_checkout(store.connect(), first, "n", why).has_value());
+    std::map<std::string, bool> expected{{"0", true}, {"1", true}};
+    std::uint64_t accepted = 1;
+    int number = 0;
+    for (const std::uint8_t step : steps) {
+        scratch& who = *operators[step & 1U];
+        const std::string name = (step & 2U) != 0 ? "1" : "0";
+        const std::string path = "data_centres/" + name + ".json";
+        const bool value = (step & 4U) != 0;
+        store.lose_replies = (step & 8U) != 0 ? 1 : 0;
+        store.lose_requests = (step & 16U) != 0 ? 1 : 0;
+        checkout local = who.open("t");
+        if ((step & 32U) != 0) RC_ASSERT(update_checkout(store.connect(), local, why).has_value());
+        const auto revision =
+            apply_edit(store.connect(), local, path, set_service(value), "n" + std::to_string(++number), why);
+        if (revision) {
+            RC_ASSERT(*revision == ++accepted);
+            expected[name] = value;
+        } else {
+            RC_ASSERT(why.kind == failure_kind::stale_revision);
+        }
+        RC_ASSERT(store.record("t").revision == accepted);
+        for (const auto& [centre_name, in_service] : expected)
+            RC_ASSERT(store.record("t").files["data_centres/" + centre_name + ".json"]["in_service"] ==
+                      in_service);
+    }
+}
+
+// Guards against a status that hides a process that is behind or silent.
+BOOST_AUTO_TEST_CASE(status_names_processes_that_are_behind) {
+    std::vector<process_status> processes(3);
+    processes[0].vm.name = "r1";
+    processes[0].vm.role = process_role::router;
+    processes[0].answered = true;
+    processes[0].revisions = {{"t", 4}};
+    processes[1].vm.name = "s1";
+    processes[1].answered = true;
+    processes[1].ready = true;
+    processes[2].vm.name = "s2";
+    processes[2].vm.http = "127.0.0.1:1";
+    const std::vector<team_revision> stored{{"t", 5}, {"u", 1}};
+    mark_behind(processes, stored);
+    BOOST_TEST(processes[0].behind.size() == 2U);
+    BOOST_TEST(processes[1].behind.empty()); // a sidecar holds only teams that matter to it
+    const std::string table = status_table(processes, stored);
+    BOOST_TEST(table.find("4 behind") != std::string::npos);
+    BOOST_TEST(table.find("no answer") != std::string::npos);
+    BOOST_TEST(status_json(processes, stored)["processes"][0]["behind"].size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
