Spread configuration through neighbours and refuse work of older revisions

Cause: every change and heartbeat went from each router to every other one, heartbeats listed all revisions, a store outage stopped all sidecars after 3 s, sidecars ignored the revision that work carries, and a restarted router was ready as soon as it had any declaration.

Heartbeats carry a digest of revisions, and are exchanged at the short period only between ring neighbours and on links that carry work. A change goes to the neighbours, each of which passes it on once; a sidecar hears the digest from its routers and pulls from one. Work carries the revisions that matter to its target (its pool, moves of it, its data centre): an older one is refused with the newer revisions, a newer one is pulled first. A router that cannot get a revision it has heard of, or hears neither store nor most peers for 3 s, is isolated; a missing store alone stops nobody. A restarted router takes configuration and facts from two peers before it is ready. A name that two teams declare belongs to the first by name. Links of an earlier incarnation are closed at the new hello; new links are dialled with jitter.

--- a/core/damaskhill_config.cpp
+++ b/core/damaskhill_config.cpp
@@ -16,7 +16,19 @@
 
 // Rebuilds the indexes from all teams. Changes arrive 6,700 times a day, lookups 27,000 times a second, so
 // that a full rebuild costs less than keeping the indexes in step entry by entry.
+//
+// A name that two teams declare belongs to the team whose name sorts first. The rule depends on nothing but
+// the declarations, so that processes that heard of them in different orders agree. The command line refuses
+// such a change before it is written; only a race of two teams, or a record written by other means, gets
+// here.
 void rebuild_indexes(configuration& config) {
+    config.teams_by_pool.clear();
+    config.teams_by_data_centre.clear();
+    config.masked = 0;
+    std::map<std::string, std::string, std::less<>> pool_owners;
+    const auto add_team = [](std::vector<std::string>& teams, const std::string& team) {
+        if (teams.empty() || teams.back() != team) teams.push_back(team);
+    };
     config.accounts_by_key.clear();
     config.accounts.clear();
     config.pools.clear();
@@ -26,23 +38,42 @@
         for (const auto& account : team.accounts) {
             const account_id id = account_id_of(account.name);
             config.accounts.emplace(id, account);
-            for (const auto& hash : account.key_hashes)
-                config.accounts_by_key.emplace(hash, id);
+            for (const auto& hash : account.key_hashes) {
+                const auto [found, added] = config.accounts_by_key.emplace(hash, id);
+                if (!added && found->second != id) ++config.masked;
+            }
+        }
+        for (const auto& pool : team.pools) {
+            if (!config.pools.emplace(pool.name, pool).second) ++config.masked;
+            pool_owners.emplace(pool.name, name);
+            add_team(config.teams_by_pool[pool.name], name);
+        }
+        for (const auto& centre : team.data_centres) {
+            if (!config.data_centres.emplace(centre.name, centre).second) ++config.masked;
+            add_team(config.teams_by_data_centre[centre.name], name);
+        }
+    }
+    for (const auto& [name, team] : config.teams) {
+        for (const auto& move : team.moves) {
+            const auto owner = pool_owners.find(move.pool);
+            if (owner != pool_owners.end() && owner->second != name) {
+                ++config.masked;
+                continue;
+            }
+            config.moves.push_back(move);
+            add_team(config.teams_by_pool[move.pool], name);
         }
-        for (const auto& pool : team.pools)
-            config.pools.emplace(pool.name, pool);
-        for (const auto& centre : team.data_centres)
-            config.data_centres.emplace(centre.name, centre);
-        config.moves.insert(config.moves.end(), team.moves.begin(), team.moves.end());
     }
+    config.digest = digest_of(revisions_of(config));
 }
 
 } // namespace
 
 bool apply_declarations(configuration& config, const team_declarations& declared) {
-    auto& current = config.teams[declared.team];
-    if (declared.revision <= current.revision) return false;
-    current = declared;
+    const auto current = config.teams.find(declared.team);
+    const std::uint64_t present = current == config.teams.end() ? 0 : current->second.revision;
+    if (declared.revision <= present) return false;
+    config.teams[declared.team] = declared;
     rebuild_indexes(config);
     return true;
 }
@@ -55,6 +86,37 @@
     return revisions;
 }
 
+namespace {
+
+void add_revisions(const configuration& config,
+                   const std::map<std::string, std::vector<std::string>, std::less<>>& index,
+                   std::string_view name, std::vector<team_revision>& revisions) {
+    const auto teams = index.find(name);
+    if (teams == index.end()) return;
+    for (const std::string& team : teams->second) {
+        if (std::ranges::find(revisions, team, &team_revision::team) != revisions.end()) continue;
+        const auto declared = config.teams.find(team);
+        if (declared != config.teams.end()) revisions.push_back({team, declared->second.revision});
+    }
+}
+
+} // namespace
+
+std::vector<team_revision> relevant_revisions(const configuration& config, std::string_view pool,
+                                              std::string_view data_centre) {
+    std::vector<team_revision> revisions;
+    add_revisions(config, config.teams_by_pool, pool, revisions);
+    add_revisions(config, config.teams_by_data_centre, data_centre, revisions);
+    return revisions;
+}
+
+std::uint32_t digest_of(std::span<const team_revision> revisions) {
+    std::uint64_t sum = 0;
+    for (const team_revision& r : revisions)
+        sum += stable_hash(r.team, r.revision);
+    return static_cast<std::uint32_t>(sum ^ (sum >> 32U));
+}
+
 const account_declaration* find_account(const configuration& config, std::string_view key_hash) {
     const auto key = config.accounts_by_key.find(key_hash);
     if (key == config.accounts_by_key.end()) return nullptr;
--- a/core/damaskhill_config.hpp
+++ b/core/damaskhill_config.hpp
@@ -136,6 +136,11 @@
     std::map<std::string, pool_declaration, std::less<>> pools;
     std::map<std::string, data_centre_declaration, std::less<>> data_centres;
     std::vector<move_declaration> moves;
+    // Teams that declare a pool (or a move of it) and a data centre, in the order of their names.
+    std::map<std::string, std::vector<std::string>, std::less<>> teams_by_pool;
+    std::map<std::string, std::vector<std::string>, std::less<>> teams_by_data_centre;
+    std::uint32_t masked{}; // entries that are not in force because another team has the name
+    std::uint32_t digest{}; // of all revisions; equal for equal revisions
 };
 
 /// Applies the team's declarations if their revision is higher than the one in force.
@@ -145,6 +150,15 @@
 /// Revisions in force, in the order of team names.
 [[nodiscard]] std::vector<team_revision> revisions_of(const configuration& config);
 
+/// Revisions of the teams that decide how a target of the pool in the data centre is used: those that declare
+/// the pool, a move of it, or the data centre. Accounts are not among them: their shares travel in
+/// reservation rows.
+[[nodiscard]] std::vector<team_revision>
+relevant_revisions(const configuration& config, std::string_view pool, std::string_view data_centre);
+
+/// Digest of revisions, independent of their order; 0 for none. Heartbeats carry it in place of the list.
+[[nodiscard]] std::uint32_t digest_of(std::span<const team_revision> revisions);
+
 /// Account that a key (as SHA-256 in hexadecimal) belongs to, or null.
 [[nodiscard]] const account_declaration* find_account(const configuration& config, std::string_view key_hash);
 
--- a/core/damaskhill_membership.cpp
+++ b/core/damaskhill_membership.cpp
@@ -45,12 +45,32 @@
 
 std::vector<link_id> silent_links(const membership& members, time_point now) {
     std::vector<link_id> silent;
+    const auto& s = members.settings;
     for (const auto& [link, p] : members.peers) {
-        if (now - p.heard > members.settings.silence_limit) silent.push_back(link);
+        // A link that has just become frequent starts its short limit then, not at its last idle heartbeat.
+        const time_point since = std::max(p.heard, p.frequent_since);
+        const bool is_silent = p.idle ? now - p.heard > s.idle_silence_limit : now - since > s.silence_limit;
+        if (is_silent) silent.push_back(link);
     }
     return silent;
 }
 
+std::set<std::string, std::less<>> ring_neighbours(std::span<const std::string> sorted_names,
+                                                   std::string_view self) {
+    constexpr std::size_t growth = 4; // 8 neighbours and at most 8 hops at 370 names
+    std::set<std::string, std::less<>> chosen;
+    const std::size_t n = sorted_names.size();
+    const auto found = std::ranges::find(sorted_names, self);
+    if (found == sorted_names.end()) return chosen;
+    const auto at = static_cast<std::size_t>(found - sorted_names.begin());
+    for (std::size_t distance = 1; distance <= n / 2; distance *= growth) {
+        chosen.insert(sorted_names[(at + distance) % n]);
+        chosen.insert(sorted_names[(at + n - distance) % n]);
+    }
+    chosen.erase(std::string{self});
+    return chosen;
+}
+
 std::vector<std::string> live_routers(const membership& members, std::string_view self) {
     std::vector<std::string> names{std::string{self}};
     for (const auto& [link, p] : members.peers) {
@@ -65,12 +85,19 @@
 // [SECTION] Dialling
 //-----------------------------------------------------------------------------
 
-void set_dial_targets(membership& members, std::span<const vm_entry> vms) {
-    std::erase_if(members.targets, [&](const auto& known) {
-        return std::ranges::none_of(vms, [&](const vm_entry& vm) { return vm.name == known.first; });
-    });
+void set_dial_targets(membership& members, std::span<const vm_entry> vms, time_point now,
+                      random_source& random) {
+    std::set<std::string_view> names;
+    for (const vm_entry& vm : vms)
+        names.insert(vm.name);
+    std::erase_if(members.targets, [&](const auto& known) { return !names.contains(known.first); });
     for (const vm_entry& vm : vms) {
-        auto& target = members.targets[vm.name];
+        const auto [entry, added] = members.targets.try_emplace(vm.name);
+        auto& target = entry->second;
+        if (added) {
+            const auto& s = members.settings;
+            target.next_try = now + full_jitter_delay(s.redial_base, s.redial_limit, 0, random);
+        }
         if (target.vm.address != vm.address) target.failures = 0;
         target.vm = vm;
     }
--- a/core/damaskhill_membership.hpp
+++ b/core/damaskhill_membership.hpp
@@ -9,6 +9,7 @@
 #include "damaskhill_events.hpp"
 
 #include <map>
+#include <set>
 
 namespace damaskhill {
 
@@ -17,8 +18,12 @@
 //-----------------------------------------------------------------------------
 
 struct membership_settings {
-    duration heartbeat_period{500ms};
-    duration silence_limit{2s};  // a link without a message for this long is closed
+    duration heartbeat_period{500ms}; // on links that carry work and between neighbours
+    duration sidecar_idle_period{1s}; // from a router to a sidecar without work; below silence_limit
+    duration idle_period{10s};        // on idle links between routers that are no neighbours
+    duration silence_limit{2s};       // a link without a message for this long is closed
+    duration idle_silence_limit{25s}; // the same for idle links: two heartbeats and a margin
+    duration activity_limit{2s};      // a link carries work until this long after its last message
     duration redial_base{200ms}; // first delay before a failed dial is repeated; doubles up to redial_limit
     duration redial_limit{5s};
 };
@@ -29,7 +34,16 @@
     bool greeted{}; // its hello has arrived
     hello identity;
     heartbeat last;
-    time_point heard{}; // time of its last message
+    time_point heard{};             // time of its last message
+    time_point sent{};              // last message to it
+    time_point beat{};              // last heartbeat to it
+    time_point worked{};            // last message in either direction that was no heartbeat
+    time_point asked_for_beats{};   // last heartbeat in which it asked for the short period
+    time_point frequent_since{};    // since when messages at the short period are expected from it
+    bool idle{};                    // messages are expected at the long period only
+    std::uint32_t digest_told{};    // in the last heartbeat to it
+    time_point config_asked{};      // last config_pull to it
+    std::uint32_t digest_differs{}; // consecutive heartbeats whose digest was another one
 };
 
 /// One process that should be reached.
@@ -45,7 +59,7 @@
     membership_settings settings;
     std::map<link_id, peer> peers;
     std::map<std::string, dial_target, std::less<>> targets; // by VM name
-    std::uint64_t heartbeat_sequence{};
+    std::set<std::string, std::less<>> neighbours;           // routers: names of live neighbours
     time_point next_heartbeat{};
 };
 
@@ -56,7 +70,11 @@
 [[nodiscard]] const peer* find_peer_named(const membership& members, std::string_view name);
 /// Open link of the process with this incarnation, or null.
 [[nodiscard]] const peer* find_peer_incarnation(const membership& members, incarnation_id incarnation);
-/// Links whose peer has been silent for longer than the limit.
+/// Neighbours of a name in a sorted list of names: those at distances 1, 4, 16, ... in both directions around
+/// the ring. The relation is symmetric, joins all names, and gives each one O(log n) neighbours.
+[[nodiscard]] std::set<std::string, std::less<>> ring_neighbours(std::span<const std::string> sorted_names,
+                                                                 std::string_view self);
+/// Links whose peer has been silent for longer than the limit of its kind.
 [[nodiscard]] std::vector<link_id> silent_links(const membership& members, time_point now);
 /// Names of live routers including this one, sorted; the input of rendezvous hashing.
 [[nodiscard]] std::vector<std::string> live_routers(const membership& members, std::string_view self);
@@ -65,8 +83,10 @@
 // [SECTION] Dialling
 //-----------------------------------------------------------------------------
 
-/// Takes a new list of processes that should be linked. Entries that have gone are forgotten.
-void set_dial_targets(membership& members, std::span<const vm_entry> vms);
+/// Takes a new list of processes that should be linked. Entries that have gone are forgotten; new ones are
+/// dialled after a random part of redial_base, so that links do not all open at the same moment.
+void set_dial_targets(membership& members, std::span<const vm_entry> vms, time_point now,
+                      random_source& random);
 /// Returns the dials that are due and marks them as under way.
 [[nodiscard]] std::vector<dial> due_dials(membership& members, time_point now);
 /// Notes the result of a dial; a failure is retried after an exponential delay with full jitter.
--- a/core/damaskhill_messages.hpp
+++ b/core/damaskhill_messages.hpp
@@ -52,15 +52,18 @@
     serving_state state{serving_state::serving};
     std::uint32_t free_room{};            // sidecars: requests that could start now
     std::uint32_t limit{};                // sidecars: present concurrency limit
-    std::vector<team_revision> revisions; // configuration in force
+    std::vector<team_revision> revisions; // configuration in force; replaced by digest
     std::uint64_t confirmed_ms{}; // age of the last successful read of the store known here, milliseconds
     std::string version;          // sidecars: version that the target serves now
+    std::uint32_t digest{};       // of the revisions in force that the receiver should have too
+    bool frequent{};              // the sender expects heartbeats at the short period on this link
     static constexpr auto fields() {
         using t = heartbeat;
         return std::tuple{field{1, "sequence", &t::sequence},   field{2, "state", &t::state},
                           field{3, "free_room", &t::free_room}, field{4, "limit", &t::limit},
                           field{5, "revisions", &t::revisions}, field{6, "confirmed_ms", &t::confirmed_ms},
-                          field{7, "version", &t::version}};
+                          field{7, "version", &t::version},     field{8, "digest", &t::digest},
+                          field{9, "frequent", &t::frequent}};
     }
 };
 
--- a/core/damaskhill_router.cpp
+++ b/core/damaskhill_router.cpp
@@ -46,8 +46,14 @@
     void operator()(const service_report& m) const { on_service_report(state, link, m, out); }
     void operator()(const service_total& m) const { on_service_total(state, m, out); }
     void operator()(const evidence& m) const { on_evidence(state, m, out); }
-    void operator()(const facts& m) const { on_facts(state, link, m, out); }
-    void operator()(const config_push& m) const { on_config_push(state, link, m, out); }
+    void operator()(const facts& m) const {
+        note_refill(state, link, m);
+        on_facts(state, link, m, out);
+    }
+    void operator()(const config_push& m) const {
+        note_refill(state, link, m);
+        on_config_push(state, link, m, out);
+    }
     void operator()(const config_pull& m) const { on_config_pull(state, link, m, out); }
     void operator()(const answer_put& m) const { on_answer_put(state, m); }
     void operator()(const answer_get& m) const { on_answer_get(state, link, m, out); }
@@ -62,7 +68,7 @@
 void on_link_message(router_state& state, const link_message& event, effects& out) {
     peer* sender = find_peer(state.members, event.link);
     if (sender == nullptr) return; // closed while the message was on its way
-    sender->heard = state.now;
+    note_received(state, *sender, event.message);
     const bool greeting = std::holds_alternative<hello>(event.message);
     if (!sender->greeted && !greeting) {
         out.emplace_back(count{"unexpected_messages_total", "before_hello", 1});
@@ -133,7 +139,9 @@
         state.store_heard = state.now;
         state.confirmed_at = state.now;
     }
+    const std::size_t before = out.size();
     std::visit(event_handler{state, out}, event.input);
+    note_sent(state, std::span{out}.subspan(before));
 }
 
 } // namespace damaskhill
--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -45,6 +45,9 @@
     duration reservation_period{100ms}; // between rows to sidecars that did not hear at once
     duration isolation_limit{3s};       // without the store and without most peers
     duration vm_list_period{1s};
+    duration refill_limit{3s};       // a restarted router without any peer waits this long before it is ready
+    duration refill_hard_limit{10s}; // and this long for peers that do not answer
+    duration watch_limit{5s};        // after which a watch without a reply is taken as lost
     duration drain_limit{30s};       // after which a stop abandons what still runs
     duration claim_timeout{1500ms};  // of one claim on an order
     duration seal_period{300ms};     // between two questions about a running order
@@ -199,7 +202,21 @@
     time_point confirmed_at{}; // last successful read of the declarations known here, by any process
     std::uint64_t store_revision{};
     bool watching{};
+    time_point watch_started{};
     time_point next_watch{};
+    struct newer_revision {
+        std::uint64_t revision{};
+        time_point since{}; // when this router first heard that it is behind
+    };
+    std::map<std::string, newer_revision, std::less<>> newer; // teams for which this router is behind
+    time_point next_isolation_check{};
+    struct refill_progress {
+        bool done{};
+        std::set<link_id> config; // routers that have answered the pull of an empty router
+        std::set<link_id> facts;
+        std::uint64_t bytes{};
+    };
+    refill_progress refill;
     std::uint64_t facts_version{};
     bool facts_dirty{};
     bool facts_in_flight{};
--- a/core/damaskhill_router_config.cpp
+++ b/core/damaskhill_router_config.cpp
@@ -1,6 +1,7 @@
 // Index of this file:
 // [SECTION] Declarations
 // [SECTION] Spreading
+// [SECTION] Refill after a restart
 // [SECTION] Watching the store
 
 #include "damaskhill_router_internal.hpp"
@@ -22,21 +23,24 @@
     return copy;
 }
 
-void send_teams(const router_state& state, link_id link, std::span<const std::string> names, effects& out) {
+// Returns false if there was nothing to send.
+bool send_teams(const router_state& state, link_id link, std::span<const std::string> names, effects& out) {
     const peer* p = find_peer(state.members, link);
-    if (p == nullptr || names.empty()) return;
+    if (p == nullptr || names.empty()) return false;
     config_push push;
     for (const std::string& name : names) {
         const auto team = state.config.teams.find(name);
         if (team != state.config.teams.end()) push.teams.push_back(for_role(team->second, p->identity.role));
     }
     out.emplace_back(send_message{link, std::move(push)});
+    return true;
 }
 
 // Applies what is newer and returns the names of the changed teams.
 std::vector<std::string> apply_newer(router_state& state, std::span<const team_declarations> teams,
                                      effects& out) {
     std::vector<std::string> changed;
+    const std::uint32_t masked = state.config.masked;
     for (const team_declarations& declared : teams) {
         failure why;
         if (!check_declarations(declared, why)) {
@@ -45,10 +49,20 @@
         }
         if (!apply_declarations(state.config, declared)) continue;
         changed.push_back(declared.team);
+        const auto behind = state.newer.find(declared.team);
+        if (behind != state.newer.end() && behind->second.revision <= declared.revision)
+            state.newer.erase(behind);
         out.emplace_back(gauge{"config_revision", declared.team, static_cast<double>(declared.revision)});
         out.emplace_back(log_change{"configuration of team " + declared.team + " is in force at revision " +
                                     std::to_string(declared.revision)});
     }
+    if (state.config.masked > masked) {
+        out.emplace_back(count{"declarations_rejected_total",
+                               std::string{to_string(failure_kind::foreign_subtree)},
+                               state.config.masked - masked});
+        out.emplace_back(log_change{"entries that are not in force because another team has their name: " +
+                                    std::to_string(state.config.masked)});
+    }
     return changed;
 }
 
@@ -60,41 +74,171 @@
 
 namespace {
 
+constexpr duration pull_pause = 1s; // between two pulls on one link
+
+// A change goes to the neighbours only, and each router passes it on once. At 370 routers a push to all
+// of them would cost each router 370 copies of every change.
 void spread(router_state& state, std::span<const std::string> changed, link_id except, effects& out) {
     if (changed.empty()) return;
-    for (const auto& [link, p] : state.members.peers) {
-        if (p.greeted && link != except) send_teams(state, link, changed, out);
+    for (auto& [link, p] : state.members.peers) {
+        if (!p.greeted || link == except) continue;
+        if (p.identity.role == process_role::router) {
+            if (state.members.neighbours.contains(p.identity.name)) send_teams(state, link, changed, out);
+        } else if (p.identity.role == process_role::sidecar && digest_for(state, p) != p.digest_told) {
+            // A sidecar hears of a change from all of its routers and pulls it from one.
+            send_heartbeat(state, p, out);
+        }
     }
     // Queues of a data centre or version that changed must be announced again.
     for (const auto& [key, queue] : state.queues)
         state.dirty.insert(key);
 }
 
+void pull_config(router_state& state, peer& p, effects& out) {
+    if (state.now - p.config_asked < pull_pause) return;
+    p.config_asked = state.now;
+    out.emplace_back(send_message{p.link, config_pull{revisions_of(state.config)}});
+}
+
+// Teams of which the peer has an older revision. A sidecar gets those that matter to it, and those that
+// it already has: a team that no longer declares its pool must be told so.
+std::vector<std::string> newer_than(const router_state& state, const peer& p,
+                                    std::span<const team_revision> have) {
+    const bool all = p.identity.role == process_role::router;
+    std::vector<team_revision> wanted =
+        all ? revisions_of(state.config)
+            : relevant_revisions(state.config, p.identity.pool, p.identity.data_centre);
+    std::map<std::string_view, std::uint64_t> known;
+    for (const team_revision& r : have) {
+        known[r.team] = r.revision;
+        const auto team = state.config.teams.find(r.team);
+        if (!all && team != state.config.teams.end()) wanted.push_back({r.team, team->second.revision});
+    }
+    std::set<std::string> newer;
+    for (const team_revision& r : wanted) {
+        const auto has = known.find(r.team);
+        if (has == known.end() || has->second < r.revision) newer.insert(r.team);
+    }
+    return {newer.begin(), newer.end()};
+}
+
 } // namespace
 
+std::uint32_t digest_for(const router_state& state, const peer& p) {
+    if (p.identity.role != process_role::sidecar) return state.config.digest;
+    return digest_of(relevant_revisions(state.config, p.identity.pool, p.identity.data_centre));
+}
+
 void on_config_push(router_state& state, link_id link, const config_push& push, effects& out) {
+    const peer* p = find_peer(state.members, link);
+    // A sidecar has declarations without accounts; they must not take the place of whole ones.
+    if (p == nullptr || p->identity.role != process_role::router) return;
     spread(state, apply_newer(state, push.teams, out), link, out);
 }
 
 void on_config_pull(router_state& state, link_id link, const config_pull& asked, effects& out) {
-    std::vector<std::string> newer;
-    for (const auto& [name, team] : state.config.teams) {
-        const auto have = std::ranges::find(asked.have, name, &team_revision::team);
-        if (have == asked.have.end() || have->revision < team.revision) newer.push_back(name);
+    const peer* p = find_peer(state.members, link);
+    if (p == nullptr) return;
+    // Answered also when nothing is newer: a router that starts waits for the answer.
+    if (!send_teams(state, link, newer_than(state, *p, asked.have), out)) {
+        out.emplace_back(send_message{link, config_push{}});
     }
-    send_teams(state, link, newer, out);
+    note_newer(state, asked.have, out);
 }
 
-void compare_revisions(router_state& state, link_id link, std::span<const team_revision> theirs,
-                       effects& out) {
-    bool they_are_newer = false;
+void note_newer(router_state& state, std::span<const team_revision> theirs, effects& out) {
+    bool behind = false;
     for (const team_revision& their : theirs) {
         const auto mine = state.config.teams.find(their.team);
-        they_are_newer =
-            they_are_newer || mine == state.config.teams.end() || mine->second.revision < their.revision;
+        if (mine != state.config.teams.end() && mine->second.revision >= their.revision) continue;
+        behind = true;
+        auto& newer = state.newer[their.team];
+        if (newer.revision == 0) newer.since = state.now;
+        newer.revision = std::max(newer.revision, their.revision);
+    }
+    if (!behind) return;
+    for (auto& [link, p] : state.members.peers) {
+        const bool near = p.greeted && p.identity.role == process_role::router &&
+                          state.members.neighbours.contains(p.identity.name);
+        if (near) pull_config(state, p, out);
     }
-    if (they_are_newer) out.emplace_back(send_message{link, config_pull{revisions_of(state.config)}});
-    on_config_pull(state, link, config_pull{{theirs.begin(), theirs.end()}}, out);
+}
+
+void compare_digest(router_state& state, peer& p, const heartbeat& beat, effects& out) {
+    if (p.identity.role != process_role::router) return;
+    const bool differs = !beat.revisions.empty() ? digest_of(beat.revisions) != state.config.digest
+                                                 : beat.digest != state.config.digest;
+    p.digest_differs = differs ? p.digest_differs + 1 : 0;
+    // A change that is on its way makes one heartbeat differ; only a lasting difference costs a pull.
+    if (p.digest_differs >= 2) pull_config(state, p, out);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Refill after a restart
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t refill_peers = 2; // whose answers a restarted router waits for
+
+// Size of the strings and numbers of a value, about that of its encoding.
+template <class T>
+std::uint64_t payload_size(const T& value) {
+    if constexpr (std::is_same_v<T, std::string>) {
+        return value.size() + 2;
+    } else if constexpr (is_vector<T>) {
+        std::uint64_t size = 2;
+        for (const auto& item : value)
+            size += payload_size(item);
+        return size;
+    } else if constexpr (has_fields<T>) {
+        std::uint64_t size = 1;
+        for_each_field(value, [&](int, const char*, const auto& member) { size += payload_size(member); });
+        return size;
+    } else {
+        return std::min<std::uint64_t>(sizeof(T), 4) + 1;
+    }
+}
+
+bool is_refill_source(const router_state& state, link_id link) {
+    const peer* p = find_peer(state.members, link);
+    return !state.refill.done && p != nullptr && p->identity.role == process_role::router;
+}
+
+} // namespace
+
+void note_refill(router_state& state, link_id link, const config_push& push) {
+    if (!is_refill_source(state, link)) return;
+    state.refill.config.insert(link);
+    state.refill.bytes += payload_size(push);
+}
+
+void note_refill(router_state& state, link_id link, const facts& received) {
+    if (!is_refill_source(state, link)) return;
+    state.refill.facts.insert(link);
+    state.refill.bytes += payload_size(received);
+}
+
+bool is_refilled(router_state& state, effects& out) {
+    if (state.refill.done) return true;
+    const duration waited = state.now - state.started;
+    const auto answered = static_cast<std::size_t>(std::ranges::count_if(
+        state.refill.config, [&](link_id link) { return state.refill.facts.contains(link); }));
+    const auto others = static_cast<std::size_t>(std::ranges::count_if(state.vms, [&](const vm_entry& vm) {
+        return vm.role == process_role::router && vm.name != state.settings.name && !vm.leaving;
+    }));
+    const std::size_t greeted = live_routers(state.members, state.settings.name).size() - 1;
+    // Listed routers may be gone already: after the limit those that have greeted are enough.
+    const std::size_t expected = waited > state.settings.refill_limit ? greeted : others;
+    const bool listed = state.vms_known || waited > state.settings.refill_limit;
+    const bool enough = listed && answered >= std::min(refill_peers, expected);
+    if (!enough && waited <= state.settings.refill_hard_limit) return false;
+    state.refill.done = true;
+    out.emplace_back(gauge{"refill_seconds", {}, to_seconds(waited)});
+    out.emplace_back(count{"refill_bytes_total", {}, state.refill.bytes});
+    out.emplace_back(log_change{"taken over from " + std::to_string(answered) + " routers, " +
+                                std::to_string(state.refill.bytes) + " bytes"});
+    return true;
 }
 
 //-----------------------------------------------------------------------------
@@ -118,12 +262,36 @@
     return std::ranges::find(chosen, state.settings.name) != chosen.end();
 }
 
-// Cut off from the store and from most peers, a router cannot know what operators have changed.
+// Whether most of the processes that should be heard often have been heard within the silence limit: the
+// sidecars that this router dials, and its neighbours by the platform's list.
+bool hears_most_peers(const router_state& state) {
+    std::set<std::string_view> heard;
+    for (const auto& [link, p] : state.members.peers) {
+        if (p.greeted && state.now - p.heard <= state.settings.membership.silence_limit)
+            heard.insert(p.identity.name);
+    }
+    std::vector<std::string> routers{state.settings.name};
+    for (const vm_entry& vm : state.vms) {
+        if (vm.role == process_role::router && vm.name != state.settings.name) routers.push_back(vm.name);
+    }
+    std::ranges::sort(routers);
+    std::set<std::string, std::less<>> expected = ring_neighbours(routers, state.settings.name);
+    for (const auto& [name, target] : state.members.targets) {
+        if (target.vm.role == process_role::sidecar) expected.insert(name);
+    }
+    const auto found =
+        std::ranges::count_if(expected, [&](const std::string& name) { return heard.contains(name); });
+    return static_cast<std::size_t>(found) * 2 > expected.size();
+}
+
+// A router that cannot know what operators have changed, or that knows of a change and cannot get it, takes
+// no new work.
 bool is_cut_off(const router_state& state) {
-    if (state.now - state.confirmed_at <= state.settings.isolation_limit) return false;
-    const auto linked =
-        std::ranges::count_if(state.members.targets, [](const auto& target) { return target.second.linked; });
-    return static_cast<std::size_t>(linked) * 2 <= state.members.targets.size();
+    const duration limit = state.settings.isolation_limit;
+    for (const auto& [team, newer] : state.newer) {
+        if (state.now - newer.since > limit) return true;
+    }
+    return state.now - state.confirmed_at > limit && !hears_most_peers(state);
 }
 
 } // namespace
@@ -144,10 +312,18 @@
 }
 
 void on_config_tick(router_state& state, effects& out) {
+    if (state.watching && state.now - state.watch_started > state.settings.watch_limit) {
+        state.watching = false;
+        out.emplace_back(count{"store_failures_total", "watch_lost", 1});
+    }
     if (!state.watching && state.now >= state.next_watch && is_watcher(state)) {
         state.watching = true;
+        state.watch_started = state.now;
         out.emplace_back(watch_config{state.store_revision});
     }
+    constexpr duration check_period = 100ms;
+    if (state.now < state.next_isolation_check) return;
+    state.next_isolation_check = state.now + check_period;
     const bool cut_off = is_cut_off(state);
     if (cut_off != state.isolated) {
         state.isolated = cut_off;
@@ -155,6 +331,12 @@
         out.emplace_back(log_change{cut_off
                                         ? "cut off from the store and from most peers: new work is refused"
                                         : "no longer cut off: new work is accepted"});
+        // Sidecars hear at once whether this router's requests may be pulled.
+        for (auto& [link, p] : state.members.peers) {
+            if (p.greeted) send_heartbeat(state, p, out);
+        }
+        for (const auto& [key, queue] : state.queues)
+            state.dirty.insert(key);
     }
 }
 
--- a/core/damaskhill_router_internal.hpp
+++ b/core/damaskhill_router_internal.hpp
@@ -104,10 +104,21 @@
 void on_config_watched(router_state& state, const config_watched& watched, effects& out);
 void on_config_push(router_state& state, link_id link, const config_push& push, effects& out);
 void on_config_pull(router_state& state, link_id link, const config_pull& asked, effects& out);
-/// Compares a peer's revisions with those in force: asks for newer ones, sends newer ones.
-void compare_revisions(router_state& state, link_id link, std::span<const team_revision> theirs,
-                       effects& out);
+/// Notes revisions that a peer has in force. Asks neighbours for those that are newer than the own ones: a
+/// sidecar has them without accounts only.
+void note_newer(router_state& state, std::span<const team_revision> theirs, effects& out);
+/// Compares the digest of a router's heartbeat with the own one and asks for what differs.
+void compare_digest(router_state& state, peer& p, const heartbeat& beat, effects& out);
+/// Digest of the revisions that this peer should have in force.
+[[nodiscard]] std::uint32_t digest_for(const router_state& state, const peer& p);
+/// Tells a peer the own digest; sidecars then ask one router for what they lack.
+void send_heartbeat(router_state& state, peer& p, effects& out);
 void on_config_tick(router_state& state, effects& out);
+/// Notes what a restarted router has learnt from a peer before it is ready.
+void note_refill(router_state& state, link_id link, const config_push& push);
+void note_refill(router_state& state, link_id link, const facts& received);
+/// Whether the router has taken over what its peers know, or has waited long enough.
+[[nodiscard]] bool is_refilled(router_state& state, effects& out);
 void on_facts(router_state& state, link_id from, const facts& received, effects& out);
 void on_facts_reply(router_state& state, const facts_reply& reply, effects& out);
 [[nodiscard]] facts all_facts(const router_state& state);
@@ -124,6 +135,9 @@
 //-----------------------------------------------------------------------------
 
 void on_peers_tick(router_state& state, effects& out);
+/// Notes the messages among the effects, from which the heartbeat period of each link follows.
+void note_sent(router_state& state, std::span<const effect> sent);
+void note_received(router_state& state, peer& sender, const peer_message& message);
 void on_link_opened(router_state& state, const link_opened& opened, effects& out);
 void on_link_closed(router_state& state, link_id link, effects& out);
 void on_hello(router_state& state, link_id link, const hello& greeting, effects& out);
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -20,6 +20,15 @@
     }
 }
 
+namespace {
+
+void find_neighbours(router_state& state) {
+    state.members.neighbours =
+        ring_neighbours(live_routers(state.members, state.settings.name), state.settings.name);
+}
+
+} // namespace
+
 void on_link_opened(router_state& state, const link_opened& opened, effects& out) {
     peer p;
     p.link = opened.link;
@@ -39,6 +48,7 @@
     if (p == nullptr) return;
     const peer closed = *p;
     state.members.peers.erase(link);
+    find_neighbours(state);
     state.reserved_room.erase(link);
     const auto target = state.members.targets.find(closed.identity.name);
     const bool replaced = find_peer_named(state.members, closed.identity.name) != nullptr;
@@ -64,6 +74,17 @@
     fail_attempts_on(state, link, out);
 }
 
+namespace {
+
+// Link of an earlier incarnation of the process; its connection may stay open without a sign for long.
+std::optional<link_id> replaced_link(const router_state& state, const hello& greeting) {
+    const peer* old = find_peer_named(state.members, greeting.name);
+    if (old == nullptr || old->identity.incarnation == greeting.incarnation) return std::nullopt;
+    return old->link;
+}
+
+} // namespace
+
 void on_hello(router_state& state, link_id link, const hello& greeting, effects& out) {
     peer* p = find_peer(state.members, link);
     if (p == nullptr || p->greeted) return;
@@ -71,8 +92,14 @@
         out.emplace_back(close_link{link});
         return;
     }
+    const auto replaced = replaced_link(state, greeting);
     p->greeted = true;
     p->identity = greeting;
+    find_neighbours(state);
+    if (replaced) {
+        out.emplace_back(close_link{*replaced});
+        on_link_closed(state, *replaced, out);
+    }
     out.emplace_back(log_change{"link to " + std::string{to_string(greeting.role)} + " " + greeting.name +
                                 " (" + greeting.data_centre + ") opened"});
     send_message config{link, config_pull{revisions_of(state.config)}};
@@ -86,7 +113,7 @@
     state.sidecars[greeting.pool].push_back(link);
     state.seen_sidecars[greeting.incarnation] = {greeting.pool, greeting.name, true, {}};
     out.emplace_back(send_message{link, known});
-    on_config_pull(state, link, config_pull{}, out);
+    send_heartbeat(state, *p, out); // its digest makes the sidecar ask for what it lacks
     announce_all(state, link, out);
 }
 
@@ -100,18 +127,74 @@
     return static_cast<std::uint64_t>(to_milliseconds(state.now - state.confirmed_at));
 }
 
-void send_heartbeats(router_state& state, effects& out) {
+bool is_active(const router_state& state, const peer& p) {
+    return p.worked != time_point{} && state.now - p.worked <= state.settings.membership.activity_limit;
+}
+
+// Whether heartbeats at the short period are exchanged with the peer. 370 routers that all told each other at
+// the short period would cost each one 37 KB/s, so that idle links between routers that are no neighbours
+// have a long one.
+bool is_frequent(const router_state& state, const peer& p) {
+    if (!p.greeted || p.identity.role != process_role::router) return true;
+    const bool asked = p.asked_for_beats != time_point{} &&
+                       state.now - p.asked_for_beats <= state.settings.membership.activity_limit;
+    return asked || is_active(state, p) || state.members.neighbours.contains(p.identity.name);
+}
+
+bool heartbeat_is_due(const router_state& state, const peer& p) {
+    const auto& s = state.settings.membership;
+    if (p.idle) return state.now - p.beat >= s.idle_period;
+    if (p.identity.role == process_role::sidecar) {
+        if (state.now - p.beat >= s.sidecar_idle_period) return true;
+        return is_active(state, p) && state.now - p.sent >= s.heartbeat_period;
+    }
+    const bool neighbour = state.members.neighbours.contains(p.identity.name);
+    return state.now - (neighbour ? p.beat : p.sent) >= s.heartbeat_period;
+}
+
+void update_frequency(router_state& state, peer& p) {
+    const bool idle = !is_frequent(state, p);
+    if (p.idle && !idle) p.frequent_since = state.now;
+    p.idle = idle;
+}
+
+} // namespace
+
+void send_heartbeat(router_state& state, peer& p, effects& out) {
     heartbeat beat;
-    beat.sequence = ++state.members.heartbeat_sequence;
-    beat.state = state.stopping ? serving_state::draining : serving_state::serving;
-    beat.revisions = revisions_of(state.config);
+    beat.state = state.stopping   ? serving_state::draining
+                 : state.isolated ? serving_state::warming
+                                  : serving_state::serving;
+    beat.digest = digest_for(state, p);
     beat.confirmed_ms = age_ms(state);
-    for (const auto& [link, p] : state.members.peers) {
-        if (p.greeted) out.emplace_back(send_message{link, beat});
+    // Only the own reason is told: two sides that each answered the other's wish would never become idle.
+    beat.frequent = state.members.neighbours.contains(p.identity.name);
+    p.digest_told = beat.digest;
+    p.beat = state.now;
+    out.emplace_back(send_message{p.link, beat});
+}
+
+void note_sent(router_state& state, std::span<const effect> sent) {
+    for (const effect& item : sent) {
+        const auto* message = std::get_if<send_message>(&item);
+        peer* p = message == nullptr ? nullptr : find_peer(state.members, message->link);
+        if (p == nullptr) continue;
+        p->sent = state.now;
+        if (std::holds_alternative<heartbeat>(message->message)) continue;
+        p->worked = state.now;
+        update_frequency(state, *p);
     }
 }
 
-} // namespace
+void note_received(router_state& state, peer& sender, const peer_message& message) {
+    sender.heard = state.now;
+    if (const auto* beat = std::get_if<heartbeat>(&message)) {
+        if (beat->frequent) sender.asked_for_beats = state.now;
+    } else {
+        sender.worked = state.now;
+    }
+    update_frequency(state, sender);
+}
 
 void on_heartbeat(router_state& state, link_id link, const heartbeat& beat, effects& out) {
     peer* p = find_peer(state.members, link);
@@ -123,7 +206,8 @@
     state.confirmed_at =
         std::max(state.confirmed_at,
                  state.now - std::chrono::milliseconds{static_cast<std::int64_t>(beat.confirmed_ms)});
-    compare_revisions(state, link, beat.revisions, out);
+    compare_digest(state, *p, beat, out);
+    if (p->identity.role == process_role::sidecar) p->digest_differs = 0;
     if (!was_eligible && is_eligible(state, *p)) announce_all(state, link, out);
 }
 
@@ -135,15 +219,20 @@
     }
     for (dial& due : due_dials(state.members, state.now))
         out.emplace_back(std::move(due));
+    constexpr duration heartbeat_check_period = 50ms;
     if (state.now >= state.members.next_heartbeat) {
-        state.members.next_heartbeat = state.now + state.settings.membership.heartbeat_period;
-        send_heartbeats(state, out);
+        state.members.next_heartbeat = state.now + heartbeat_check_period;
+        for (auto& [link, p] : state.members.peers) {
+            update_frequency(state, p);
+            if (p.greeted && heartbeat_is_due(state, p)) send_heartbeat(state, p, out);
+        }
     }
     if (state.now >= state.next_vm_list) {
         state.next_vm_list = state.now + state.settings.vm_list_period;
         out.emplace_back(list_vms{});
     }
-    const bool ready = !state.stopping && !state.config.teams.empty();
+    const bool ready =
+        is_refilled(state, out) && !state.stopping && !state.isolated && !state.config.teams.empty();
     if (ready != state.ready) {
         state.ready = ready;
         out.emplace_back(gauge{"ready", {}, ready ? 1.0 : 0.0});
@@ -180,7 +269,7 @@
 void on_vm_list(router_state& state, const vm_list& list, effects& /*out*/) {
     state.vms = list.vms;
     state.vms_known = true;
-    set_dial_targets(state.members, wanted_links(state));
+    set_dial_targets(state.members, wanted_links(state), state.now, state.random);
 }
 
 } // namespace damaskhill::detail
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -366,7 +366,10 @@
     message.preemptions = r.preemptions;
     message.traceparent = r.attempt_traceparent;
     if (r.order) message.order = order_claim{r.order->key, r.order->nonce, r.order->unseals};
-    message.revisions = revisions_of(state.config);
+    if (const peer* sidecar = find_peer(state.members, link)) {
+        message.revisions =
+            relevant_revisions(state.config, sidecar->identity.pool, sidecar->identity.data_centre);
+    }
     out.emplace_back(
         observe{"queue_seconds", std::string{to_string(r.cls)}, to_seconds(state.now - r.queued)});
     out.emplace_back(send_message{link, std::move(message)});
@@ -477,8 +480,8 @@
 
 } // namespace
 
-void on_finish(router_state& state, link_id link, const finish& end, effects& out) {
-    if (!end.revisions.empty()) compare_revisions(state, link, end.revisions, out);
+void on_finish(router_state& state, link_id /*link*/, const finish& end, effects& out) {
+    if (!end.revisions.empty()) note_newer(state, end.revisions, out);
     const auto found = state.by_attempt.find(end.attempt);
     const request_ptr r =
         found == state.by_attempt.end() ? request_ptr{} : find_request(state, found->second);
--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -38,6 +38,7 @@
 } // namespace
 
 bool is_eligible(const router_state& state, const peer& sidecar) {
+    if (state.isolated) return false;
     if (!sidecar.greeted || sidecar.identity.role != process_role::sidecar) return false;
     if (sidecar.last.state != serving_state::serving) return false;
     if (!data_centre_in_service(state.config, sidecar.identity.data_centre)) return false;
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -31,13 +31,26 @@
     orders.settings = settings.orders;
 }
 
+namespace {
+
+// Without confirmed configuration it may have been taken out of service without hearing of it. Routers that
+// are not cut off themselves are proof enough: while the store is down, nobody can change anything.
+bool is_cut_off(const sidecar_state& state) {
+    if (state.now - state.confirmed_at <= state.settings.isolation_limit) return false;
+    return std::ranges::none_of(state.members.peers, [](const auto& entry) {
+        const peer& p = entry.second;
+        return p.greeted && p.identity.role == process_role::router && p.last.state != serving_state::warming;
+    });
+}
+
+} // namespace
+
 serving_state serving(const sidecar_state& state) {
     if (state.stopping) return serving_state::draining;
     if (!state.target_known || !state.target.reachable || !state.target.ready) return serving_state::warming;
     if (!data_centre_in_service(state.config, state.settings.data_centre)) return serving_state::draining;
     if (state.condemned.contains({state.settings.pool, state.target.version})) return serving_state::draining;
-    // Without confirmed configuration it may have been taken out of service without hearing of it.
-    if (state.now - state.confirmed_at > state.settings.isolation_limit) return serving_state::warming;
+    if (is_cut_off(state)) return serving_state::warming;
     return serving_state::serving;
 }
 
@@ -206,10 +219,60 @@
 
 std::string key_text(order_key key) { return to_string(key); }
 
+enum class revision_order : std::uint8_t { same, router_behind, sidecar_behind };
+
+// Compares the configuration under which the router decided with the one in force here.
+revision_order compare_revisions(const sidecar_state& state, const assign& work) {
+    if (work.revisions.empty()) return revision_order::same; // a release that does not send them
+    const auto& own = state.settings;
+    for (const team_revision& mine : relevant_revisions(state.config, own.pool, own.data_centre)) {
+        const auto theirs = std::ranges::find(work.revisions, mine.team, &team_revision::team);
+        if (theirs == work.revisions.end() || theirs->revision < mine.revision)
+            return revision_order::router_behind;
+    }
+    for (const team_revision& theirs : work.revisions) {
+        const auto mine = state.config.teams.find(theirs.team);
+        if (mine == state.config.teams.end() || mine->second.revision < theirs.revision)
+            return revision_order::sidecar_behind;
+    }
+    return revision_order::same;
+}
+
+void pull_config(sidecar_state& state, link_id link, effects& out) {
+    constexpr duration pause = 100ms; // all routers tell of a change at once; one pull is enough
+    if (state.now < state.next_config_pull) return;
+    state.next_config_pull = state.now + pause;
+    out.emplace_back(send_message{link, config_pull{revisions_of(state.config)}});
+}
+
+void refuse_for_revision(sidecar_state& state, link_id link, const assign& work, const char* label,
+                         effects& out) {
+    charge_account(state, work.account, -work.cost_hint);
+    out.emplace_back(count{"assigns_refused_total", label, 1});
+    finish end;
+    end.attempt = work.attempt;
+    end.outcome = attempt_outcome::not_sent;
+    end.reason = failure_kind::stale_revision;
+    end.end_offset = work.resume_offset;
+    end.revisions = relevant_revisions(state.config, state.settings.pool, state.settings.data_centre);
+    out.emplace_back(send_message{link, std::move(end)});
+}
+
 void on_assign(sidecar_state& state, link_id link, const assign& work, effects& out) {
     const auto asked = state.pulls.find(work.pull_id);
     const bool expected = asked != state.pulls.end() && asked->second.link == link;
+    const revision_order order = expected ? compare_revisions(state, work) : revision_order::same;
+    if (order == revision_order::sidecar_behind) {
+        // Its pull stays open, so that the room that it takes stays counted.
+        state.held.push_back({link, work, state.now});
+        pull_config(state, link, out);
+        return;
+    }
     if (expected) state.pulls.erase(asked);
+    if (order == revision_order::router_behind) {
+        refuse_for_revision(state, link, work, "stale_revision", out);
+        return;
+    }
     if (!expected || state.running.contains(work.attempt)) {
         out.emplace_back(count{"assigns_refused_total", "unexpected", 1});
         send_not_sent(link, work, failure_kind::stale_revision, out);
@@ -292,6 +355,17 @@
 
 void on_cancel(sidecar_state& state, const cancel& message, effects& out) {
     const auto found = state.running.find(message.attempt);
+    const auto waits =
+        std::ranges::find(state.held, message.attempt, [](const auto& item) { return item.work.attempt; });
+    if (waits != state.held.end()) {
+        const sidecar_state::held_work item = *waits;
+        state.held.erase(waits);
+        state.pulls.erase(item.work.pull_id);
+        charge_account(state, item.work.account, -item.work.cost_hint);
+        send_not_sent(item.link, item.work, failure_kind::draining, out);
+        pull_more(state, out);
+        return;
+    }
     if (found == state.running.end() || found->second.work.order) return;
     out.emplace_back(cancel_call{message.attempt});
     finish end;
@@ -301,6 +375,27 @@
     pull_more(state, out);
 }
 
+// Runs the work that waited for newer configuration, now that some has come.
+void run_held(sidecar_state& state, effects& out) {
+    std::vector<sidecar_state::held_work> held;
+    held.swap(state.held);
+    for (const auto& item : held)
+        on_assign(state, item.link, item.work, out);
+}
+
+void end_overdue_held(sidecar_state& state, effects& out) {
+    std::vector<sidecar_state::held_work> overdue;
+    std::erase_if(state.held, [&](const auto& item) {
+        if (state.now - item.since <= state.settings.behind_limit) return false;
+        overdue.push_back(item);
+        return true;
+    });
+    for (const auto& item : overdue) {
+        state.pulls.erase(item.work.pull_id);
+        refuse_for_revision(state, item.link, item.work, "configuration_missing", out);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Target
 //-----------------------------------------------------------------------------
@@ -408,6 +503,7 @@
 void on_link_closed(sidecar_state& state, link_id link, effects& out) {
     if (state.members.peers.erase(link) == 0) return;
     out.emplace_back(count{"links_closed_total", "router", 1});
+    std::erase_if(state.held, [&](const auto& item) { return item.link == link; });
     for (auto it = state.rows.begin(); it != state.rows.end();) {
         const account_id account = it->first;
         for (auto& rows : it->second)
@@ -435,13 +531,16 @@
     pull_more(state, out);
 }
 
+std::uint32_t own_digest(const sidecar_state& state) {
+    return digest_of(relevant_revisions(state.config, state.settings.pool, state.settings.data_centre));
+}
+
 void send_heartbeats(sidecar_state& state, effects& out) {
     heartbeat beat;
-    beat.sequence = ++state.members.heartbeat_sequence;
     beat.state = serving(state);
     beat.free_room = room_for(state, request_class::interactive);
     beat.limit = present_limit(state.limit);
-    beat.revisions = revisions_of(state.config);
+    beat.digest = own_digest(state);
     beat.confirmed_ms = static_cast<std::uint64_t>(to_milliseconds(state.now - state.confirmed_at));
     beat.version = state.target.version;
     for (const auto& [link, p] : state.members.peers) {
@@ -487,6 +586,7 @@
                                     std::to_string(declared.revision)});
     }
     use_pool_declaration(state);
+    run_held(state, out);
     pull_more(state, out);
 }
 
@@ -507,13 +607,15 @@
         log_change{"link from " + std::string{to_string(greeting.role)} + " " + greeting.name + " opened"});
 }
 
-void on_heartbeat(sidecar_state& state, link_id link, const heartbeat& beat) {
+void on_heartbeat(sidecar_state& state, link_id link, const heartbeat& beat, effects& out) {
     peer* p = find_peer(state.members, link);
     if (p == nullptr) return;
     p->last = beat;
     state.confirmed_at =
         std::max(state.confirmed_at,
                  state.now - std::chrono::milliseconds{static_cast<std::int64_t>(beat.confirmed_ms)});
+    // The router may be the one that is behind: the pull tells it so.
+    if (beat.digest != own_digest(state)) pull_config(state, link, out);
 }
 
 struct message_handler {
@@ -522,7 +624,7 @@
     effects& out;
 
     void operator()(const hello& m) const { on_hello(state, link, m, out); }
-    void operator()(const heartbeat& m) const { on_heartbeat(state, link, m); }
+    void operator()(const heartbeat& m) const { on_heartbeat(state, link, m, out); }
     void operator()(const reserve& m) const { on_reserve(state, link, m, out); }
     void operator()(const pull_empty& m) const { on_pull_empty(state, m, out); }
     void operator()(const assign& m) const { on_assign(state, link, m, out); }
@@ -594,6 +696,7 @@
         on_link_closed(state, link, out);
     }
     end_silent_calls(state, out);
+    end_overdue_held(state, out);
     end_lost_pulls(state);
     expire_orders(state.orders, state.now);
     for (service_order& order : state.order)
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -38,6 +38,7 @@
     service_order_settings order_of_service;
     order_settings orders;
     duration isolation_limit{3s}; // without configuration confirmed by any router
+    duration behind_limit{1s};    // how long work waits for the newer configuration that it names
     duration drain_limit{30s};    // after which a stop abandons what still runs
     duration idle_call_limit{5s}; // a model engine that sends nothing for so long is taken as lost
     duration service_call_limit{30s};
@@ -104,6 +105,13 @@
     target_status target;
     bool target_known{};
     time_point confirmed_at{};
+    struct held_work {
+        link_id link{};
+        assign work;
+        time_point since{};
+    };
+    std::vector<held_work> held; // work that names configuration newer than the one here
+    time_point next_config_pull{};
     bool stopping{};
     time_point stop_at{};
     bool exited{};
