Let an event loop run again after a stop

io_context::run returns at once after stop() until restart() is called, so that a second synchronous call over the same loop read a result that had not arrived. run() restarts the context; the new test fails without the change.

--- a/backends/damaskhill_impl_asio.cpp
+++ b/backends/damaskhill_impl_asio.cpp
@@ -26,7 +26,10 @@
 
 event_loop::event_loop() : impl_(std::make_unique<implementation>()) {}
 event_loop::~event_loop() = default;
-void event_loop::run() { impl_->context.run(); }
+void event_loop::run() {
+    impl_->context.restart(); // a context that was stopped returns at once
+    impl_->context.run();
+}
 void event_loop::stop() { impl_->context.stop(); }
 void event_loop::post(std::function<void()> work) { asio::post(impl_->context, std::move(work)); }
 void* event_loop::native() { return &impl_->context; }
--- a/backends/damaskhill_impl_asio.hpp
+++ b/backends/damaskhill_impl_asio.hpp
@@ -27,7 +27,7 @@
     event_loop(event_loop&&) = delete;
     event_loop& operator=(event_loop&&) = delete;
 
-    void run(); // until stop()
+    void run(); // until stop(); may be called again
     void stop();
     void post(std::function<void()> work);                   // callable from any thread
     void every(duration period, std::function<void()> work); // repeats until the loop stops
--- /dev/null
+++ b/tests/test_event_loop.cpp
@@ -0,0 +1,25 @@
+// Event loop: what the programs rely on beyond Asio's own promises.
+
+#include "damaskhill_impl_asio.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+
+BOOST_AUTO_TEST_SUITE(event_loop_backend)
+
+// Guards against a second run that returns at once, so that its caller reads results that have not arrived.
+BOOST_AUTO_TEST_CASE(loop_runs_again_after_a_stop) {
+    event_loop loop;
+    int runs = 0;
+    for (int i = 0; i < 2; ++i) {
+        loop.post([&] {
+            ++runs;
+            loop.stop();
+        });
+        loop.run();
+    }
+    BOOST_TEST(runs == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
