--- a/standins/standin_service.cpp
+++ b/standins/standin_service.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a plain service: idempotent stock lookups, and orders and reservations that may not be
 // repeated. It runs every order that it is sent and counts how often each one ran, so that a second run is
-// seen; it does not check who sends them unless --dedupe is "yes".
+// seen; it does not check who sends them unless --dedupe is "yes". With --run-log it appends the name of each
+// order that it runs to a file, which outlives the process.
 //
 // Index of this file:
 // [SECTION] Service
@@ -9,6 +10,8 @@
 
 #include "common.hpp"
 
+#include <fstream>
+
 using namespace damaskhill;
 using namespace damaskhill::standin;
 
@@ -32,6 +35,8 @@
     std::uint64_t boot{};
     std::uint64_t running{};
     std::uint64_t lookups{};
+    std::uint64_t requests{};
+    std::ofstream run_log;
     std::map<std::string, std::uint64_t> runs_by_order; // by the "order" member of the body
     std::set<std::string> keys;
     random_source random;
@@ -56,6 +61,8 @@
         return;
     }
     ++s.runs_by_order[order];
+    if (s.run_log.is_open())
+        s.run_log << order << std::endl; // flushed: the process may be killed at any time
     if (s.random.next_unit() < s.fault.lose_replies) {
         reply->abort();
         return;
@@ -70,6 +77,7 @@
     return {{"orders", s.runs_by_order.size()},
             {"second_runs", second_runs},
             {"lookups", s.lookups},
+            {"requests", s.requests},
             {"runs_by_order", s.runs_by_order}};
 }
 
@@ -92,6 +100,7 @@
         return;
     }
     ++s.running;
+    ++s.requests;
     const duration delay = s.work_time + std::chrono::milliseconds{s.fault.slow_ms};
     loop.after(delay, [&s, request = std::move(request), reply] {
         --s.running;
@@ -115,6 +124,7 @@
                                         {"version", "v1"},
                                         {"work-ms", "5"},
                                         {"dedupe", "no"},
+                                        {"run-log", ""},
                                         {"seed", "1"}});
     event_loop loop;
     service s;
@@ -122,6 +132,7 @@
     s.work_time = std::chrono::milliseconds{number(options, "work-ms")};
     s.dedupe = options.at("dedupe") == "yes";
     s.random.state = number(options, "seed");
+    if (!options.at("run-log").empty()) s.run_log.open(options.at("run-log"), std::ios::app);
     s.boot = static_cast<std::uint64_t>(wall_clock().time_since_epoch().count());
     std::vector<http_reply_ptr> silent; // kept open for good
     return serve(loop, options.at("address"),
