--- a/backends/damaskhill_impl_program.hpp
+++ b/backends/damaskhill_impl_program.hpp
@@ -160,9 +160,13 @@
     using effect_handler = std::function<void(effect&&)>;
     using event_type = Event;
 
-    reducer_host(State& state, metrics_registry& metrics, span_writer& spans, const std::string& record_file)
+    /// With a file name, writes the header and then every event to that file.
+    reducer_host(State& state, metrics_registry& metrics, span_writer& spans, const std::string& record_file,
+                 const json& recording_header)
         : state_(state), metrics_(metrics), spans_(spans) {
-        if (!record_file.empty()) record_.open(record_file);
+        if (record_file.empty()) return;
+        record_.open(record_file);
+        record_ << dump_json(recording_header) << '\n';
     }
     void set_transport(link_transport* transport) { transport_ = transport; }
     void set_handler(effect_handler handler) { perform_ = std::move(handler); }
--- a/programs/damaskhill_load_caller.hpp
+++ b/programs/damaskhill_load_caller.hpp
@@ -204,7 +204,7 @@
         t->status = 0;
         t->sent = wall_clock();
         t->result.first_byte = {};
-        http_.start(call_of(*t), {[this, t](std::uint32_t status, std::string_view, std::string&& data) {
+        http_.start(call_of(*t), {[t](std::uint32_t status, std::string_view, std::string&& data) {
                                       t->status = status;
                                       if (t->reply.empty()) t->result.first_byte = wall_clock() - t->sent;
                                       t->reply += data;
--- a/programs/damaskhill_router.cpp
+++ b/programs/damaskhill_router.cpp
@@ -8,6 +8,7 @@
 #include "damaskhill_impl_curl.hpp"
 #include "damaskhill_impl_frontend.hpp"
 #include "damaskhill_impl_program.hpp"
+#include "damaskhill_impl_recording.hpp"
 #include "damaskhill_impl_store.hpp"
 
 #include <cstdio>
@@ -63,25 +64,13 @@
 // [SECTION] Program
 //-----------------------------------------------------------------------------
 
-router_settings to_core(const router_daemon_settings& from) {
-    router_settings to;
-    to.name = from.name;
-    to.data_centre = from.data_centre;
-    to.seed = system_random();
-    to.incarnation = {system_random(), system_random()};
-    to.interactive_timeout = std::chrono::milliseconds{from.interactive_timeout_ms};
-    to.batch_timeout = std::chrono::milliseconds{from.batch_timeout_ms};
-    to.drain_limit = std::chrono::milliseconds{from.drain_limit_ms};
-    to.orders.shards = from.order_shards;
-    return to;
-}
-
 exit_code run(const router_daemon_settings& settings, const std::string& record_file) {
     event_loop loop;
     metrics_registry metrics;
     span_writer spans{settings.trace_file, "damaskhill_router", settings.name};
-    router_state state{to_core(settings)};
-    host router{state, metrics, spans, record_file};
+    const run_identity identity = new_identity();
+    router_state state{core_settings(settings, identity)};
+    host router{state, metrics, spans, record_file, recording_header(settings, identity)};
     link_transport links{loop, {link_keys_of(settings.link_keys)}, callbacks_for(router, metrics)};
     http_client http{loop};
     store_client store{http, settings.store_url};
--- a/programs/damaskhill_sidecar.cpp
+++ b/programs/damaskhill_sidecar.cpp
@@ -7,6 +7,7 @@
 #include "damaskhill_sidecar.hpp"
 #include "damaskhill_impl_curl.hpp"
 #include "damaskhill_impl_program.hpp"
+#include "damaskhill_impl_recording.hpp"
 #include "damaskhill_impl_target.hpp"
 
 #include <cstdio>
@@ -41,23 +42,6 @@
 // [SECTION] Program
 //-----------------------------------------------------------------------------
 
-sidecar_settings to_core(const sidecar_daemon_settings& from) {
-    sidecar_settings to;
-    to.name = from.name;
-    to.data_centre = from.data_centre;
-    to.pool = from.pool;
-    to.version = from.version;
-    to.kind = from.kind;
-    to.checks_fencing = from.checks_fencing;
-    to.seed = system_random();
-    to.incarnation = {system_random(), system_random()};
-    to.fence = static_cast<std::uint64_t>(wall_clock().time_since_epoch().count());
-    to.limits.cold_limit = from.cold_limit;
-    to.limits.warm_limit = from.warm_limit;
-    to.drain_limit = std::chrono::milliseconds{from.drain_limit_ms};
-    return to;
-}
-
 void answer_operations(const http_request& request, const http_reply_ptr& reply, const sidecar_state& state,
                        const metrics_registry& metrics) {
     const bool ready = serving(state) == serving_state::serving;
@@ -79,8 +63,9 @@
     event_loop loop;
     metrics_registry metrics;
     span_writer spans{settings.trace_file, "damaskhill_sidecar", settings.name};
-    sidecar_state state{to_core(settings)};
-    host sidecar{state, metrics, spans, record_file};
+    const run_identity identity = new_identity();
+    sidecar_state state{core_settings(settings, identity)};
+    host sidecar{state, metrics, spans, record_file, recording_header(settings, identity)};
     link_transport links{loop, {link_keys_of(settings.link_keys)}, callbacks_for(sidecar, metrics)};
     http_client http{loop};
     target_client target{http, settings.target_url, settings.kind,
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -43,7 +43,7 @@
 
 fleet_vm() { # name, link port, role, number of the data centre, pool, "true" when leaving
   printf '{"name":"%s","address":"127.0.0.1:%s","role":"%s","data_centre":"%s-%s","pool":"%s","leaving":%s}' \
-    "$1" "$2" "$3" "$region" "${zones[$4]}" "$5" "${6:-false}"
+    "$1" "$2" "$3" "$region" "${zones[$(($4 % ${#zones[@]}))]}" "$5" "${6:-false}"
 }
 
 fleet_router_settings() { # letter, number
@@ -67,7 +67,7 @@
   cat >"$dir/settings/$1.json" <<JSON
 {
   "name": "$1",
-  "data_centre": "$region-${zones[$(($2 % 3))]}",
+  "data_centre": "$region-${zones[$(($2 % ${#zones[@]}))]}",
   "link_address": "127.0.0.1:$((base + $3 + $2))",
   "metrics_address": "127.0.0.1:$((base + $3 + step + $2))",
   "pool": "$4",
--- /dev/null
+++ b/tests/test_replay.cpp
@@ -0,0 +1,80 @@
+// Replay: a recording gives the same answers again, and a difference from the stated outcomes is seen.
+
+#include "damaskhill_impl_recording.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+using namespace damaskhill;
+
+BOOST_AUTO_TEST_SUITE(replay)
+
+namespace {
+
+std::string sample_header() {
+    router_daemon_settings settings;
+    settings.name = "router-a";
+    settings.link_keys = {{1, "a secret of the deployment"}};
+    return dump_json(recording_header(settings, {{1, 2}, 3, 4})) + "\n";
+}
+
+// A router without declarations refuses every caller as unauthorized.
+std::string sample_event(std::uint64_t caller) {
+    caller_request request;
+    request.caller = caller;
+    request.pool = "model";
+    return dump_json(encode_json(router_event{time_point{1s}, request})) + "\n";
+}
+
+std::optional<replay_result> run(const std::string& text, failure& why) {
+    std::istringstream in{text};
+    return replay_recording(in, "sample", why);
+}
+
+} // namespace
+
+// Guards against link keys being written to recordings, which leave the deployment.
+BOOST_AUTO_TEST_CASE(header_holds_no_secret) {
+    BOOST_TEST(sample_header().find("a secret of the deployment") == std::string::npos);
+}
+
+// Guards against a checker that passes whatever happened: each kind of stated outcome is violated once.
+BOOST_AUTO_TEST_CASE(difference_from_stated_outcomes_is_reported) {
+    failure why;
+    const auto result = run(sample_header() + sample_event(7) + sample_event(8), why);
+    BOOST_REQUIRE(result);
+    const json right{{"events", 2},
+                     {"effects", {{"refuse/unauthorized", 2}, {"refuse", {{"min", 1}, {"max", 2}}}}},
+                     {"counters", {{"refusals_total/unauthorized", 2}}},
+                     {"forbidden", {"answer_whole"}},
+                     {"answers", {{"7", {{"problem", "unauthorized"}, {"run_state", "not_run"}}}}}};
+    BOOST_TEST(compare_outcomes(*result, right).empty());
+    const std::vector<json> wrong{{{"events", 3}},
+                                  {{"effects", {{"refuse/unauthorized", 1}}}},
+                                  {{"effects", {{"answer_whole", {{"min", 1}}}}}},
+                                  {{"counters", {{"refusals_total", 3}}}},
+                                  {{"forbidden", {"refuse"}}},
+                                  {{"answers", {{"7", {{"status", 200}}}}}},
+                                  {{"answers", {{"9", {{"status", 200}}}}}},
+                                  {{"misspelt", 1}}};
+    for (const json& stated : wrong)
+        BOOST_TEST(compare_outcomes(*result, stated).size() == 1U, stated.dump());
+}
+
+// Guards against a recording of a killed process being useless, and against damage elsewhere being passed
+// over.
+BOOST_AUTO_TEST_CASE(only_a_cut_last_line_is_tolerated) {
+    failure why;
+    const std::string cut = sample_event(8).substr(0, 20);
+    const auto killed = run(sample_header() + sample_event(7) + cut, why);
+    BOOST_REQUIRE(killed);
+    BOOST_TEST(killed->events == 1U);
+    BOOST_TEST(killed->damaged == 1U);
+    BOOST_TEST(!run(sample_header() + cut + "\n" + sample_event(7), why).has_value());
+    BOOST_TEST((why.kind == failure_kind::malformed_document));
+    BOOST_TEST(!run(sample_event(7), why).has_value());
+    BOOST_TEST((why.kind == failure_kind::missing_field));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
