--- a/bench/damaskhill_bench_fleet.cpp
+++ b/bench/damaskhill_bench_fleet.cpp
@@ -203,6 +203,7 @@
     } else if (auto* order = std::get_if<load_version>(&item)) {
         fake_target& target = nodes_[i].target;
         target.version = order->version;
+        loads.emplace_back(now_, i);
         target.cold_until = now_ + target.settings.cold_time;
     } else if (auto* counter = std::get_if<count>(&item)) {
         counters[counter->name + "/" + counter->label] += counter->amount;
@@ -441,6 +442,15 @@
     return found;
 }
 
+const version_fault* fleet::fault_of(const fake_target& target, const target_call& call) const {
+    const auto found = target.version_faults.find(target.version);
+    if (found == target.version_faults.end() || now_ < found->second.from) return nullptr;
+    const version_fault& fault = found->second;
+    const bool loaded = static_cast<double>(target.calls.size()) >= fault.above_load * target.settings.room;
+    const bool on_path = call.call.path.find(fault.path) != std::string::npos;
+    return loaded && on_path ? &fault : nullptr;
+}
+
 void fleet::start_target_call(std::size_t i, const start_call& call) {
     fake_target& target = nodes_[i].target;
     if (!target.up) {
@@ -504,7 +514,9 @@
     if (call.silent) return;
     if (!call.began) {
         call.began = true;
-        if (random_.next_unit() < target.faults.fail_rate) {
+        const version_fault* fault = fault_of(target, call);
+        const double fail_rate = fault == nullptr ? target.faults.fail_rate : fault->fail_rate;
+        if (random_.next_unit() < fail_rate) {
             finish_target_call(i, attempt, true, 500);
             return;
         }
@@ -549,10 +561,12 @@
         if (found == target.calls.end()) continue;
         target_call& call = found->second;
         const bool engine = s.kind == target_kind::model_engine;
+        const version_fault* fault = fault_of(target, call);
+        const double call_slow = slow * (fault == nullptr ? 1.0 : fault->slow_factor);
         const duration first =
-            duration{static_cast<std::int64_t>(to_seconds(s.first_token_time) * slow * 1e6)};
+            duration{static_cast<std::int64_t>(to_seconds(s.first_token_time) * call_slow * 1e6)};
         if (engine && now_ - call.started < first) continue;
-        advance_call(i, call, elapsed / (step_time * slow));
+        advance_call(i, call, elapsed / (step_time * call_slow));
     }
     constexpr duration status_period = 200ms;
     if ((now_ - time_point{}) % status_period < settings_.tick_period) {
@@ -571,6 +585,25 @@
 void fleet::heal(std::size_t a, std::size_t b) { cuts_.erase(std::minmax(a, b)); }
 void fleet::heal_all() { cuts_.clear(); }
 
+void fleet::cut_data_centre(std::string_view name) {
+    for (std::size_t a = 0; a < nodes_.size(); ++a) {
+        if (nodes_[a].data_centre != name) continue;
+        if (a < settings_.routers) store_.cut.insert(nodes_[a].name);
+        for (std::size_t b = 0; b < nodes_.size(); ++b) {
+            if (nodes_[b].data_centre != name) cut(a, b);
+        }
+    }
+}
+
+void fleet::heal_data_centre(std::string_view name) {
+    for (std::size_t a = 0; a < nodes_.size(); ++a) {
+        if (nodes_[a].data_centre != name) continue;
+        store_.cut.erase(nodes_[a].name);
+        for (std::size_t b = 0; b < nodes_.size(); ++b)
+            heal(a, b);
+    }
+}
+
 void fleet::close_all_links(std::size_t i) {
     std::vector<link_id> open;
     for (const auto& [link, state] : nodes_[i].links)
--- a/bench/damaskhill_bench_fleet.hpp
+++ b/bench/damaskhill_bench_fleet.hpp
@@ -71,6 +71,15 @@
     bool crash_marked{true}; // a call whose body holds "CRASH" takes the target down
 };
 
+/// What is wrong with one version, on whichever target runs it.
+struct version_fault {
+    double fail_rate{};      // share of calls that fail with 500
+    double slow_factor{1.0}; // of every answer
+    time_point from{};       // good before
+    double above_load{};     // share of the room that must be in use
+    std::string path;        // only calls whose path holds this text
+};
+
 struct target_call {
     start_call call;
     double work{}; // tokens, or 1 for a service
@@ -85,6 +94,7 @@
 struct fake_target {
     target_settings settings;
     target_faults faults;
+    std::map<std::string, version_fault> version_faults; // by version
     std::map<attempt_id, target_call> calls;
     std::string version;
     std::uint64_t boot{1};
@@ -205,6 +215,8 @@
     void cut(std::size_t a, std::size_t b); // messages between them are lost from now on
     void heal(std::size_t a, std::size_t b);
     void heal_all();
+    void cut_data_centre(std::string_view name); // from all others and from the store
+    void heal_data_centre(std::string_view name);
     void crash_target(std::size_t node);
     void turn_cold(std::size_t node);
 
@@ -215,7 +227,8 @@
     fake_store& store() { return store_; }
     /// Order number to how often it has run, over all targets and for good.
     std::map<std::string, std::uint64_t> order_runs;
-    std::map<std::string, std::uint64_t> counters; // effects `count`, by "name/label"
+    std::vector<std::pair<time_point, std::size_t>> loads; // orders to load a version, by node
+    std::map<std::string, std::uint64_t> counters;         // effects `count`, by "name/label"
     /// Called after each event with the effects of the node that took it.
     std::function<void(std::size_t node, const effects&)> observer;
 
@@ -244,6 +257,7 @@
     void perform_close(std::size_t i, link_id link);
     void perform_store(std::size_t i, const effect& item);
     void answer_watch(std::size_t i, std::uint64_t generation, std::uint64_t after, time_point until);
+    [[nodiscard]] const version_fault* fault_of(const fake_target& target, const target_call& call) const;
     void start_target_call(std::size_t i, const start_call& call);
     void finish_target_call(std::size_t i, attempt_id attempt, bool transport_ok, std::uint32_t status);
     void advance_call(std::size_t i, target_call& call, double tokens);
--- a/core/damaskhill_messages.hpp
+++ b/core/damaskhill_messages.hpp
@@ -199,6 +199,7 @@
     std::optional<seal_id> sealed_by;     // the order was sealed here: it needs a new claim
     std::uint64_t seal_age_us{};          // age of that seal when this was sent, microseconds
     std::vector<team_revision> revisions; // newer configuration, when the attempt was refused for its age
+    std::uint32_t load_level{};           // of the target when the attempt started, as in evidence_row
     static constexpr auto fields() {
         using t = finish;
         return std::tuple{field{1, "attempt", &t::attempt},
@@ -217,7 +218,8 @@
                           field{14, "sealed_by", &t::sealed_by},
                           field{15, "revisions", &t::revisions},
                           field{16, "seal_age_us", &t::seal_age_us},
-                          field{17, "ran_alone", &t::ran_alone}};
+                          field{17, "ran_alone", &t::ran_alone},
+                          field{30, "load_level", &t::load_level}};
     }
 };
 
@@ -364,16 +366,16 @@
     std::string pool;
     std::string version;
     std::string route;
-    std::uint32_t load_level{}; // 0: low, 1: medium, 2: high
+    std::uint32_t load_level{}; // 0: low, 1: medium, 2: high, 3: the target was warming up
     std::uint64_t attempts{};
     std::uint64_t failures{};
-    std::uint64_t slow{};
+    std::vector<std::uint64_t> latency; // completed attempts by latency bucket, without trailing zeros
     static constexpr auto fields() {
         using t = evidence_row;
         return std::tuple{field{1, "pool", &t::pool},         field{2, "version", &t::version},
                           field{3, "route", &t::route},       field{4, "load_level", &t::load_level},
                           field{5, "attempts", &t::attempts}, field{6, "failures", &t::failures},
-                          field{7, "slow", &t::slow}};
+                          field{8, "latency", &t::latency}};
     }
 };
 
@@ -395,6 +397,15 @@
     }
 };
 
+/// Tells a sidecar that it is its target's turn to load a version.
+struct load_order {
+    std::string pool;
+    std::string version;
+    static constexpr auto fields() {
+        return std::tuple{field{1, "pool", &load_order::pool}, field{2, "version", &load_order::version}};
+    }
+};
+
 /// Crashes of targets while requests with this hash of account and body were in flight.
 struct crash_record {
     std::uint64_t crash_hash{};
@@ -478,6 +489,6 @@
 using peer_message =
     std::variant<hello, heartbeat, reserve, pull, pull_empty, assign, chunk, finish, cancel, seal, seal_reply,
                  claim, claim_reply, service_report, service_total, evidence, facts, config_push, config_pull,
-                 answer_put, answer_get, answer_value>;
+                 answer_put, answer_get, answer_value, load_order>;
 
 } // namespace damaskhill
--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -91,7 +91,9 @@
     account_id account;
     request_class cls{request_class::interactive};
     request_phase phase{request_phase::waiting};
-    std::string version; // version stamp, empty: any
+    std::string version;        // that the latest attempt ran on
+    std::string exposed_to;     // new version that it may run on before the move is complete
+    bool counted_for_version{}; // its start has earned the new version its share
     std::uint64_t crash_hash{};
     double cost_hint{}; // service units
     time_point arrived{};
@@ -152,8 +154,15 @@
     quarantine crashes;
     version_evidence evidence;
     std::set<condemned_version> condemned;
-    std::map<std::string, version_verdict, std::less<>> verdicts; // by move name
-    std::map<std::string, retry_budget, std::less<>> budgets;     // by pool
+    std::map<std::string, move_test, std::less<>> tests;          // by move name
+    std::map<std::string, exposure_credit, std::less<>> exposure; // by move name
+    std::map<std::string, move_phase, std::less<>> move_phases;   // by move name, as of the last look
+    std::set<evidence_key> evidence_dirty;                        // own rows that routers have not heard
+    std::map<link_id, time_point> crash_noted;                    // lost attempt that counted, by link
+    bool facts_heard{}; // from a router or the store, since the start
+    bool facts_asked{};
+    time_point next_judge{};
+    std::map<std::string, retry_budget, std::less<>> budgets; // by pool
 
     // Requests are owned by `requests`; queues and indexes refer to them and are destroyed first.
     std::unordered_map<request_id, request_ptr> requests;
--- a/core/damaskhill_router_config.cpp
+++ b/core/damaskhill_router_config.cpp
@@ -121,13 +121,17 @@
 // Cut off from the store and from most peers, a router cannot know what operators have changed.
 bool is_cut_off(const router_state& state) {
     if (state.now - state.confirmed_at <= state.settings.isolation_limit) return false;
-    const auto linked =
-        std::ranges::count_if(state.members.targets, [](const auto& target) { return target.second.linked; });
-    return static_cast<std::size_t>(linked) * 2 <= state.members.targets.size();
+    return !is_linked_to_most(state);
 }
 
 } // namespace
 
+bool is_linked_to_most(const router_state& state) {
+    const auto linked =
+        std::ranges::count_if(state.members.targets, [](const auto& target) { return target.second.linked; });
+    return static_cast<std::size_t>(linked) * 2 > state.members.targets.size();
+}
+
 void on_config_watched(router_state& state, const config_watched& watched, effects& out) {
     state.watching = false;
     if (watched.result != failure_kind::none) {
--- a/core/damaskhill_router_internal.hpp
+++ b/core/damaskhill_router_internal.hpp
@@ -49,7 +49,8 @@
 //-----------------------------------------------------------------------------
 
 /// Tells the sidecars that should hear of a new request at once.
-void announce_first(router_state& state, const queue_key& key, std::uint64_t prefix_hash, effects& out);
+void announce_first(router_state& state, const queue_key& key, std::uint64_t prefix_hash,
+                    std::string_view first_version, effects& out);
 /// Tells a sidecar that has just linked about everything that waits for its pool.
 void announce_all(router_state& state, link_id link, effects& out);
 /// Sends the rows of changed queues to every eligible sidecar.
@@ -108,13 +109,36 @@
 void compare_revisions(router_state& state, link_id link, std::span<const team_revision> theirs,
                        effects& out);
 void on_config_tick(router_state& state, effects& out);
+/// Whether most of the processes that this router should be linked to are linked.
+[[nodiscard]] bool is_linked_to_most(const router_state& state);
 void on_facts(router_state& state, link_id from, const facts& received, effects& out);
 void on_facts_reply(router_state& state, const facts_reply& reply, effects& out);
 [[nodiscard]] facts all_facts(const router_state& state);
 /// Notes a crash of the target while the attempt was in flight.
 void note_target_crash(router_state& state, const request& r, attempt_id attempt, bool alone, effects& out);
-/// Version that a new request of the pool must run on; empty: any.
-[[nodiscard]] std::string stamp_version(router_state& state, const pool_declaration& pool);
+/// What the targets of a version may be given.
+enum class version_access : std::uint8_t {
+    closed,  // nothing
+    exposed, // requests that were chosen for exposure
+    growing, // as exposed, and requests for which no other target has room
+    open     // everything
+};
+[[nodiscard]] version_access access_of(const router_state& state, std::string_view pool,
+                                       std::string_view version);
+/// Whether the request may run on a target of this version now.
+[[nodiscard]] bool may_run_on(const router_state& state, const request& r, std::string_view version);
+/// Chooses whether a request that begins to wait may run on the new version of a move. Returns the version
+/// whose targets should hear of it first; empty: any that takes everything.
+[[nodiscard]] std::string choose_exposure(router_state& state, request& r);
+/// Whether a sidecar should hear at once of a request for which choose_exposure returned `first`.
+[[nodiscard]] bool hears_at_once(const router_state& state, const peer& sidecar, std::string_view first);
+/// Requests of the queue that the sidecar may be told of.
+[[nodiscard]] std::uint32_t waiting_for(const router_state& state, const peer& sidecar,
+                                        const request_queue& queue);
+/// Counts the start of an attempt on a target of this version.
+void note_version_start(router_state& state, request& r, std::string_view version);
+/// Sends all own evidence to a router that has just linked.
+void send_all_evidence(router_state& state, link_id link, effects& out);
 void note_version_outcome(router_state& state, const request& r, const finish& end, effects& out);
 void on_evidence(router_state& state, const evidence& received, effects& out);
 void on_versions_tick(router_state& state, effects& out);
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -80,6 +80,7 @@
     if (greeting.role == process_role::router) {
         out.emplace_back(std::move(config));
         out.emplace_back(send_message{link, known});
+        send_all_evidence(state, link, out);
         return;
     }
     if (greeting.role != process_role::sidecar) return;
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-queue_key key_of(const request& r) { return {r.input.pool, r.account, r.cls, r.version}; }
+queue_key key_of(const request& r) { return {r.input.pool, r.account, r.cls, {}}; }
 
 void set_phase(router_state& state, request& r, request_phase phase) {
     const bool was_waiting = r.phase != request_phase::running;
@@ -54,7 +54,8 @@
         queue.push_back(r);
     }
     state.dirty.insert(key);
-    announce_first(state, key, r.input.prefix_hash, out);
+    const std::string first_version = choose_exposure(state, r);
+    announce_first(state, key, r.input.prefix_hash, first_version, out);
 }
 
 void dequeue(router_state& state, request& r) {
@@ -279,7 +280,6 @@
         }
         return;
     }
-    r->version = stamp_version(state, *admitted->pool);
     on_first_attempt(state.budgets[input.pool], state.settings.retry);
     enqueue(state, *r, out);
 }
@@ -308,14 +308,12 @@
 
 // Next request of the account and class that may run at this sidecar.
 request* next_for(router_state& state, const peer& sidecar, const pull& asked) {
-    for (const std::string& version : {sidecar.identity.version, std::string{}}) {
-        const auto queue = state.queues.find({sidecar.identity.pool, asked.account, asked.cls, version});
-        if (queue == state.queues.end()) continue;
-        for (request& r : queue->second) {
-            const bool suspect = is_suspect(state.crashes, r.crash_hash);
-            if (!suspect || asked.alone) return &r;
-        }
-        if (version.empty()) break;
+    const auto queue = state.queues.find({sidecar.identity.pool, asked.account, asked.cls, {}});
+    if (queue == state.queues.end()) return nullptr;
+    for (request& r : queue->second) {
+        const bool suspect = is_suspect(state.crashes, r.crash_hash);
+        if (suspect && !asked.alone) continue;
+        if (may_run_on(state, r, sidecar.identity.version)) return &r;
     }
     return nullptr;
 }
@@ -332,6 +330,7 @@
     }
     const request_ptr keep{r};
     dequeue(state, *r);
+    note_version_start(state, *r, sidecar->identity.version);
     if (r->order) {
         claim_order(state, *r, link, asked.pull_id, out);
     } else {
--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -31,8 +31,12 @@
     return row;
 }
 
-bool may_run(const peer& sidecar, const queue_key& key) {
-    return key.version.empty() || key.version == sidecar.identity.version;
+// Row for one sidecar: a target that is exposed to a part of the traffic hears of this part only.
+reserve_row row_for(const router_state& state, const peer& sidecar, const queue_key& key) {
+    reserve_row row = row_of(state, key);
+    const auto queue = state.queues.find(key);
+    if (queue != state.queues.end()) row.waiting = waiting_for(state, sidecar, queue->second);
+    return row;
 }
 
 } // namespace
@@ -41,7 +45,8 @@
     if (!sidecar.greeted || sidecar.identity.role != process_role::sidecar) return false;
     if (sidecar.last.state != serving_state::serving) return false;
     if (!data_centre_in_service(state.config, sidecar.identity.data_centre)) return false;
-    if (state.condemned.contains({sidecar.identity.pool, sidecar.identity.version})) return false;
+    if (access_of(state, sidecar.identity.pool, sidecar.identity.version) == version_access::closed)
+        return false;
     const auto vm = std::ranges::find(state.vms, sidecar.identity.name, &vm_entry::name);
     return vm == state.vms.end() || !vm->leaving;
 }
@@ -50,22 +55,23 @@
 // [SECTION] Announcements
 //-----------------------------------------------------------------------------
 
-void announce_first(router_state& state, const queue_key& key, std::uint64_t /*prefix_hash*/, effects& out) {
+void announce_first(router_state& state, const queue_key& key, std::uint64_t /*prefix_hash*/,
+                    std::string_view first_version, effects& out) {
     const auto links = state.sidecars.find(key.pool);
     if (links == state.sidecars.end()) return;
     std::vector<placement_candidate> candidates;
     for (const link_id link : links->second) {
         const peer* sidecar = find_peer(state.members, link);
-        if (sidecar == nullptr || !is_eligible(state, *sidecar) || !may_run(*sidecar, key)) continue;
+        if (sidecar == nullptr || !is_eligible(state, *sidecar)) continue;
+        if (!hears_at_once(state, *sidecar, first_version)) continue;
         const auto reserved = state.reserved_room.find(link);
         const std::int64_t taken = reserved == state.reserved_room.end() ? 0 : reserved->second;
         candidates.push_back(
             {link, static_cast<double>(std::int64_t{sidecar->last.free_room} - taken), false});
     }
-    const reserve_row row = row_of(state, key);
     for (const link_id link : choose_first(candidates, state.settings.placement, state.random)) {
         ++state.reserved_room[link];
-        out.emplace_back(send_message{link, reserve{{row}}});
+        out.emplace_back(send_message{link, reserve{{row_for(state, *find_peer(state.members, link), key)}}});
     }
 }
 
@@ -74,8 +80,7 @@
     if (sidecar == nullptr) return;
     reserve message;
     for (const auto& [key, queue] : state.queues) {
-        if (key.pool == sidecar->identity.pool && may_run(*sidecar, key))
-            message.rows.push_back(row_of(state, key));
+        if (key.pool == sidecar->identity.pool) message.rows.push_back(row_for(state, *sidecar, key));
     }
     if (!message.rows.empty()) out.emplace_back(send_message{link, std::move(message)});
 }
@@ -85,10 +90,10 @@
     for (const queue_key& key : state.dirty) {
         const auto links = state.sidecars.find(key.pool);
         if (links == state.sidecars.end()) continue;
-        const reserve_row row = row_of(state, key);
         for (const link_id link : links->second) {
             const peer* sidecar = find_peer(state.members, link);
-            if (sidecar == nullptr || !may_run(*sidecar, key)) continue;
+            if (sidecar == nullptr) continue;
+            const reserve_row row = row_for(state, *sidecar, key);
             // A withdrawal goes to everyone; waiting requests only to those that may take them.
             if (row.waiting > 0 && !is_eligible(state, *sidecar)) continue;
             messages[link].rows.push_back(row);
--- a/core/damaskhill_router_versions.cpp
+++ b/core/damaskhill_router_versions.cpp
@@ -1,7 +1,9 @@
 // Index of this file:
 // [SECTION] Facts
-// [SECTION] Stamps
+// [SECTION] Access
+// [SECTION] Exposure
 // [SECTION] Evidence
+// [SECTION] Loads
 // [SECTION] Time
 
 #include "damaskhill_router_internal.hpp"
@@ -57,6 +59,7 @@
 } // namespace
 
 void on_facts(router_state& state, link_id from, const facts& received, effects& out) {
+    state.facts_heard = true;
     const facts news = merge_facts(state, received, out);
     if (!empty(news)) tell_facts(state, news, from, out);
 }
@@ -66,8 +69,13 @@
     if (reply.result == failure_kind::none || reply.result == failure_kind::store_conflict) {
         state.store_heard = state.now;
         state.facts_version = reply.version;
+        state.facts_heard = true;
+    }
+    if (reply.result != failure_kind::none) {
+        // Without facts of its own the router reads again instead of writing.
+        state.facts_asked = !empty(all_facts(state));
+        state.facts_dirty = state.facts_asked;
     }
-    if (reply.result != failure_kind::none) state.facts_dirty = true;
     const facts news = merge_facts(state, reply.known, out);
     if (!empty(news)) tell_facts(state, news, 0, out);
 }
@@ -86,38 +94,242 @@
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Stamps
+// [SECTION] Access
 //-----------------------------------------------------------------------------
 
 namespace {
 
-version_verdict verdict_of(const router_state& state, const move_declaration& move) {
-    const auto found = state.verdicts.find(move.name);
-    return found == state.verdicts.end() ? version_verdict::undecided : found->second;
+bool is_condemned(const router_state& state, std::string_view pool, std::string_view version) {
+    return state.condemned.contains({std::string{pool}, std::string{version}});
+}
+
+const move_test* test_of(const router_state& state, const move_declaration& move) {
+    const auto found = state.tests.find(move.name);
+    return found == state.tests.end() || found->second.start != move.start ? nullptr : &found->second;
+}
+
+move_phase phase_of(const router_state& state, const move_declaration& move) {
+    const bool condemned = is_condemned(state, move.pool, move.to_version);
+    return damaskhill::phase_of(move, test_of(state, move), condemned, state.now);
+}
+
+double share_of(const router_state& state, const move_declaration& move) {
+    const bool condemned = is_condemned(state, move.pool, move.to_version);
+    return traffic_share(move, test_of(state, move), condemned, state.now);
+}
+
+// A router that has just started may not know that a version is condemned.
+bool facts_known(const router_state& state) {
+    constexpr duration patience = 3s; // without any peer
+    return state.facts_heard || state.now - state.started > patience;
+}
+
+template <class Predicate>
+bool any_eligible(const router_state& state, std::string_view pool, Predicate&& matches) {
+    const auto links = state.sidecars.find(pool);
+    if (links == state.sidecars.end()) return false;
+    return std::ranges::any_of(links->second, [&](link_id link) {
+        const peer* p = find_peer(state.members, link);
+        return p != nullptr && matches(*p) && is_eligible(state, *p);
+    });
+}
+
+bool version_serves(const router_state& state, std::string_view pool, std::string_view version) {
+    return any_eligible(state, pool, [&](const peer& p) { return p.identity.version == version; });
+}
+
+version_access access_without_move(const router_state& state, std::string_view pool,
+                                   std::string_view version) {
+    const pool_declaration* declared = find_pool(state.config, pool);
+    const bool any = declared == nullptr || declared->version.empty() || declared->version == version;
+    return any ? version_access::open : version_access::closed;
 }
 
 } // namespace
 
-std::string stamp_version(router_state& state, const pool_declaration& pool) {
-    const auto move = std::ranges::find(state.config.moves, pool.name, &move_declaration::pool);
-    if (move == state.config.moves.end()) return pool.version;
-    const bool condemned = state.condemned.contains({move->pool, move->to_version});
-    const double share = traffic_share(*move, verdict_of(state, *move), condemned, state.now);
-    return state.random.next_unit() < share ? move->to_version : move->from_version;
+version_access access_of(const router_state& state, std::string_view pool, std::string_view version) {
+    if (is_condemned(state, pool, version)) return version_access::closed;
+    const move_declaration* move = current_move(state.config, pool, state.now);
+    if (move == nullptr) return access_without_move(state, pool, version);
+    const bool is_new = version == move->to_version;
+    if (!is_new && version != move->from_version) return version_access::closed;
+    switch (phase_of(state, *move)) {
+    case move_phase::exposure:
+        if (!is_new) return version_access::open;
+        return facts_known(state) ? version_access::exposed : version_access::closed;
+    case move_phase::ramp:
+        return is_new ? version_access::growing : version_access::open;
+    case move_phase::complete:
+        if (is_new) return version_access::open;
+        // The old version is left only for a new one that has a target.
+        return version_serves(state, pool, move->to_version) ? version_access::closed : version_access::open;
+    default:
+        return is_new ? version_access::closed : version_access::open;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Exposure
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// A preempted stream goes on with the version that wrote its beginning, for as long as this costs little
+// time.
+bool is_bound_to(const router_state& state, const request& r, std::string_view version) {
+    constexpr duration patience = 1s;
+    return r.preemptions > 0 && r.version == version && !r.answer.text.empty() &&
+           state.now - r.queued < patience;
+}
+
+bool may_be_exposed(const request& r, std::string_view version) {
+    return r.exposed_to == version || (r.preemptions > 0 && r.version == version && !r.answer.text.empty());
+}
+
+bool has_room(const router_state& state, const peer& sidecar) {
+    const auto reserved = state.reserved_room.find(sidecar.link);
+    const std::int64_t taken = reserved == state.reserved_room.end() ? 0 : reserved->second;
+    return std::int64_t{sidecar.last.free_room} > taken;
+}
+
+std::string route_of(const request& r) {
+    std::string route;
+    switch (r.input.route) {
+    case caller_route::chat_completions:
+        route = "chat";
+        break;
+    case caller_route::completions:
+        route = "completions";
+        break;
+    default: {
+        const std::string_view path = r.input.path;
+        route = r.input.method + " " + std::string{path.substr(0, path.find_first_of("/?", 1))};
+        break;
+    }
+    }
+    return route + " " + std::string{to_string(r.cls)};
+}
+
+} // namespace
+
+bool may_run_on(const router_state& state, const request& r, std::string_view version) {
+    constexpr duration unserved = 50ms; // after which no other target seems to have room
+    switch (access_of(state, r.input.pool, version)) {
+    case version_access::closed:
+        return false;
+    case version_access::open:
+        return r.version.empty() || r.version == version || !is_bound_to(state, r, r.version) ||
+               !version_serves(state, r.input.pool, r.version);
+    case version_access::growing:
+        if (r.attempts == 0 && r.preemptions == 0 && state.now - r.queued >= unserved) return true;
+        return may_be_exposed(r, version);
+    default:
+        return may_be_exposed(r, version);
+    }
+}
+
+std::string choose_exposure(router_state& state, request& r) {
+    const move_declaration* move = current_move(state.config, r.input.pool, state.now);
+    if (move == nullptr) return {};
+    const move_phase phase = phase_of(state, *move);
+    if (phase != move_phase::exposure && phase != move_phase::ramp) return {};
+    const std::string& version = move->to_version;
+    if (!facts_known(state)) return {};
+    if (may_be_exposed(r, version)) return version;
+    // A request that has failed once runs on the old version.
+    if (r.attempts > 0 || r.preemptions > 0) return {};
+    const auto is_new = [&](const peer& p) { return p.identity.version == version && has_room(state, p); };
+    if (!any_eligible(state, r.input.pool, is_new)) return {};
+    exposure_credit& credit = state.exposure[move->name];
+    if (phase == move_phase::exposure) {
+        // Routes that still lack evidence go first; the others take what these leave unused.
+        constexpr double unused = 4.0;
+        const move_test* test = test_of(state, *move);
+        const bool done = test != nullptr && route_accepted(*test, route_of(r), state.settings.verdict);
+        if (done && credit.credit < unused) return {};
+    }
+    if (!spend(credit)) {
+        if (phase == move_phase::exposure) return {};
+        const auto is_old = [&](const peer& p) {
+            return p.identity.version != version && has_room(state, p);
+        };
+        return any_eligible(state, r.input.pool, is_old) ? std::string{} : version;
+    }
+    r.exposed_to = version;
+    return version;
+}
+
+bool hears_at_once(const router_state& state, const peer& sidecar, std::string_view first) {
+    if (!first.empty()) return sidecar.identity.version == first;
+    return access_of(state, sidecar.identity.pool, sidecar.identity.version) == version_access::open;
+}
+
+std::uint32_t waiting_for(const router_state& state, const peer& sidecar, const request_queue& queue) {
+    const std::string& version = sidecar.identity.version;
+    switch (access_of(state, sidecar.identity.pool, version)) {
+    case version_access::closed:
+        return 0;
+    case version_access::exposed:
+        return static_cast<std::uint32_t>(
+            std::ranges::count_if(queue, [&](const request& r) { return may_be_exposed(r, version); }));
+    default:
+        return static_cast<std::uint32_t>(queue.size());
+    }
+}
+
+void note_version_start(router_state& state, request& r, std::string_view version) {
+    const bool again = r.version == version && r.preemptions > 0;
+    r.version = version;
+    const std::string chosen = std::exchange(r.exposed_to, {});
+    const move_declaration* move = current_move(state.config, r.input.pool, state.now);
+    if (move == nullptr) return;
+    exposure_credit& credit = state.exposure[move->name];
+    if (!std::exchange(r.counted_for_version, true)) earn(credit, share_of(state, *move));
+    if (version == move->to_version) {
+        constexpr double largest_debt = -8.0; // requests that ran on the new version for want of other room
+        if (chosen.empty() && !again) credit.credit = std::max(largest_debt, credit.credit - 1.0);
+    } else if (chosen == move->to_version) {
+        refund(credit);
+    }
 }
 
 //-----------------------------------------------------------------------------
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
 
+namespace {
+
+// All calls that one crash or one lost link ends say the same; only the first counts as a failure.
+bool is_same_crash(router_state& state, link_id link) {
+    constexpr duration one_event = 2s;
+    std::erase_if(state.crash_noted, [&](const auto& e) { return state.now - e.second > one_event; });
+    return !state.crash_noted.emplace(link, state.now).second;
+}
+
+// Time to the first byte plus the time of 16 further units, so that a slow start and slow tokens both show.
+duration latency_of(const router_state& state, const request& r, const finish& end) {
+    const pool_declaration* pool = find_pool(state.config, r.input.pool);
+    const auto total = static_cast<std::int64_t>(end.total_us);
+    if (pool == nullptr || pool->kind == target_kind::service) return duration{total};
+    constexpr double units = 16.0;
+    const auto first = static_cast<double>(end.first_us);
+    const double rest = std::max(0.0, static_cast<double>(end.total_us) - first);
+    return duration{static_cast<std::int64_t>(first + rest * units / std::max(units, end.units))};
+}
+
+} // namespace
+
 void note_version_outcome(router_state& state, const request& r, const finish& end, effects& /*out*/) {
-    if (r.version.empty()) return;
+    const move_declaration* move = current_move(state.config, r.input.pool, state.now);
+    if (move == nullptr || state.now < move->start) return;
+    if (r.version != move->from_version && r.version != move->to_version) return;
+    const bool lost = end.outcome == attempt_outcome::connection_lost;
+    if (lost && is_same_crash(state, r.link)) return;
     const bool failed = end.outcome != attempt_outcome::completed;
-    constexpr std::uint64_t slow_first_us = 2'000'000; // first byte later than this counts as slow
-    const bool slow = end.first_us > slow_first_us;
-    const std::string route = r.input.route == caller_route::chat_completions ? "chat" : "completions";
-    note_attempt(state.evidence, state.settings.incarnation, {r.input.pool, r.version, route, 0}, failed,
-                 slow);
+    const std::uint32_t level = std::min(end.load_level, load_level_warming);
+    const evidence_key key{r.input.pool, r.version, route_of(r), level};
+    note_attempt(state.evidence, state.settings.incarnation, key, failed, latency_of(state, r, end));
+    state.evidence_dirty.insert(key);
 }
 
 void on_evidence(router_state& state, const evidence& received, effects& /*out*/) {
@@ -125,44 +337,141 @@
         merge_evidence(state.evidence, received.owner, row);
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Time
-//-----------------------------------------------------------------------------
+void send_all_evidence(router_state& state, link_id link, effects& out) {
+    evidence own{state.settings.incarnation, {}};
+    for (const auto& [key, counts] : state.evidence.counts) {
+        if (key.first == state.settings.incarnation) own.rows.push_back(to_row(key.second, counts));
+    }
+    if (!own.rows.empty()) out.emplace_back(send_message{link, std::move(own)});
+}
 
 namespace {
 
-void send_evidence(router_state& state, effects& out) {
+void send_new_evidence(router_state& state, effects& out) {
     evidence own{state.settings.incarnation, {}};
-    for (const auto& [key, counts] : state.evidence.counts) {
-        if (key.first != state.settings.incarnation) continue;
-        own.rows.push_back({key.second.pool, key.second.version, key.second.route, key.second.load_level,
-                            counts.attempts, counts.failures, counts.slow});
-    }
+    for (const evidence_key& key : state.evidence_dirty)
+        own.rows.push_back(to_row(key, state.evidence.counts[{state.settings.incarnation, key}]));
+    state.evidence_dirty.clear();
     if (!own.rows.empty()) send_to_routers(state, own, out);
 }
 
+void forget_ended_moves(router_state& state) {
+    const auto has_move = [&](std::string_view pool) {
+        return std::ranges::find(state.config.moves, pool, &move_declaration::pool) !=
+               state.config.moves.end();
+    };
+    const auto is_declared = [&](std::string_view name) {
+        return std::ranges::find(state.config.moves, name, &move_declaration::name) !=
+               state.config.moves.end();
+    };
+    std::erase_if(state.evidence.totals, [&](const auto& e) { return !has_move(e.first.pool); });
+    std::erase_if(state.evidence.counts, [&](const auto& e) { return !has_move(e.first.second.pool); });
+    std::erase_if(state.evidence_dirty, [&](const auto& key) { return !has_move(key.pool); });
+    std::erase_if(state.tests, [&](const auto& e) { return !is_declared(e.first); });
+    std::erase_if(state.exposure, [&](const auto& e) { return !is_declared(e.first); });
+    std::erase_if(state.move_phases, [&](const auto& e) { return !is_declared(e.first); });
+}
+
 void judge_moves(router_state& state, effects& out) {
     for (const move_declaration& move : state.config.moves) {
-        const version_verdict verdict = judge(state.evidence, move, state.settings.verdict);
-        if (verdict == version_verdict::undecided) continue;
-        state.verdicts[move.name] = verdict;
+        if (current_move(state.config, move.pool, state.now) != &move || move.start > state.now) continue;
+        if (is_condemned(state, move.pool, move.to_version)) continue;
+        const version_verdict verdict =
+            advance_test(state.tests[move.name], state.evidence, move, state.settings.verdict, state.now);
         if (verdict != version_verdict::bad) continue;
         const facts news = merge_facts(state, facts{{{move.pool, move.to_version}}, {}}, out);
         if (!empty(news)) tell_facts(state, news, 0, out);
     }
 }
 
+std::string_view name_of(move_phase phase) {
+    switch (phase) {
+    case move_phase::before:
+        return "before its start";
+    case move_phase::exposure:
+        return "exposure";
+    case move_phase::ramp:
+        return "ramp";
+    case move_phase::complete:
+        return "complete";
+    default:
+        return "taken back";
+    }
+}
+
+// Queues are announced anew when a move changes its phase, since other targets may now take them.
+void note_phases(router_state& state, effects& out) {
+    for (const move_declaration& move : state.config.moves) {
+        const move_phase phase = phase_of(state, move);
+        const auto known = state.move_phases.find(move.name);
+        if (known != state.move_phases.end() && known->second == phase) continue;
+        state.move_phases[move.name] = phase;
+        out.emplace_back(log_change{"move " + move.name + " of pool " + move.pool + " to version " +
+                                    move.to_version + ": " + std::string{name_of(phase)}});
+        out.emplace_back(gauge{"move_phase", move.name, static_cast<double>(phase)});
+        for (const auto& [key, queue] : state.queues) {
+            if (key.pool == move.pool) state.dirty.insert(key);
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loads
+//-----------------------------------------------------------------------------
+
+std::vector<std::string> targets_of(const router_state& state, std::string_view pool) {
+    std::vector<std::string> names;
+    for (const vm_entry& vm : state.vms) {
+        if (vm.role == process_role::sidecar && vm.pool == pool) names.push_back(vm.name);
+    }
+    std::ranges::sort(names);
+    return names;
+}
+
+void order_load(router_state& state, const move_declaration& move, effects& out) {
+    const pool_declaration* pool = find_pool(state.config, move.pool);
+    if (pool == nullptr || pool->kind != target_kind::model_engine) return;
+    const std::vector<std::string> names = targets_of(state, move.pool);
+    const peer* target = find_peer_named(state.members, turn_of(names, pool->loads_per_minute, state.now));
+    if (target == nullptr || !data_centre_in_service(state.config, target->identity.data_centre)) return;
+    const auto links = state.sidecars.find(move.pool);
+    if (links == state.sidecars.end()) return;
+    const auto on_new = std::ranges::count_if(links->second, [&](link_id link) {
+        const peer* p = find_peer(state.members, link);
+        return p != nullptr && p->identity.version == move.to_version;
+    });
+    const std::string version =
+        version_to_load(move, phase_of(state, move), share_of(state, move), target->identity.version,
+                        static_cast<std::size_t>(on_new), links->second.size());
+    if (version.empty() || is_condemned(state, move.pool, version)) return;
+    out.emplace_back(send_message{target->link, load_order{move.pool, version}});
+}
+
 } // namespace
 
+//-----------------------------------------------------------------------------
+// [SECTION] Time
+//-----------------------------------------------------------------------------
+
 void on_versions_tick(router_state& state, effects& out) {
     constexpr duration facts_period = 1s;
-    if (state.now >= state.next_report) {
-        state.next_report = state.now + state.settings.ledger.report_period;
-        if (!state.config.moves.empty()) {
-            send_evidence(state, out);
-            judge_moves(state, out);
+    constexpr duration judge_period = 500ms;
+    if (state.now >= state.next_judge) {
+        state.next_judge = state.now + judge_period;
+        forget_ended_moves(state);
+        send_new_evidence(state, out);
+        judge_moves(state, out);
+        for (const move_declaration& move : state.config.moves) {
+            if (current_move(state.config, move.pool, state.now) == &move) order_load(state, move, out);
         }
     }
+    note_phases(state, out);
+    if (!state.facts_asked && !state.facts_in_flight && state.now >= state.next_facts) {
+        state.next_facts = state.now + facts_period;
+        state.facts_asked = true;
+        state.facts_in_flight = true;
+        out.emplace_back(store_facts{std::nullopt, {}});
+    }
     if (state.facts_dirty && !state.facts_in_flight && state.now >= state.next_facts) {
         state.next_facts = state.now + facts_period;
         state.facts_dirty = false;
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -34,6 +34,7 @@
 serving_state serving(const sidecar_state& state) {
     if (state.stopping) return serving_state::draining;
     if (!state.target_known || !state.target.reachable || !state.target.ready) return serving_state::warming;
+    if (!state.load.wanted.empty()) return serving_state::warming;
     if (!data_centre_in_service(state.config, state.settings.data_centre)) return serving_state::draining;
     if (state.condemned.contains({state.settings.pool, state.target.version})) return serving_state::draining;
     // Without confirmed configuration it may have been taken out of service without hearing of it.
@@ -235,6 +236,7 @@
     call.started = state.now;
     call.last_byte = state.now;
     call.ran_alone = state.running.empty();
+    call.load_level = detail::present_load_level(state);
     call.traceparent = child_traceparent(work.traceparent, state.random);
     if (!state.running.empty()) {
         for (auto& [attempt, other] : state.running)
@@ -275,6 +277,7 @@
     if (call.first_byte != time_point{}) {
         end.first_us = static_cast<std::uint64_t>((call.first_byte - call.started).count());
     }
+    end.load_level = call.load_level;
     end.total_us = static_cast<std::uint64_t>((state.now - call.started).count());
     charge_account(state, call.work.account, end.units - call.work.cost_hint);
     const bool ok = end.outcome == attempt_outcome::completed;
@@ -314,6 +317,7 @@
         out.emplace_back(observe{"target_first_byte_seconds", std::string{to_string(call.work.cls)},
                                  to_seconds(state.now - call.started)});
         if (on_latency(state.limit, call.work.cls, state.now - call.started)) {
+            detail::note_cold_turn(state);
             out.emplace_back(
                 log_change{"target has turned cold: limit is " + std::to_string(present_limit(state.limit))});
         }
@@ -380,6 +384,10 @@
         out.emplace_back(log_change{status.reachable ? "target is reachable" : "target is not reachable"});
         if (status.reachable) reset_to_cold(state.limit);
     }
+    if (!was_up || restarted || state.target.version != status.version) {
+        detail::note_target_start(state);
+        if (state.target_known && state.target.version != status.version) reset_to_cold(state.limit);
+    }
     state.target = status;
     state.target_known = true;
     pull_more(state, out);
@@ -505,6 +513,10 @@
     p->identity = greeting;
     out.emplace_back(
         log_change{"link from " + std::string{to_string(greeting.role)} + " " + greeting.name + " opened"});
+    // A router that has restarted while it is cut off from the others learns of condemned versions here.
+    if (greeting.role == process_role::router && !state.condemned.empty()) {
+        out.emplace_back(send_message{link, facts{{state.condemned.begin(), state.condemned.end()}, {}}});
+    }
 }
 
 void on_heartbeat(sidecar_state& state, link_id link, const heartbeat& beat) {
@@ -533,6 +545,7 @@
     void operator()(const config_push& m) const { on_config_push(state, m, out); }
     void operator()(const config_pull& /*unused*/) const {}
     void operator()(const facts& m) const { on_facts(state, m, out); }
+    void operator()(const load_order& m) const { detail::take_load_order(state, m); }
     template <class Other>
     void operator()(const Other& /*unused*/) const {
         out.emplace_back(count{"unexpected_messages_total", "sidecar", 1});
@@ -598,6 +611,7 @@
     expire_orders(state.orders, state.now);
     for (service_order& order : state.order)
         order.expire(state.now);
+    detail::on_load_tick(state, out);
     announce_changes(state, out);
     if (state.now >= state.members.next_heartbeat) {
         state.members.next_heartbeat = state.now + state.settings.membership.heartbeat_period;
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -3,8 +3,10 @@
 // Index of this file:
 // [SECTION] Settings
 // [SECTION] Calls
+// [SECTION] Version of the target
 // [SECTION] State
 // [SECTION] Reducer
+// [SECTION] Parts for the reducer
 
 #pragma once
 
@@ -14,6 +16,7 @@
 #include "damaskhill_membership.hpp"
 #include "damaskhill_orders.hpp"
 #include "damaskhill_quarantine.hpp"
+#include "damaskhill_versions.hpp"
 
 #include <array>
 
@@ -60,6 +63,7 @@
     time_point first_byte{};
     time_point last_byte{};
     bool ran_alone{true}; // nothing else has run on the target since it started
+    std::uint32_t load_level{};
     std::string traceparent;
 };
 
@@ -81,6 +85,24 @@
     double cost_hint{};
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Version of the target
+//-----------------------------------------------------------------------------
+
+/// Until when the latency of the target says nothing about its version.
+struct target_warmth {
+    time_point warm_at{};
+    time_point last_cold_turn{};
+};
+
+/// A version that the target is to load.
+struct version_load {
+    std::string wanted; // empty: none
+    time_point asked{};
+    time_point ordered{}; // when the engine was told; zero while calls still run
+    std::uint64_t orders{};
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] State
 //-----------------------------------------------------------------------------
@@ -101,6 +123,8 @@
     std::uint64_t next_pull{1};
     order_memory orders;
     std::set<condemned_version> condemned;
+    target_warmth warmth;
+    version_load load;
     target_status target;
     bool target_known{};
     time_point confirmed_at{};
@@ -121,4 +145,23 @@
 /// Whether the sidecar may take new work now.
 [[nodiscard]] serving_state serving(const sidecar_state& state);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Parts for the reducer
+//-----------------------------------------------------------------------------
+
+namespace detail {
+
+/// Load level that an attempt which starts now reports.
+[[nodiscard]] std::uint32_t present_load_level(const sidecar_state& state);
+/// The target has started, restarted or changed its version.
+void note_target_start(sidecar_state& state);
+/// Latencies show that the target has turned cold.
+void note_cold_turn(sidecar_state& state);
+/// Takes a router's order to load a version; returns false if the order is out of place.
+bool take_load_order(sidecar_state& state, const load_order& asked);
+/// Tells the engine to load once nothing runs, and notes its success or failure.
+void on_load_tick(sidecar_state& state, effects& out);
+
+} // namespace detail
+
 } // namespace damaskhill
--- a/core/damaskhill_versions.cpp
+++ b/core/damaskhill_versions.cpp
@@ -1,12 +1,14 @@
 // Index of this file:
 // [SECTION] Evidence
-// [SECTION] Verdict
+// [SECTION] Test
 // [SECTION] Share of traffic
+// [SECTION] Turns at the weight store
 
 #include "damaskhill_versions.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace damaskhill {
 
@@ -14,87 +16,365 @@
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
 
+std::size_t latency_bucket(duration latency) {
+    constexpr double buckets_per_doubling = 4.0;
+    const double ms = std::max(1.0, to_milliseconds(latency));
+    const auto bucket = static_cast<std::size_t>(std::log2(ms) * buckets_per_doubling);
+    return std::min(bucket, latency_buckets - 1);
+}
+
+std::uint32_t load_level_of(std::size_t running, std::uint32_t warm_limit) {
+    if (running * 3 < warm_limit) return load_level_low;
+    if (running * 3 < std::size_t{warm_limit} * 2) return load_level_medium;
+    return load_level_high;
+}
+
 void note_attempt(version_evidence& evidence, incarnation_id self, const evidence_key& key, bool failed,
-                  bool slow) {
+                  duration latency) {
     for (auto* counts : {&evidence.counts[{self, key}], &evidence.totals[key]}) {
         counts->attempts += 1;
         counts->failures += failed ? 1 : 0;
-        counts->slow += slow ? 1 : 0;
+        if (!failed) counts->latency[latency_bucket(latency)] += 1;
     }
 }
 
+namespace {
+
+// Raises a grow-only count and adds the increase to the total.
+void raise(std::uint64_t& known, std::uint64_t reported, std::uint64_t& total) {
+    if (reported <= known) return;
+    total += reported - known;
+    known = reported;
+}
+
+} // namespace
+
 bool merge_evidence(version_evidence& evidence, incarnation_id owner, const evidence_row& row) {
     const evidence_key key{row.pool, row.version, row.route, row.load_level};
     auto& known = evidence.counts[{owner, key}];
     if (row.attempts <= known.attempts) return false;
     auto& total = evidence.totals[key];
-    total.attempts += row.attempts - known.attempts;
-    total.failures += row.failures - std::min(row.failures, known.failures);
-    total.slow += row.slow - std::min(row.slow, known.slow);
-    known = {row.attempts, std::max(row.failures, known.failures), std::max(row.slow, known.slow)};
+    raise(known.attempts, row.attempts, total.attempts);
+    raise(known.failures, row.failures, total.failures);
+    const std::size_t buckets = std::min(row.latency.size(), latency_buckets);
+    for (std::size_t i = 0; i < buckets; ++i)
+        raise(known.latency[i], row.latency[i], total.latency[i]);
     return true;
 }
 
+evidence_row to_row(const evidence_key& key, const evidence_counts& counts) {
+    evidence_row row{key.pool, key.version, key.route, key.load_level, counts.attempts, counts.failures, {}};
+    std::size_t used = latency_buckets;
+    while (used > 0 && counts.latency[used - 1] == 0)
+        --used;
+    row.latency.assign(counts.latency.begin(), counts.latency.begin() + static_cast<std::ptrdiff_t>(used));
+    return row;
+}
+
 //-----------------------------------------------------------------------------
-// [SECTION] Verdict
+// [SECTION] Test
 //-----------------------------------------------------------------------------
 
 namespace {
 
+// Share of the false alarm rate that the exposure may use up; the rest is for the watch after acceptance.
+constexpr double exposure_part = 0.5;
+
+double accept_bound(const verdict_settings& s) { return std::log(s.miss); }
+
+// Height that a ratio must reach to condemn. Before acceptance it is Wald's bound, which holds over any
+// number of looks (Ville's inequality), divided among the cells. After acceptance the ratio is held at the
+// acceptance bound, from which each attempt may begin a new climb, so the climb must be rarer by the number
+// of attempts.
+double condemn_bound(const verdict_settings& s, bool accepted) {
+    if (!accepted) return std::log(s.most_cells / (s.false_alarm * exposure_part));
+    const double climbs = s.most_cells * s.watched_attempts;
+    return accept_bound(s) + std::log(climbs / (s.false_alarm * (1.0 - exposure_part)));
+}
+
 // Log likelihood ratio of "rate p1" against "rate p0" for k events in n trials.
 double log_likelihood_ratio(double p0, double p1, double events, double trials) {
     return events * std::log(p1 / p0) + (trials - events) * std::log((1.0 - p1) / (1.0 - p0));
 }
 
-version_verdict decide(double events, double trials, double old_rate, const verdict_settings& settings) {
+// Two standard errors above the observed rate: the old rate is an estimate, and the test's false alarm rate
+// holds only for a rate that is not too low.
+double upper_rate(double events, double trials) {
+    const double rate = (events + 1.0) / (trials + 2.0);
+    return rate + 2.0 * std::sqrt(rate * (1.0 - rate) / (trials + 2.0));
+}
+
+void take_old(move_test& test, const evidence_key& key, const evidence_counts& now, double window) {
+    evidence_counts& taken = test.taken[key];
+    old_rates& rates = test.old[{key.route, key.load_level}];
+    const auto attempts = static_cast<double>(now.attempts - taken.attempts);
+    if (attempts <= 0.0) return;
+    test.old_route_attempts[key.route] += now.attempts - taken.attempts;
+    rates.attempts += attempts;
+    rates.failures += static_cast<double>(now.failures - taken.failures);
+    for (std::size_t i = 0; i < latency_buckets; ++i) {
+        const auto added = static_cast<double>(now.latency[i] - taken.latency[i]);
+        rates.latency[i] += added;
+        rates.timed += added;
+    }
+    taken = now;
+    if (rates.attempts <= window) return;
+    const double keep = window / rates.attempts;
+    rates.attempts *= keep;
+    rates.failures *= keep;
+    rates.timed *= keep;
+    for (double& count : rates.latency)
+        count *= keep;
+}
+
+// Old outcomes on the route over all load levels.
+old_rates pooled_old(const move_test& test, std::string_view route) {
+    old_rates sum;
+    for (const auto& [key, rates] : test.old) {
+        if (key.first != route) continue;
+        sum.attempts += rates.attempts;
+        sum.failures += rates.failures;
+    }
+    return sum;
+}
+
+// Old latencies at the same load level or the next higher one that has enough; null without any. A lower
+// level would make a new target that gets more load look slow.
+const old_rates* comparable_old(const move_test& test, const std::string& route, std::uint32_t level,
+                                double least) {
+    for (std::uint32_t at = level; at <= load_level_high; ++at) {
+        const auto found = test.old.find({route, at});
+        if (found != test.old.end() && found->second.timed >= least) return &found->second;
+    }
+    return nullptr;
+}
+
+// First bucket that counts as slow: above the bucket that holds the old version's usual slow answers. The gap
+// of one bucket (19%) keeps the quantisation of the boundary out of the test.
+std::size_t slow_from(const old_rates& old, double usual_slow_rate) {
+    double above = 0.0;
+    std::size_t bucket = latency_buckets;
+    while (bucket > 0 && above + old.latency[bucket - 1] <= usual_slow_rate * old.timed) {
+        --bucket;
+        above += old.latency[bucket];
+    }
+    return bucket + 1;
+}
+
+template <class Counts>
+double count_from(const Counts& latency, std::size_t from) {
+    double sum = 0.0;
+    for (std::size_t i = from; i < latency_buckets; ++i)
+        sum += static_cast<double>(latency[i]);
+    return sum;
+}
+
+// Adds a step to a ratio; after acceptance it does not fall below the acceptance bound, so that a version
+// that turns bad later does not live on its earlier merits.
+void add_step(double& ratio, double step, bool accepted, double floor) {
+    ratio += step;
+    if (accepted) ratio = std::max(ratio, floor);
+}
+
+void take_new(move_test& test, const evidence_key& key, const evidence_counts& now,
+              const verdict_settings& s) {
+    evidence_counts& taken = test.taken[key];
+    const std::uint64_t attempts = now.attempts - taken.attempts;
+    if (attempts == 0) return;
+    const old_rates old = pooled_old(test, key.route);
+    const auto least = static_cast<double>(s.least_old_attempts);
+    if (old.attempts < least) return; // waits until there is something to compare with
+    const bool accepted = test.verdict == version_verdict::good;
+    const double floor = accept_bound(s);
+    auto& cell = test.cells[{key.route, key.load_level}];
+    auto& route = test.routes[key.route];
     constexpr double least_rate = 0.005; // an old version without failures must not make one failure decisive
-    const double p0 = std::clamp(old_rate, least_rate, 0.5);
-    const double p1 = std::min(0.95, p0 + settings.tolerated_excess);
-    const double ratio = log_likelihood_ratio(p0, p1, events, trials);
-    if (ratio >= std::log((1.0 - settings.miss) / settings.false_alarm)) return version_verdict::bad;
-    if (ratio <= std::log(settings.miss / (1.0 - settings.false_alarm))) return version_verdict::good;
-    return version_verdict::undecided;
+    const double p0 = std::clamp(upper_rate(old.failures, old.attempts), least_rate, 0.8);
+    const double p1 = std::min(0.95, p0 + s.failure_excess);
+    const double failure_step = log_likelihood_ratio(
+        p0, p1, static_cast<double>(now.failures - taken.failures), static_cast<double>(attempts));
+    for (test_cell* part : {&cell, &route}) {
+        part->attempts += attempts;
+        add_step(part->failures, failure_step, accepted, floor);
+    }
+    const old_rates* comparable = key.load_level == load_level_warming
+                                      ? nullptr
+                                      : comparable_old(test, key.route, key.load_level, least);
+    if (comparable != nullptr) {
+        const std::size_t from = slow_from(*comparable, s.usual_slow_rate);
+        std::array<std::uint64_t, latency_buckets> added{};
+        for (std::size_t i = 0; i < latency_buckets; ++i)
+            added[i] = now.latency[i] - taken.latency[i];
+        const double timed = count_from(added, 0);
+        const double q0 = std::clamp(upper_rate(count_from(comparable->latency, from), comparable->timed),
+                                     s.usual_slow_rate, 0.45);
+        const double step = log_likelihood_ratio(q0, s.bad_slow_rate, count_from(added, from), timed);
+        for (test_cell* part : {&cell, &route}) {
+            part->timed += static_cast<std::uint64_t>(timed);
+            add_step(part->slowness, step, accepted, floor);
+        }
+    }
+    taken = now;
 }
 
-double rate(std::uint64_t events, std::uint64_t trials) {
-    return trials == 0 ? 0.0 : static_cast<double>(events) / static_cast<double>(trials);
+bool is_bad(const test_cell& cell, double bound) { return cell.failures >= bound || cell.slowness >= bound; }
+
+bool any_bad(const move_test& test, const verdict_settings& s) {
+    const double bound = condemn_bound(s, test.verdict == version_verdict::good);
+    const auto bad = [&](const auto& entry) { return is_bad(entry.second, bound); };
+    return std::ranges::any_of(test.cells, bad) || std::ranges::any_of(test.routes, bad);
+}
+
+// Every route that carries a noticeable part of the traffic must have been accepted.
+bool all_accepted(const move_test& test, const verdict_settings& s) {
+    std::uint64_t all = 0;
+    for (const auto& [route, attempts] : test.old_route_attempts)
+        all += attempts;
+    if (all < s.least_old_attempts) return false;
+    const double least = s.least_route_share * static_cast<double>(all);
+    return std::ranges::all_of(test.old_route_attempts, [&](const auto& entry) {
+        return static_cast<double>(entry.second) < least || route_accepted(test, entry.first, s);
+    });
+}
+
+// Holds every ratio at the acceptance bound, from which the watch begins.
+void begin_watch(move_test& test, const verdict_settings& s, time_point now) {
+    test.verdict = version_verdict::good;
+    test.accepted_at = now;
+    const double floor = accept_bound(s);
+    const auto hold = [&](test_cell& cell) {
+        cell.failures = std::max(cell.failures, floor);
+        cell.slowness = std::max(cell.slowness, floor);
+    };
+    for (auto& [key, cell] : test.cells)
+        hold(cell);
+    for (auto& [key, cell] : test.routes)
+        hold(cell);
 }
 
 } // namespace
 
-version_verdict judge(const version_evidence& evidence, const move_declaration& move,
-                      const verdict_settings& settings) {
-    bool any = false;
-    bool all_good = true;
+bool route_accepted(const move_test& test, std::string_view route, const verdict_settings& settings) {
+    const auto found = test.routes.find(route);
+    if (found == test.routes.end()) return false;
+    const double bound = accept_bound(settings);
+    const test_cell& cell = found->second;
+    return cell.failures <= bound && cell.slowness <= bound;
+}
+
+version_verdict advance_test(move_test& test, const version_evidence& evidence, const move_declaration& move,
+                             const verdict_settings& settings, time_point now) {
+    if (test.start != move.start || test.to_version != move.to_version) {
+        test = {};
+        test.start = move.start;
+        test.to_version = move.to_version;
+        // Outcomes of the old version before this move belong to another period.
+        for (const auto& [key, counts] : evidence.totals) {
+            if (key.pool == move.pool && key.version == move.from_version) test.taken[key] = counts;
+        }
+    }
+    if (test.verdict == version_verdict::bad) return test.verdict;
+    for (const auto& [key, counts] : evidence.totals) {
+        if (key.pool == move.pool && key.version == move.from_version)
+            take_old(test, key, counts, settings.old_window);
+    }
     for (const auto& [key, counts] : evidence.totals) {
-        if (key.pool != move.pool || key.version != move.to_version) continue;
-        evidence_key old_key = key;
-        old_key.version = move.from_version;
-        const auto old = evidence.totals.find(old_key);
-        const evidence_counts before = old == evidence.totals.end() ? evidence_counts{} : old->second;
-        const auto trials = static_cast<double>(counts.attempts);
-        const auto failures = decide(static_cast<double>(counts.failures), trials,
-                                     rate(before.failures, before.attempts), settings);
-        const auto slowness =
-            decide(static_cast<double>(counts.slow), trials, rate(before.slow, before.attempts), settings);
-        if (failures == version_verdict::bad || slowness == version_verdict::bad) return version_verdict::bad;
-        any = true;
-        all_good = all_good && failures == version_verdict::good && slowness == version_verdict::good;
+        if (key.pool == move.pool && key.version == move.to_version) take_new(test, key, counts, settings);
     }
-    return any && all_good ? version_verdict::good : version_verdict::undecided;
+    if (any_bad(test, settings)) {
+        test.verdict = version_verdict::bad;
+    } else if (test.verdict == version_verdict::undecided && all_accepted(test, settings)) {
+        begin_watch(test, settings, now);
+    }
+    return test.verdict;
 }
 
 //-----------------------------------------------------------------------------
 // [SECTION] Share of traffic
 //-----------------------------------------------------------------------------
 
-double traffic_share(const move_declaration& move, version_verdict verdict, bool condemned, time_point now) {
-    if (condemned || move.take_back || now < move.start || verdict == version_verdict::bad) return 0.0;
-    if (verdict != version_verdict::good) return move.exposure;
-    // The ramp ends a tenth of the period before the deadline, so that the last requests finish in time.
-    const double period = to_seconds(move.deadline - move.start) * 0.9;
-    const double elapsed = to_seconds(now - move.start);
-    return std::clamp(elapsed / period, move.exposure, 1.0);
+namespace {
+
+// The ramp ends a tenth of the period before the deadline, so that the last requests finish in time.
+time_point ramp_end(const move_declaration& move) {
+    return move.deadline - (move.deadline - move.start) / 10;
+}
+
+} // namespace
+
+move_phase phase_of(const move_declaration& move, const move_test* test, bool condemned, time_point now) {
+    if (condemned || move.take_back) return move_phase::taken_back;
+    if (now < move.start) return move_phase::before;
+    const version_verdict verdict = test == nullptr ? version_verdict::undecided : test->verdict;
+    if (verdict == version_verdict::bad) return move_phase::taken_back;
+    if (verdict == version_verdict::undecided) return move_phase::exposure;
+    return now >= ramp_end(move) ? move_phase::complete : move_phase::ramp;
+}
+
+double traffic_share(const move_declaration& move, const move_test* test, bool condemned, time_point now) {
+    switch (phase_of(move, test, condemned, now)) {
+    case move_phase::exposure:
+        return move.exposure;
+    case move_phase::complete:
+        return 1.0;
+    case move_phase::ramp: {
+        const double whole = to_seconds(ramp_end(move) - test->accepted_at);
+        const double part = to_seconds(now - test->accepted_at) / std::max(whole, 1e-3);
+        return std::clamp(move.exposure + (1.0 - move.exposure) * part, move.exposure, 1.0);
+    }
+    default:
+        return 0.0;
+    }
+}
+
+void earn(exposure_credit& credit, double share) {
+    constexpr double most = 8.0; // a new target that was away must not get a flood when it returns
+    credit.credit = std::min(most, credit.credit + share);
+}
+
+bool spend(exposure_credit& credit) {
+    // Many additions of a share do not sum to exactly one.
+    constexpr double rounding = 1e-9;
+    if (credit.credit < 1.0 - rounding) return false;
+    credit.credit -= 1.0;
+    return true;
+}
+
+void refund(exposure_credit& credit) { credit.credit += 1.0; }
+
+const move_declaration* current_move(const configuration& config, std::string_view pool, time_point now) {
+    const move_declaration* current = nullptr;
+    for (const move_declaration& move : config.moves) {
+        if (move.pool != pool) continue;
+        const bool started = move.start <= now;
+        const bool later = current == nullptr || (started && move.start > current->start) ||
+                           (current->start > now && move.start < current->start);
+        if (later) current = &move;
+    }
+    return current;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Turns at the weight store
+//-----------------------------------------------------------------------------
+
+std::string_view turn_of(std::span<const std::string> sorted_names, std::uint32_t loads_per_minute,
+                         time_point now) {
+    if (sorted_names.empty() || loads_per_minute == 0) return {};
+    const duration period = duration{std::chrono::minutes{1}} / loads_per_minute;
+    const auto slot = static_cast<std::uint64_t>(now.time_since_epoch() / period);
+    return sorted_names[slot % sorted_names.size()];
+}
+
+std::string version_to_load(const move_declaration& move, move_phase phase, double share,
+                            std::string_view present, std::size_t on_new, std::size_t all) {
+    if (phase == move_phase::taken_back)
+        return present == move.to_version ? move.from_version : std::string{};
+    if (phase == move_phase::before || present != move.from_version) return {};
+    const auto wanted = phase == move_phase::exposure
+                            ? std::size_t{1}
+                            : static_cast<std::size_t>(std::ceil(share * static_cast<double>(all)));
+    return on_new < wanted ? move.to_version : std::string{};
 }
 
 } // namespace damaskhill
