Keep sidecars at work while the store is down

A sidecar stops when no router has confirmed the configuration for 3 s, and routers confirmed it only by reading the store, so an outage of the store stopped all work after 3 s. A router that is linked to most of its peers now confirms as well, as design section 5 asks (with only the store missing, work goes on); a router that is cut off from the store and from most peers still does not.

--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -97,7 +97,9 @@
 
 namespace {
 
+// With the store down nobody reads the declarations, and what most processes hold is still in force.
 std::uint64_t age_ms(const router_state& state) {
+    if (is_linked_to_most(state)) return 0;
     return static_cast<std::uint64_t>(to_milliseconds(state.now - state.confirmed_at));
 }
 
