--- a/core/damaskhill_router_config.cpp
+++ b/core/damaskhill_router_config.cpp
@@ -121,15 +121,22 @@
 // Cut off from the store and from most peers, a router cannot know what operators have changed.
 bool is_cut_off(const router_state& state) {
     if (state.now - state.confirmed_at <= state.settings.isolation_limit) return false;
-    return !is_linked_to_most(state);
+    return state.now - in_touch_at(state) > state.settings.isolation_limit;
 }
 
 } // namespace
 
-bool is_linked_to_most(const router_state& state) {
-    const auto linked =
-        std::ranges::count_if(state.members.targets, [](const auto& target) { return target.second.linked; });
-    return static_cast<std::size_t>(linked) * 2 > state.members.targets.size();
+time_point in_touch_at(const router_state& state) {
+    // A link stays open for some time after its peer has become unreachable, so that what counts is when the
+    // peers were last heard.
+    std::vector<time_point> heard;
+    for (const auto& [link, p] : state.members.peers) {
+        if (p.greeted && state.members.targets.contains(p.identity.name)) heard.push_back(p.heard);
+    }
+    const std::size_t most = state.members.targets.size() / 2;
+    if (heard.size() <= most) return state.confirmed_at;
+    std::ranges::nth_element(heard, heard.begin() + static_cast<std::ptrdiff_t>(most), std::greater{});
+    return std::max(state.confirmed_at, heard[most]);
 }
 
 void on_config_watched(router_state& state, const config_watched& watched, effects& out) {
--- a/core/damaskhill_router_internal.hpp
+++ b/core/damaskhill_router_internal.hpp
@@ -109,8 +109,8 @@
 void compare_revisions(router_state& state, link_id link, std::span<const team_revision> theirs,
                        effects& out);
 void on_config_tick(router_state& state, effects& out);
-/// Whether most of the processes that this router should be linked to are linked.
-[[nodiscard]] bool is_linked_to_most(const router_state& state);
+/// Last time at which the declarations known here were confirmed by the store or most peers had been heard.
+[[nodiscard]] time_point in_touch_at(const router_state& state);
 void on_facts(router_state& state, link_id from, const facts& received, effects& out);
 void on_facts_reply(router_state& state, const facts_reply& reply, effects& out);
 [[nodiscard]] facts all_facts(const router_state& state);
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -99,8 +99,7 @@
 
 // With the store down nobody reads the declarations, and what most processes hold is still in force.
 std::uint64_t age_ms(const router_state& state) {
-    if (is_linked_to_most(state)) return 0;
-    return static_cast<std::uint64_t>(to_milliseconds(state.now - state.confirmed_at));
+    return static_cast<std::uint64_t>(to_milliseconds(state.now - in_touch_at(state)));
 }
 
 void send_heartbeats(router_state& state, effects& out) {
