--- /dev/null
+++ b/bench/damaskhill_bench_at_most_once.cpp
@@ -0,0 +1,142 @@
+// Orders under every pair of failures, and the store calls that orders cost at the two-year rate.
+//
+// Index of this file:
+// [SECTION] Pairs of failures
+// [SECTION] Store calls
+// [SECTION] Registration
+
+#include "damaskhill_bench.hpp"
+#include "damaskhill_bench_orders.hpp"
+
+#include <cstdlib>
+
+namespace damaskhill::bench {
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pairs of failures
+//-----------------------------------------------------------------------------
+
+constexpr duration warm_up = 3s;
+constexpr duration episode = 4s;
+constexpr duration longest_failure = 3s;
+constexpr duration tail = 60s; // longer than the time of any caller
+
+// Every pair of failures in turn; the second starts at a random moment of the first.
+void plan_pairs(fleet& f, std::size_t& pairs) {
+    const auto kinds = static_cast<std::uint8_t>(order_fault::count);
+    time_point at = f.now();
+    for (std::uint8_t a = 0; a < kinds; ++a) {
+        for (std::uint8_t b = a; b < kinds; ++b) {
+            ++pairs;
+            const auto first = static_cast<order_fault>(a);
+            const auto second = static_cast<order_fault>(b);
+            const duration offset{static_cast<std::int64_t>(f.random().next() % 1'000'000)};
+            f.at(at, [&f, first] { inject(f, first, longest_failure); });
+            f.at(at + offset, [&f, second, offset] { inject(f, second, longest_failure - offset); });
+            at += episode;
+        }
+    }
+}
+
+std::vector<row> run_pairs(std::uint64_t seed) {
+    fleet f{order_fleet(seed, 4, 12)};
+    f.declare(order_team());
+    f.run_for(warm_up);
+    for (const std::size_t sidecar : f.sidecars("app"))
+        f.nodes()[sidecar].target.faults.checks_keys = sidecar % 2 == 0;
+    order_load load{f, {}};
+    std::size_t pairs = 0;
+    plan_pairs(f, pairs);
+    const time_point end = f.now() + static_cast<std::int64_t>(pairs) * episode;
+    load.start(end);
+    f.run_until(end + tail);
+
+    const bool print = std::getenv("DAMASKHILL_TRACE") != nullptr;
+    std::size_t sent_unknown = 0;
+    for (const auto& [number, c] : load.cases) {
+        if (c.end != order_end::unknown) continue;
+        const bool sent = !load.monitor.orders[c.request.idempotency_key].sent.empty();
+        if (sent) ++sent_unknown;
+        if (print) {
+            const auto pair = (c.first - (end - static_cast<std::int64_t>(pairs) * episode)) / episode;
+            std::fprintf(stderr, "unknown: order %llu episode %lld sent %d submissions %u refusal %s\n",
+                         static_cast<unsigned long long>(number), static_cast<long long>(pair), sent ? 1 : 0,
+                         c.submissions, std::string{to_string(c.last_refusal)}.c_str());
+        }
+    }
+    const auto wrong = load.mismatches();
+    if (print) {
+        for (const violation& v : load.monitor.violations)
+            std::fprintf(stderr, "P%d at %.3f: %s\n", static_cast<int>(v.broken),
+                         to_seconds(v.at - time_point{}), v.what.c_str());
+        for (const auto& text : wrong)
+            std::fprintf(stderr, "%s\n", text.c_str());
+    }
+    const auto orders = static_cast<double>(load.cases.size());
+    const auto unknown = static_cast<double>(load.count_ends(order_end::unknown));
+    const auto second = static_cast<double>(violations_of(load.monitor, promise::at_most_once));
+    const auto untrue = static_cast<double>(violations_of(load.monitor, promise::true_refusal));
+    const auto answers = static_cast<double>(violations_of(load.monitor, promise::whole_answer));
+    const std::string detail = "pairs=" + std::to_string(pairs) +
+                               " answered=" + std::to_string(load.count_ends(order_end::answered)) +
+                               " not_run=" + std::to_string(load.count_ends(order_end::not_run)) +
+                               " unknown_after_send=" + std::to_string(sent_unknown);
+    return {{"at_most_once.orders", orders, "orders", 10000, orders >= 10000, detail},
+            {"at_most_once.second_runs", second, "runs", 0, second == 0, {}},
+            {"at_most_once.false_not_run", untrue, "refusals", 0, untrue == 0, {}},
+            {"at_most_once.wrong_answers", answers, "answers", 0, answers == 0, {}},
+            {"at_most_once.lost", static_cast<double>(wrong.size()), "orders", 0, wrong.empty(), {}},
+            {"at_most_once.unknown", unknown / orders, "share", 0.001, unknown / orders <= 0.001, {}}};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Store calls
+//-----------------------------------------------------------------------------
+
+// Reads and writes a second at a rate of orders without failures.
+std::pair<double, double> store_rates(std::uint64_t seed, double rate) {
+    fleet f{order_fleet(seed, 6, 24)};
+    f.declare(order_team());
+    f.run_for(warm_up);
+    order_load_settings settings;
+    settings.orders_per_second = rate;
+    settings.impatient = 0.0;
+    order_load load{f, settings};
+    load.start(f.now() + 12s);
+    f.run_for(2s);
+    const std::uint64_t reads = f.store().reads;
+    const std::uint64_t writes = f.store().writes;
+    constexpr double measured_s = 10.0;
+    f.run_for(10s);
+    return {static_cast<double>(f.store().reads - reads) / measured_s,
+            static_cast<double>(f.store().writes - writes) / measured_s};
+}
+
+std::vector<row> run_rates(std::uint64_t seed) {
+    constexpr double low = 337.5; // orders/s, a quarter of the two-year rate
+    constexpr double high = 1350; // orders/s: 5% of 27,000 requests/s (design 6.4)
+    constexpr double read_bound = 2000;
+    constexpr double write_bound = 400; // "several hundred a second" for the whole fleet
+    const auto [low_reads, low_writes] = store_rates(seed, low);
+    const auto [reads, writes] = store_rates(seed, high);
+    const auto slope = [&](double a, double b) { return std::to_string((b - a) / (high - low)); };
+    return {{"at_most_once.store_reads", reads, "reads/s", read_bound, reads <= read_bound,
+             "orders/s=1350 slope=" + slope(low_reads, reads)},
+            {"at_most_once.store_writes", writes, "writes/s", write_bound, writes <= write_bound,
+             "orders/s=1350 slope=" + slope(low_writes, writes)}};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Registration
+//-----------------------------------------------------------------------------
+
+const register_bench registered{"at_most_once", [](std::uint64_t seed) {
+                                    std::vector<row> rows = run_pairs(seed);
+                                    for (row& r : run_rates(seed))
+                                        rows.push_back(std::move(r));
+                                    return rows;
+                                }};
+
+} // namespace
+} // namespace damaskhill::bench
--- a/bench/damaskhill_bench_fleet.cpp
+++ b/bench/damaskhill_bench_fleet.cpp
@@ -172,6 +172,7 @@
 void fleet::give(std::size_t i, router_input input) {
     effects out;
     reduce(*nodes_[i].router, router_event{now_, std::move(input)}, out);
+    if (rewrite) rewrite(i, out);
     if (observer) observer(i, out);
     for (effect& item : out)
         perform(i, item);
@@ -179,7 +180,9 @@
 
 void fleet::give(std::size_t i, sidecar_input input) {
     effects out;
+    if (input_observer) input_observer(i, input);
     reduce(*nodes_[i].sidecar, sidecar_event{now_, std::move(input)}, out);
+    if (rewrite) rewrite(i, out);
     if (observer) observer(i, out);
     for (effect& item : out)
         perform(i, item);
@@ -513,7 +516,9 @@
     if (target.settings.kind == target_kind::service) {
         if (call.done < call.work) return;
         const std::string order = order_of(call.call.body);
-        if (!order.empty()) ++order_runs[order];
+        const bool repeated = target.faults.checks_keys && !call.call.idempotency_key.empty() &&
+                              !target.seen_keys.insert(call.call.idempotency_key).second;
+        if (!order.empty() && !repeated) ++order_runs[order];
         if (random_.next_unit() < target.faults.lost_replies) {
             finish_target_call(i, attempt, false, 0);
             return;
--- a/bench/damaskhill_bench_fleet.hpp
+++ b/bench/damaskhill_bench_fleet.hpp
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include "damaskhill_invariants.hpp"
 #include "damaskhill_router.hpp"
 #include "damaskhill_sidecar.hpp"
 
@@ -68,6 +69,7 @@
     double slow_factor{1.0};
     bool silent{};           // accepts calls and never sends a byte
     double lost_replies{};   // services: the call runs, and its connection breaks
+    bool checks_keys{};      // services: a repeated idempotency key is answered without a second run
     bool crash_marked{true}; // a call whose body holds "CRASH" takes the target down
 };
 
@@ -93,6 +95,7 @@
     std::uint64_t started{};
     std::uint64_t refused_cold{}; // calls beyond the cold limit while cold
     std::uint64_t max_running_cold{};
+    std::set<std::string> seen_keys; // idempotency keys that have run
     std::uint64_t crashes{};
     double busy_seconds{}; // sum over time of running calls, up to the room
 };
@@ -218,6 +221,10 @@
     std::map<std::string, std::uint64_t> counters; // effects `count`, by "name/label"
     /// Called after each event with the effects of the node that took it.
     std::function<void(std::size_t node, const effects&)> observer;
+    /// Called before a sidecar takes an event.
+    std::function<void(std::size_t node, const sidecar_input&)> input_observer;
+    /// May change the effects of a node before they are observed and performed: deliberately broken variants.
+    std::function<void(std::size_t node, effects&)> rewrite;
 
 private:
     struct queued {
--- a/core/damaskhill_orders.cpp
+++ b/core/damaskhill_orders.cpp
@@ -39,6 +39,10 @@
     return key;
 }
 
+order_key scoped_order_key(order_key key, account_id account) {
+    return {key.high, stable_hash(format_hex128(key.high, key.low), account.value)};
+}
+
 order_view view_order(std::span<const order_entry> entries, order_key key) {
     order_view view;
     for (const order_entry& entry : entries) {
--- a/core/damaskhill_orders.hpp
+++ b/core/damaskhill_orders.hpp
@@ -37,6 +37,10 @@
 [[nodiscard]] std::optional<order_key> parse_order_key(std::string_view text, time_point now,
                                                        const order_settings& settings, failure& why);
 
+/// Key under which the records and the targets know the order: keys of different accounts never meet. The
+/// time of the key is kept.
+[[nodiscard]] order_key scoped_order_key(order_key key, account_id account);
+
 /// What a record says of one key.
 struct order_view {
     const order_entry* intent{}; // the valid claim, or null
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -221,9 +221,7 @@
     r->traceparent = child_traceparent(input.traceparent, state.random);
     if (admitted.key) {
         r->order.emplace();
-        // Keys of different accounts must not meet in the records; the time stays in the upper half.
-        r->order->key = {admitted.key->high,
-                         stable_hash(format_hex128(admitted.key->high, admitted.key->low), r->account.value)};
+        r->order->key = scoped_order_key(*admitted.key, r->account);
         r->order->body_hash = stable_hash(input.body, stable_hash(input.method + " " + input.path));
     }
     return r;
