--- a/bench/damaskhill_bench_at_most_once.cpp
+++ b/bench/damaskhill_bench_at_most_once.cpp
@@ -22,20 +22,25 @@
 constexpr duration longest_failure = 3s;
 constexpr duration tail = 60s; // longer than the time of any caller
 
-// Every pair of failures in turn; the second starts at a random moment of the first.
+// Every pair of failures, in an order that the seed decides; the second starts at a random moment of the
+// first.
 void plan_pairs(fleet& f, std::size_t& pairs) {
     const auto kinds = static_cast<std::uint8_t>(order_fault::count);
-    time_point at = f.now();
+    std::vector<std::pair<order_fault, order_fault>> plan;
     for (std::uint8_t a = 0; a < kinds; ++a) {
-        for (std::uint8_t b = a; b < kinds; ++b) {
-            ++pairs;
-            const auto first = static_cast<order_fault>(a);
-            const auto second = static_cast<order_fault>(b);
-            const duration offset{static_cast<std::int64_t>(f.random().next() % 1'000'000)};
-            f.at(at, [&f, first] { inject(f, first, longest_failure); });
-            f.at(at + offset, [&f, second, offset] { inject(f, second, longest_failure - offset); });
-            at += episode;
-        }
+        for (std::uint8_t b = a; b < kinds; ++b)
+            plan.emplace_back(static_cast<order_fault>(a), static_cast<order_fault>(b));
+    }
+    // In the order of the kinds the store would be down for longer than any caller waits.
+    for (std::size_t i = plan.size() - 1; i > 0; --i)
+        std::swap(plan[i], plan[f.random().next() % (i + 1)]);
+    pairs = plan.size();
+    time_point at = f.now();
+    for (const auto& [a, b] : plan) {
+        const duration offset{static_cast<std::int64_t>(f.random().next() % 1'000'000)};
+        f.at(at, [&f, first = a] { inject(f, first, longest_failure); });
+        f.at(at + offset, [&f, second = b, offset] { inject(f, second, longest_failure - offset); });
+        at += episode;
     }
 }
 
--- a/bench/damaskhill_bench_orders.hpp
+++ b/bench/damaskhill_bench_orders.hpp
@@ -45,6 +45,7 @@
     bool stops_at_not_run{};
     order_end end{order_end::open};
     failure_kind last_refusal{failure_kind::none};
+    run_state last_state{run_state::unknown}; // of the latest submission
 };
 
 /// Declarations of one service pool "app" with the order route POST /orders, and one account.
@@ -130,10 +131,11 @@
         order_case& c = cases[number];
         if (c.end != order_end::open) return;
         if (fleet_.now() - c.first > settings_.time_limit) {
-            c.end = order_end::unknown;
+            c.end = c.last_state == run_state::not_run ? order_end::not_run : order_end::unknown;
             return;
         }
         ++c.submissions;
+        c.last_state = run_state::unknown;
         const std::size_t router =
             (number * 7 + c.submissions + fleet_.random().next() % 2) % fleet_.router_count();
         const caller_id caller = fleet_.ask(router, c.request);
@@ -194,6 +196,7 @@
             c.end = order_end::answered;
         } else {
             c.last_refusal = result.refusal;
+            c.last_state = result.state;
             if (result.state == run_state::not_run && c.stops_at_not_run) {
                 c.end = order_end::not_run;
             } else {
--- a/core/damaskhill_messages.hpp
+++ b/core/damaskhill_messages.hpp
@@ -30,9 +30,10 @@
     process_role role{process_role::tool};
     std::string name; // unique name of the VM
     std::string data_centre;
-    std::string pool;      // sidecars: pool of the target
-    std::string version;   // sidecars: version that the target serves
-    bool checks_fencing{}; // sidecars: the target refuses old fencing numbers
+    std::string pool;          // sidecars: pool of the target
+    std::string version;       // sidecars: version that the target serves
+    bool checks_fencing{};     // sidecars: the target refuses old fencing numbers
+    std::uint64_t uptime_us{}; // time since the process started, microseconds
     static constexpr auto fields() {
         using t = hello;
         return std::tuple{field{1, "protocol", &t::protocol},
@@ -42,7 +43,8 @@
                           field{5, "data_centre", &t::data_centre},
                           field{6, "pool", &t::pool},
                           field{7, "version", &t::version},
-                          field{8, "checks_fencing", &t::checks_fencing}};
+                          field{8, "checks_fencing", &t::checks_fencing},
+                          field{20, "uptime_us", &t::uptime_us}};
     }
 };
 
@@ -197,7 +199,7 @@
     bool ran_alone{};                     // nothing else ran on the target
     bool preempted{};                     // cancelled to make room; resumes at end_offset
     std::optional<seal_id> sealed_by;     // the order was sealed here: it needs a new claim
-    std::uint64_t seal_age_us{};          // age of that seal when this was sent, microseconds
+    std::uint64_t seal_age_us{};          // age of the latest seal for a refusal, microseconds
     std::vector<team_revision> revisions; // newer configuration, when the attempt was refused for its age
     static constexpr auto fields() {
         using t = finish;
@@ -235,8 +237,10 @@
 struct seal {
     std::uint64_t call{};
     order_key key;
+    bool handover{}; // asked in order to claim it again; otherwise a caller may be told that it has not run
     static constexpr auto fields() {
-        return std::tuple{field{1, "call", &seal::call}, field{2, "key", &seal::key}};
+        return std::tuple{field{1, "call", &seal::call}, field{2, "key", &seal::key},
+                          field{3, "handover", &seal::handover}};
     }
 };
 
@@ -251,16 +255,18 @@
     order_key key;
     seal_state state{seal_state::sealed};
     seal_id id;
-    std::uint64_t age_us{};   // sealed: age of the seal when this was sent, microseconds
+    std::uint64_t age_us{};   // sealed: age of the latest seal for a refusal when this was sent, microseconds
     std::uint32_t status{};   // finished: HTTP status, 0 if the outcome is unknown
     std::string content_type; // finished
     std::string body;         // finished: the whole answer if it is short
+    bool body_kept{};         // finished: body holds the whole answer
     static constexpr auto fields() {
         using t = seal_reply;
-        return std::tuple{field{1, "call", &t::call},     field{2, "key", &t::key},
-                          field{3, "state", &t::state},   field{4, "id", &t::id},
-                          field{5, "status", &t::status}, field{6, "content_type", &t::content_type},
-                          field{7, "body", &t::body},     field{8, "age_us", &t::age_us}};
+        return std::tuple{field{1, "call", &t::call},          field{2, "key", &t::key},
+                          field{3, "state", &t::state},        field{4, "id", &t::id},
+                          field{5, "status", &t::status},      field{6, "content_type", &t::content_type},
+                          field{7, "body", &t::body},          field{8, "age_us", &t::age_us},
+                          field{9, "body_kept", &t::body_kept}};
     }
 };
 
--- a/core/damaskhill_orders.cpp
+++ b/core/damaskhill_orders.cpp
@@ -6,6 +6,7 @@
 #include "damaskhill_orders.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace damaskhill {
 
@@ -100,8 +101,28 @@
     return view.done == nullptr && view.intent->nonce == entry.supersedes;
 }
 
+bool is_failing(const order_writer& writer) { return writer.failures >= writer.settings.failures_allowed; }
+
+// While the store fails, one call at a time finds out whether it is back; without this every record would
+// try.
+bool may_call(order_writer& writer, time_point now) {
+    return !is_failing(writer) || now >= writer.next_probe;
+}
+
+void hold_calls(order_writer& writer, time_point now) {
+    const std::uint32_t doublings = std::min(writer.failures - writer.settings.failures_allowed, 8U);
+    const duration pause = writer.settings.backoff_base * (std::int64_t{1} << doublings);
+    writer.next_probe = now + std::min(writer.settings.backoff_limit, pause);
+}
+
+void note_failure(order_writer& writer, time_point now) {
+    ++writer.failures;
+    if (is_failing(writer)) hold_calls(writer, now);
+}
+
 void start_read(order_writer& writer, const std::string& name, record& r, time_point now, effects& out) {
     r.state = record::phase::reading;
+    if (is_failing(writer)) hold_calls(writer, now);
     r.call = writer.next_call++;
     r.call_started = now;
     writer.calls[r.call] = name;
@@ -111,10 +132,12 @@
 void start_write(order_writer& writer, const std::string& name, record& r, order_log&& log, time_point now,
                  effects& out) {
     r.state = record::phase::writing;
+    if (is_failing(writer)) hold_calls(writer, now);
     r.call = writer.next_call++;
     r.call_started = now;
     r.next_write = now + writer.settings.write_period;
     writer.calls[r.call] = name;
+    r.written = log;
     out.emplace_back(store_swap{r.call, name, r.version, std::move(log)});
 }
 
@@ -128,6 +151,16 @@
     });
 }
 
+// A look may be answered from a copy: an entry that it misses is found by the claim, which only the store
+// decides. Without this every order would cost a read.
+void settle_looks(record& r, std::vector<append_result>& results) {
+    std::erase_if(r.pending, [&](const order_writer::pending_entry& pending) {
+        if (!pending.look) return false;
+        results.push_back({pending.ticket, true, false, entries_of(r.log, pending.entry.key)});
+        return true;
+    });
+}
+
 void give_up(record& r, std::vector<append_result>& results) {
     for (const auto& pending : r.pending) {
         results.push_back({pending.ticket, false, pending.attempted, {}});
@@ -138,7 +171,9 @@
 // Starts the next call that the record needs, if any.
 void advance(order_writer& writer, const std::string& name, record& r, time_point now, effects& out,
              std::vector<append_result>& results) {
+    if (r.cached && now - r.confirmed_at <= writer.settings.look_age) settle_looks(r, results);
     if (r.state != record::phase::idle || r.pending.empty()) return;
+    if (!may_call(writer, now)) return;
     const bool look = std::ranges::any_of(r.pending, &order_writer::pending_entry::look);
     if (!r.cached || look) {
         start_read(writer, name, r, now, out);
@@ -167,19 +202,17 @@
     r.version = reply.version;
     r.log = reply.log;
     r.cached = true;
+    r.confirmed_at = r.call_started;
     r.failures = 0;
     settle(r, true, results);
 }
 
 void on_write_result(record& r, const store_reply& reply, std::vector<append_result>& results) {
     if (reply.result == failure_kind::none) {
-        // The log that was written is the cached one with every attempted entry appended in order.
-        for (const auto& pending : r.pending) {
-            if (pending.attempted && would_change_view(r.log, pending.entry)) {
-                r.log.entries.push_back(pending.entry);
-            }
-        }
+        r.log = std::move(r.written);
+        r.written = {};
         r.version = reply.version;
+        r.confirmed_at = r.call_started;
         r.failures = 0;
         settle(r, true, results);
         return;
@@ -198,6 +231,8 @@
     record& r = writer.records[name];
     r.last_used = now;
     r.pending.push_back(pending);
+    // Answered from the copy on the next tick.
+    if (pending.look && r.cached && now - r.confirmed_at <= writer.settings.look_age) return;
     std::vector<append_result> refused; // only a full record refuses at once: told on the next tick
     advance(writer, name, r, now, out, refused);
     for (const auto& result : refused) {
@@ -230,8 +265,10 @@
     const bool was_reading = r.state == record::phase::reading;
     r.state = record::phase::idle;
     const bool answered = reply.result == failure_kind::none || reply.result == failure_kind::store_conflict;
+    if (answered) writer.failures = 0;
     if (!answered) {
         r.cached = false;
+        note_failure(writer, now);
         if (++r.failures >= writer.settings.call_attempts) {
             give_up(r, results);
             r.failures = 0;
@@ -267,6 +304,11 @@
     }
 }
 
+bool is_idle(const order_writer& writer) {
+    return std::ranges::all_of(writer.records,
+                               [](const auto& entry) { return entry.second.pending.empty(); });
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Sidecar's memory of orders
 //-----------------------------------------------------------------------------
@@ -300,7 +342,18 @@
     order.finished = true;
     order.status = status;
     order.content_type = content_type;
-    if (body.size() <= memory.settings.kept_body_limit) order.body = body;
+    order.body_kept = body.size() <= memory.settings.kept_body_limit;
+    if (order.body_kept) order.body = body;
+}
+
+void forget_send(order_memory& memory, order_key key) {
+    const auto found = memory.orders.find(key);
+    if (found != memory.orders.end() && !found->second.finished) found->second.sent = false;
+}
+
+std::uint64_t refusal_age_us(const sent_order& order, time_point now) {
+    if (!order.refused_at) return std::numeric_limits<std::uint64_t>::max();
+    return static_cast<std::uint64_t>((now - *order.refused_at).count());
 }
 
 seal_reply seal_order(order_memory& memory, const seal& asked, time_point now, random_source& random) {
@@ -313,15 +366,15 @@
         reply.status = order.status;
         reply.content_type = order.content_type;
         reply.body = order.body;
+        reply.body_kept = order.body_kept;
     } else if (order.sent) {
         reply.state = seal_state::running;
     } else {
-        if (order.sealed_by.empty()) {
-            order.sealed_by = random.next_id<seal_id>();
-            order.sealed_at = now;
-        }
+        // A claim that lists an earlier seal may still be on its way: only a new identifier stops it.
+        order.sealed_by = random.next_id<seal_id>();
+        if (!asked.handover) order.refused_at = now;
         reply.id = order.sealed_by;
-        reply.age_us = static_cast<std::uint64_t>((now - order.sealed_at).count());
+        reply.age_us = refusal_age_us(order, now);
     }
     return reply;
 }
--- a/core/damaskhill_orders.hpp
+++ b/core/damaskhill_orders.hpp
@@ -26,6 +26,10 @@
     duration write_period{250ms};      // least time between two writes of one record by one router
     duration call_timeout{500ms};      // of one call to the store
     std::uint32_t call_attempts{6};    // calls before a claim is given up
+    std::uint32_t failures_allowed{3}; // in a row, before calls of all records are held back
+    duration backoff_base{50ms};       // between two calls while the store fails; doubles up to backoff_limit
+    duration backoff_limit{500ms};     // keeps 150 routers at 300 calls a second
+    duration look_age{500ms};          // a look is answered from a copy of the record that is no older
     std::size_t record_limit{900'000}; // bytes of entries in one record; the store allows 1 MB
     std::size_t kept_body_limit{1024}; // bytes of an answer that a record keeps
 };
@@ -78,10 +82,12 @@
         bool cached{}; // log and version are those of the store, or older
         std::uint64_t version{};
         order_log log;
+        order_log written; // by the call in progress
         std::vector<pending_entry> pending;
         std::uint64_t call{};
         time_point call_started{};
         time_point next_write{};
+        time_point confirmed_at{}; // the log was that of the store at this time or later
         time_point last_used{};
         std::uint32_t failures{};
     };
@@ -89,6 +95,8 @@
     std::map<std::string, record, std::less<>> records;
     std::map<std::uint64_t, std::string> calls; // open store call to record
     std::uint64_t next_call{1};
+    std::uint32_t failures{}; // calls in a row that the store has not answered
+    time_point next_probe{};  // while it fails: when one more call is made
 };
 
 /// Asks for an entry to be appended unless the key already has a valid claim that it does not supersede.
@@ -102,6 +110,8 @@
                     std::vector<append_result>& results);
 /// Starts delayed writes, times calls out, forgets old records.
 void on_tick(order_writer& writer, time_point now, effects& out, std::vector<append_result>& results);
+/// Whether nothing waits to be written or read.
+[[nodiscard]] bool is_idle(const order_writer& writer);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Sidecar's memory of orders
@@ -111,11 +121,12 @@
 struct sent_order {
     bool sent{};
     bool finished{};
-    seal_id sealed_by; // empty: not sealed
-    time_point sealed_at{};
-    std::uint32_t status{}; // finished: HTTP status, 0 if the outcome is unknown
+    seal_id sealed_by;                    // of the latest seal; empty: not sealed
+    std::optional<time_point> refused_at; // of the latest seal on which a caller may have been told "not_run"
+    std::uint32_t status{};               // finished: HTTP status, 0 if the outcome is unknown
     std::string content_type;
     std::string body;
+    bool body_kept{}; // body holds the whole answer
     time_point touched{};
 };
 
@@ -132,6 +143,10 @@
 /// Notes the outcome of a sent order; status 0 if it is unknown.
 void note_outcome(order_memory& memory, order_key key, std::uint32_t status, std::string_view content_type,
                   std::string_view body);
+/// The target never ran the order: it may be sent under another claim.
+void forget_send(order_memory& memory, order_key key);
+/// Age of the latest seal for a refusal, microseconds; the greatest value if there is none.
+[[nodiscard]] std::uint64_t refusal_age_us(const sent_order& order, time_point now);
 /// Seals an order that has not been sent, or tells what became of it.
 [[nodiscard]] seal_reply seal_order(order_memory& memory, const seal& asked, time_point now,
                                     random_source& random);
--- a/core/damaskhill_router.cpp
+++ b/core/damaskhill_router.cpp
@@ -85,7 +85,7 @@
     on_answers_tick(state, out);
     on_fairness_tick(state, out);
     if (state.stopping && !state.exited) {
-        const bool idle = state.requests.empty();
+        const bool idle = state.requests.empty() && orders_settled(state);
         if (idle || state.now - state.stop_at > state.settings.drain_limit) {
             state.exited = true;
             out.emplace_back(log_change{"stopped; requests left: " + std::to_string(state.requests.size())});
@@ -126,6 +126,11 @@
 } // namespace
 
 void reduce(router_state& state, const router_event& event, effects& out) {
+    if (state.now != time_point{} && event.now > state.now + state.settings.pause_limit) {
+        const bool catching_up = state.now < state.resumed_at + state.settings.catch_up;
+        if (!catching_up) state.paused_from = state.now;
+        state.resumed_at = event.now;
+    }
     // A clock that steps back must not make timers fire twice or extend deadlines.
     state.now = std::max(state.now, event.now);
     if (state.started == time_point{}) {
--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -45,7 +45,10 @@
     duration reservation_period{100ms}; // between rows to sidecars that did not hear at once
     duration isolation_limit{3s};       // without the store and without most peers
     duration vm_list_period{1s};
-    duration drain_limit{30s};       // after which a stop abandons what still runs
+    duration drain_limit{30s};  // after which a stop abandons what still runs
+    duration drain_reserve{4s}; // before drain_limit: what still waits is refused, which takes store calls
+    duration pause_limit{50ms}; // a longer gap between events is a pause; ticks come every 10 ms
+    duration catch_up{1s};      // after a pause, in which requests may have been sent long before
     duration claim_timeout{1500ms};  // of one claim on an order
     duration seal_period{300ms};     // between two questions about a running order
     std::size_t links_per_pool{16};  // sidecars of one pool that this router links to
@@ -77,6 +80,11 @@
     order_entry other;      // sealing: the claim of another router
     std::uint64_t ticket{}; // open append or look
     time_point next_seal{};
+    std::uint64_t first_seal_call{}; // replies to earlier questions do not count
+    time_point next_look{};          // sealing: the record is read again, when the sidecar is not linked
+    time_point sent_after{};         // its caller sent it no earlier than this
+    std::uint32_t void_writes{};
+    time_point poll_started{}; // refusing
     failure_kind refusal{failure_kind::none};
     bool polling{};                      // refusing: every sidecar of the pool is being asked to seal
     std::vector<incarnation_id> to_seal; // refusing: sidecars that have not answered
@@ -134,7 +142,8 @@
     std::string pool;
     std::string name;
     bool linked{};
-    time_point lost{}; // when its link closed
+    time_point lost{};    // when its link closed
+    time_point started{}; // no later than this the process ran
 };
 
 struct router_state {
@@ -160,6 +169,9 @@
     std::unordered_map<caller_id, request_id> by_caller;
     std::unordered_map<attempt_id, request_id> by_attempt;
     std::map<std::uint64_t, request_id> by_ticket;
+    std::set<std::pair<order_key, request_id>> by_order;
+    std::set<std::pair<time_point, request_id>> seal_timers; // orders to look at again
+    std::size_t refusing{};                                  // orders whose refusal is being settled
     std::set<std::pair<time_point, request_id>> deadlines;
     std::set<std::pair<time_point, request_id>> delayed; // waiting out a retry delay
     std::map<queue_key, request_queue> queues;
@@ -207,8 +219,11 @@
     time_point next_flush{};
     time_point next_report{};
     time_point next_vm_list{};
+    time_point paused_from{}; // last event before the latest gap in time
+    time_point resumed_at{};
     bool stopping{};
     time_point stop_at{};
+    bool waiting_refused{}; // stopping: what still waited has been refused
     bool exited{};
     bool isolated{};
     bool ready{};
--- a/core/damaskhill_router_internal.hpp
+++ b/core/damaskhill_router_internal.hpp
@@ -76,6 +76,10 @@
 /// Writes the outcome of an order into its record.
 void record_outcome(router_state& state, const request& r, std::uint32_t status,
                     std::string_view content_type, std::string_view body, effects& out);
+/// Whether the sidecar knows of every seal that was given since the caller sent the order.
+[[nodiscard]] bool may_send_order(const router_state& state, const peer& sidecar, const request& r);
+/// Whether no claim or outcome is on its way to a record.
+[[nodiscard]] bool orders_settled(const router_state& state);
 void on_claim(router_state& state, link_id link, const claim& asked, effects& out);
 void on_claim_reply(router_state& state, const claim_reply& reply, effects& out);
 void on_seal_reply(router_state& state, link_id link, const seal_reply& reply, effects& out);
--- a/core/damaskhill_router_orders.cpp
+++ b/core/damaskhill_router_orders.cpp
@@ -87,17 +87,49 @@
     enqueue(state, r, out);
 }
 
+void set_seal_timer(router_state& state, request& r, time_point at) {
+    state.seal_timers.erase({r.order->next_seal, r.id});
+    r.order->next_seal = at;
+    state.seal_timers.insert({at, r.id});
+}
+
 void ask_seal(router_state& state, request& r, effects& out) {
-    r.order->next_seal = state.now + state.settings.seal_period;
-    const peer* sidecar = find_peer_incarnation(state.members, r.order->other.sidecar);
-    if (sidecar != nullptr)
-        out.emplace_back(send_message{sidecar->link, seal{state.next_call++, r.order->key}});
+    order_progress& order = *r.order;
+    set_seal_timer(state, r, state.now + state.settings.seal_period);
+    const peer* sidecar = find_peer_incarnation(state.members, order.other.sidecar);
+    if (sidecar != nullptr) {
+        out.emplace_back(send_message{sidecar->link, seal{state.next_call++, order.key, true}});
+        return;
+    }
+    // The outcome may still reach the record, and another router may have taken the order over.
+    constexpr duration look_period = 1s;
+    if (state.now < order.next_look || state.by_ticket.contains(order.ticket)) return;
+    order.next_look = state.now + look_period;
+    look_up(state, r, out);
+}
+
+// Writes what became of the claim into the record.
+void write_outcome(router_state& state, const request& r, nonce_id claim_nonce, order_entry entry,
+                   effects& out) {
+    entry.kind = order_entry_kind::done;
+    entry.key = r.order->key;
+    entry.nonce = claim_nonce;
+    entry.body_hash = r.order->body_hash;
+    append(state, nullptr, entry, false, out);
+}
+
+// Whether the request was sent after the latest seal on which its caller may have been told "not_run". Both
+// ages run on steady clocks, and the delay of the message can only make the seal look younger.
+bool sealed_before(const router_state& state, const request& r, std::uint64_t seal_age_us) {
+    return seal_age_us >= static_cast<std::uint64_t>((state.now - r.order->sent_after).count());
 }
 
 // Another router holds the valid claim: its sidecar knows whether it has sent the order.
 void start_sealing(router_state& state, request& r, const order_entry& other, effects& out) {
     r.phase = request_phase::sealing;
     r.order->other = other;
+    // A seal that was given before this claim was read may be listed in it.
+    r.order->first_seal_call = state.next_call;
     ask_seal(state, r, out);
 }
 
@@ -106,6 +138,11 @@
         refuse_request(state, r, failure_kind::order_outcome_unknown, run_state::unknown, out);
         return;
     }
+    if (!done.body_kept) {
+        // It ran, but its answer was too long to be kept.
+        refuse_request(state, r, failure_kind::answer_incomplete, run_state::unknown, out);
+        return;
+    }
     out.emplace_back(count{"orders_answered_from_record_total", r.input.pool, 1});
     answer_request(state, r, done.status, done.content_type, done.body, out);
 }
@@ -156,6 +193,11 @@
     const order_view view = view_order(result.entries, r.order->key);
     if (settled_by_record(state, r, view, out)) return;
     if (view.intent != nullptr) {
+        if (r.order->sent_after < r.arrived) {
+            // It may have been sent before the void claim was written, and its caller told "not_run" since.
+            refuse_order(state, r, failure_kind::order_store_unavailable, out);
+            return;
+        }
         r.order->baseline.push_back(view.intent->nonce);
         r.order->supersedes = view.intent->nonce;
     }
@@ -163,6 +205,18 @@
     wait_again(state, r, duration{}, out);
 }
 
+// The record was read again while the sidecar that holds the claim was not linked.
+void on_looked_again(router_state& state, request& r, const append_result& result, effects& out) {
+    if (!result.known) return;
+    const order_view view = view_order(result.entries, r.order->key);
+    if (view.intent == nullptr) return;
+    const bool same = view.done == nullptr && view.intent->nonce == r.order->other.nonce;
+    if (same || settled_by_record(state, r, view, out)) return;
+    // Void: its caller has been told "not_run" by another router since this request arrived.
+    r.order->supersedes = view.intent->nonce;
+    refuse_order(state, r, failure_kind::order_store_unavailable, out);
+}
+
 void on_claimed(router_state& state, request& r, const append_result& result, effects& out) {
     order_progress& order = *r.order;
     constexpr duration pause = 100ms; // before a claim that the store did not take is tried again
@@ -178,14 +232,21 @@
     switch (owner_of(order, view.intent)) {
     case claim_owner::own_latest: {
         const link_id link = r.link;
+        if (link == 0) {
+            // The link of the pull has closed: the claim stays unused and is superseded by the next one.
+            order.unassigned.push_back(order.nonce);
+            order.supersedes = order.nonce;
+            wait_again(state, r, duration{}, out);
+            return;
+        }
         assign_request(state, r, link, r.pull_id, out);
         return;
     }
     case claim_owner::void_claim:
         if (std::ranges::find(order.baseline, view.intent->nonce) == order.baseline.end()) {
             // Voided after this request arrived: its caller has been told "not_run" by another router.
-            give_back_pull(r, out);
-            refuse_request(state, r, failure_kind::order_store_unavailable, run_state::not_run, out);
+            order.supersedes = view.intent->nonce;
+            refuse_order(state, r, failure_kind::order_store_unavailable, out);
             return;
         }
         [[fallthrough]];
@@ -231,7 +292,9 @@
         return;
     }
     order.polling = true;
-    order.next_seal = state.now + state.settings.claim_timeout;
+    order.poll_started = state.now;
+    order.first_seal_call = state.next_call;
+    set_seal_timer(state, r, state.now + state.settings.claim_timeout);
     for (const auto& [incarnation, seen] : state.seen_sidecars) {
         if (seen.pool != r.input.pool || !seen.linked) continue;
         const peer* sidecar = find_peer_incarnation(state.members, incarnation);
@@ -251,6 +314,7 @@
     entry.supersedes = order.supersedes;
     entry.unseals = order.unseals;
     order.nonce = entry.nonce;
+    ++order.void_writes;
     append(state, &r, entry, false, out);
 }
 
@@ -262,11 +326,14 @@
     }
     const order_view view = view_order(result.entries, order.key);
     const claim_owner owner = owner_of(order, view.intent);
+    constexpr std::uint32_t max_void_writes = 4; // others refuse the same key at the same time
+    // A void claim of another router does not do: a submission that has already found it may supersede it.
+    const bool may_supersede = owner == claim_owner::own_unassigned || owner == claim_owner::void_claim;
     if (view.done != nullptr) {
         settled_by_record(state, r, view, out);
-    } else if (owner == claim_owner::own_latest || owner == claim_owner::void_claim) {
+    } else if (owner == claim_owner::own_latest) {
         finish_refusal(state, r, run_state::not_run, out);
-    } else if (owner == claim_owner::own_unassigned && order.supersedes != view.intent->nonce) {
+    } else if (may_supersede && order.void_writes < max_void_writes) {
         order.supersedes = view.intent->nonce;
         write_void_claim(state, r, out);
     } else {
@@ -301,6 +368,9 @@
     case request_phase::claiming:
         on_claimed(state, *r, result, out);
         return;
+    case request_phase::sealing:
+        on_looked_again(state, *r, result, out);
+        return;
     case request_phase::refusing:
         on_refusal_claimed(state, *r, result, out);
         return;
@@ -342,15 +412,21 @@
 void record_outcome(router_state& state, const request& r, std::uint32_t status,
                     std::string_view content_type, std::string_view body, effects& out) {
     order_entry entry;
-    entry.kind = order_entry_kind::done;
-    entry.key = r.order->key;
-    entry.nonce = r.order->nonce;
-    entry.body_hash = r.order->body_hash;
     entry.status = status;
     entry.content_type = content_type;
     entry.body_kept = body.size() <= state.settings.orders.kept_body_limit;
     if (entry.body_kept) entry.body = body;
-    append(state, nullptr, entry, false, out);
+    write_outcome(state, r, r.order->nonce, entry, out);
+}
+
+bool may_send_order(const router_state& state, const peer& sidecar, const request& r) {
+    // A sidecar that started later has not heard the seals on which the caller may have been told "not_run".
+    const auto seen = state.seen_sidecars.find(sidecar.identity.incarnation);
+    return seen != state.seen_sidecars.end() && seen->second.started <= r.order->sent_after;
+}
+
+bool orders_settled(const router_state& state) {
+    return state.remote_claims.empty() && state.served_claims.empty() && is_idle(state.orders);
 }
 
 //-----------------------------------------------------------------------------
@@ -361,16 +437,21 @@
     const peer* sidecar = find_peer(state.members, link);
     if (sidecar == nullptr) return;
     std::vector<request_ptr> asking;
-    for (const auto& [id, r] : state.requests) {
-        if (r->order && r->order->key == reply.key) asking.push_back(r);
+    for (auto it = state.by_order.lower_bound({reply.key, {}}); it != state.by_order.end(); ++it) {
+        if (it->first != reply.key) break;
+        asking.push_back(find_request(state, it->second));
     }
     for (const request_ptr& r : asking) {
         order_progress& order = *r->order;
+        if (reply.call < order.first_seal_call) continue;
         if (r->phase == request_phase::refusing && order.polling) {
             if (reply.state != seal_state::sealed) {
                 finish_refusal(state, *r, run_state::unknown, out);
                 continue;
             }
+            // Another request of the same key may have asked for a hand-over.
+            const auto poll_age = static_cast<std::uint64_t>((state.now - order.poll_started).count());
+            if (reply.age_us > poll_age) continue;
             std::erase(order.to_seal, sidecar->identity.incarnation);
             if (order.to_seal.empty()) finish_refusal(state, *r, run_state::not_run, out);
             continue;
@@ -383,11 +464,18 @@
             done.status = reply.status;
             done.content_type = reply.content_type;
             done.body = reply.body;
+            done.body_kept = reply.body_kept;
+            // The router that held the order may have died before it wrote the outcome.
+            write_outcome(state, *r, order.other.nonce, done, out);
             answer_done(state, *r, done, out);
             continue;
         }
         order.supersedes = order.other.nonce;
         order.unseals.push_back(reply.id);
+        if (!sealed_before(state, *r, reply.age_us)) {
+            refuse_order(state, *r, failure_kind::order_store_unavailable, out);
+            continue;
+        }
         wait_again(state, *r, duration{}, out);
     }
 }
@@ -396,9 +484,7 @@
     order_progress& order = *r.order;
     order.unassigned.push_back(order.nonce);
     order.supersedes = order.nonce;
-    // Both ages run on steady clocks, and the delay of the message can only make the seal look younger.
-    const auto request_age = static_cast<std::uint64_t>((state.now - r.arrived).count());
-    if (end.seal_age_us >= request_age) {
+    if (sealed_before(state, r, end.seal_age_us)) {
         order.unseals.push_back(*end.sealed_by);
         wait_again(state, r, duration{}, out);
         return;
@@ -408,10 +494,7 @@
 }
 
 void refuse_order(router_state& state, request& r, failure_kind kind, effects& out) {
-    const auto refusing = std::ranges::count_if(state.by_ticket, [&](const auto& open) {
-        const request_ptr other = find_request(state, open.second);
-        return other && other->phase == request_phase::refusing;
-    });
+    if (r.phase == request_phase::refusing) return;
     dequeue(state, r);
     if (r.phase == request_phase::claiming) {
         r.order->unassigned.push_back(r.order->nonce);
@@ -422,8 +505,9 @@
     // A request that leaves `running` counts as waiting again until it is forgotten.
     if (r.phase == request_phase::running) ++state.waiting_by_account[{r.account, r.input.pool}];
     r.phase = request_phase::refusing;
+    ++state.refusing;
     r.order->refusal = kind;
-    if (static_cast<std::size_t>(refusing) >= state.settings.refusal_limit) {
+    if (state.refusing > state.settings.refusal_limit) {
         finish_refusal(state, r, run_state::unknown, out);
         return;
     }
@@ -435,6 +519,10 @@
 //-----------------------------------------------------------------------------
 
 void on_claim(router_state& state, link_id link, const claim& asked, effects& out) {
+    if (state.stopping) {
+        out.emplace_back(send_message{link, claim_reply{asked.call, false, false, {}}});
+        return;
+    }
     const std::uint64_t ticket = state.next_ticket++;
     state.served_claims[ticket] = {link, asked.call};
     append_here(state, ticket, asked.entry, asked.look, state.now + state.settings.claim_timeout, out);
@@ -476,6 +564,11 @@
 //-----------------------------------------------------------------------------
 
 void on_orders_tick(router_state& state, effects& out) {
+    // A sidecar that was lost before the oldest key that is still accepted cannot have sent any of them.
+    const duration key_life = state.settings.orders.past_limit + 2 * state.settings.orders.future_limit;
+    std::erase_if(state.seen_sidecars, [&](const auto& entry) {
+        return !entry.second.linked && entry.second.lost + key_life < state.now;
+    });
     std::vector<append_result> results;
     on_tick(state.orders, state.now, out, results);
     on_append_results(state, results, out);
@@ -488,14 +581,10 @@
         it = state.remote_claims.erase(it);
         append_here(state, ticket, remote.entry, remote.look, remote.deadline, out);
     }
-    std::vector<request_ptr> due;
-    for (const auto& [id, r] : state.requests) {
-        if (r->order && r->order->next_seal != time_point{} && r->order->next_seal <= state.now)
-            due.push_back(r);
-    }
-    std::ranges::sort(due, {}, [](const request_ptr& r) { return r->id; });
-    for (const request_ptr& r : due) {
-        r->order->next_seal = {};
+    while (!state.seal_timers.empty() && state.seal_timers.begin()->first <= state.now) {
+        const request_ptr r = find_request(state, state.seal_timers.begin()->second);
+        state.seal_timers.erase(state.seal_timers.begin());
+        if (!r) continue;
         if (r->phase == request_phase::sealing) ask_seal(state, *r, out);
         if (r->phase == request_phase::refusing && r->order->polling) {
             finish_refusal(state, *r, run_state::unknown, out);
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -84,7 +84,9 @@
     }
     if (greeting.role != process_role::sidecar) return;
     state.sidecars[greeting.pool].push_back(link);
-    state.seen_sidecars[greeting.incarnation] = {greeting.pool, greeting.name, true, {}};
+    // The delay of the greeting can only make the process look younger.
+    const duration uptime{static_cast<std::int64_t>(greeting.uptime_us)};
+    state.seen_sidecars[greeting.incarnation] = {greeting.pool, greeting.name, true, {}, state.now - uptime};
     out.emplace_back(send_message{link, known});
     on_config_pull(state, link, config_pull{}, out);
     announce_all(state, link, out);
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -85,7 +85,12 @@
     state.by_attempt.erase(r.answer.current);
     state.by_caller.erase(r.input.caller);
     state.deadlines.erase({r.deadline, r.id});
-    if (r.order) state.by_ticket.erase(r.order->ticket);
+    if (r.order) {
+        state.by_ticket.erase(r.order->ticket);
+        state.by_order.erase({r.order->key, r.id});
+        state.seal_timers.erase({r.order->next_seal, r.id});
+        if (r.phase == request_phase::refusing) --state.refusing;
+    }
     state.requests.erase(r.id);
 }
 
@@ -180,14 +185,17 @@
         refuse_caller(input.caller, input.request, kind, run, std::move(detail), out);
         return std::nullopt;
     };
+    // An order may have run through a router that knew the account or the pool; its record is not read here.
+    const run_state unread = input.idempotency_key.empty() ? run_state::not_run : run_state::unknown;
+    if (state.config.teams.empty()) return refuse_with(failure_kind::isolated, unread, "no declarations yet");
     result.account = find_account(state.config, input.key_hash);
     if (result.account == nullptr) {
-        return refuse_with(failure_kind::unauthorized, run_state::not_run, "Authorization: Bearer <key>");
+        return refuse_with(failure_kind::unauthorized, unread, "Authorization: Bearer <key>");
     }
     if (input.route == caller_route::fetch_answer) return result;
     result.pool = find_pool(state.config, input.pool);
     if (result.pool == nullptr) {
-        return refuse_with(failure_kind::unknown_pool, run_state::not_run, input.pool);
+        return refuse_with(failure_kind::unknown_pool, unread, input.pool);
     }
     if (result.pool->kind != target_kind::service || !is_order(*result.pool, input.method, input.path)) {
         return result;
@@ -222,6 +230,8 @@
     if (admitted.key) {
         r->order.emplace();
         r->order->key = scoped_order_key(*admitted.key, r->account);
+        const bool catching_up = state.now < state.resumed_at + state.settings.catch_up;
+        r->order->sent_after = catching_up ? state.paused_from : state.now;
         r->order->body_hash = stable_hash(input.body, stable_hash(input.method + " " + input.path));
     }
     return r;
@@ -269,6 +279,7 @@
     state.deadlines.emplace(r->deadline, r->id);
     ++state.waiting_by_account[{r->account, input.pool}];
     if (r->order) {
+        state.by_order.insert({r->order->key, r->id});
         r->phase = request_phase::opening;
         if (reason != failure_kind::none) {
             refuse_order(state, *r, reason, out);
@@ -310,6 +321,7 @@
         const auto queue = state.queues.find({sidecar.identity.pool, asked.account, asked.cls, version});
         if (queue == state.queues.end()) continue;
         for (request& r : queue->second) {
+            if (r.order && !may_send_order(state, sidecar, r)) continue;
             const bool suspect = is_suspect(state.crashes, r.crash_hash);
             if (!suspect || asked.alone) return &r;
         }
@@ -547,9 +559,32 @@
                    out);
 }
 
+// Shortly before a stop must end, what has not been handed on by then is refused while this can still be made
+// definite.
+void refuse_waiting(router_state& state, effects& out) {
+    state.waiting_refused = true;
+    std::vector<request_ptr> waiting;
+    for (const auto& [id, r] : state.requests) {
+        if (r->phase != request_phase::running && r->phase != request_phase::refusing) waiting.push_back(r);
+    }
+    std::ranges::sort(waiting, {}, [](const request_ptr& r) { return r->id; });
+    for (const request_ptr& r : waiting) {
+        if (r->order && r->phase != request_phase::sealing) {
+            refuse_order(state, *r, failure_kind::draining, out);
+            continue;
+        }
+        const bool ran = r->order || r->attempts > 0 || r->preemptions > 0;
+        refuse_request(state, *r, failure_kind::draining, ran ? run_state::unknown : run_state::not_run, out);
+    }
+}
+
 } // namespace
 
 void on_requests_tick(router_state& state, effects& out) {
+    const duration wait_limit = state.settings.drain_limit - state.settings.drain_reserve;
+    if (state.stopping && !state.waiting_refused && state.now >= state.stop_at + wait_limit) {
+        refuse_waiting(state, out);
+    }
     while (!state.deadlines.empty() && state.deadlines.begin()->first <= state.now) {
         const auto [at, id] = *state.deadlines.begin();
         const request_ptr r = find_request(state, id);
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -186,7 +186,7 @@
         end.reason = failure_kind::stale_revision;
         const sent_order& order = state.orders.orders[work.order->key];
         end.sealed_by = order.sealed_by;
-        end.seal_age_us = static_cast<std::uint64_t>((state.now - order.sealed_at).count());
+        end.seal_age_us = refusal_age_us(order, state.now);
         out.emplace_back(count{"orders_sealed_total", {}, 1});
         out.emplace_back(send_message{link, std::move(end)});
         return false;
@@ -282,8 +282,13 @@
                           ok, state.settings.pool + " " + state.settings.name});
     out.emplace_back(count{"calls_total", std::string{to_string(end.outcome)}, 1});
     if (call.work.order) {
+        const order_key key = call.work.order->key;
         const bool known = end.outcome == attempt_outcome::completed;
-        note_outcome(state.orders, call.work.order->key, known ? end.status : 0, end.content_type, call.kept);
+        if (end.outcome == attempt_outcome::not_sent) {
+            forget_send(state.orders, key);
+        } else {
+            note_outcome(state.orders, key, known ? end.status : 0, end.content_type, call.kept);
+        }
     }
     const link_id link = call.link;
     state.running.erase(call.work.attempt);
@@ -402,6 +407,7 @@
     greeting.pool = state.settings.pool;
     greeting.version = state.target.version.empty() ? state.settings.version : state.target.version;
     greeting.checks_fencing = state.settings.checks_fencing;
+    greeting.uptime_us = static_cast<std::uint64_t>((state.now - state.started).count());
     out.emplace_back(send_message{opened.link, greeting});
 }
 
@@ -605,7 +611,9 @@
     }
     pull_more(state, out);
     if (!state.stopping || state.exited) return;
-    if (state.running.empty() || state.now - state.stop_at > state.settings.drain_limit) {
+    // A router may have claimed an order for a pull that is still open.
+    const bool idle = state.running.empty() && state.pulls.empty();
+    if (idle || state.now - state.stop_at > state.settings.drain_limit) {
         state.exited = true;
         out.emplace_back(log_change{"stopped; calls left: " + std::to_string(state.running.size())});
         out.emplace_back(exit_process{});
@@ -641,7 +649,10 @@
 } // namespace
 
 void reduce(sidecar_state& state, const sidecar_event& event, effects& out) {
-    if (state.now == time_point{}) state.confirmed_at = event.now;
+    if (state.now == time_point{}) {
+        state.started = event.now;
+        state.confirmed_at = event.now;
+    }
     state.now = std::max(state.now, event.now);
     std::visit(event_handler{state, out}, event.input);
 }
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -90,6 +90,7 @@
 
     sidecar_settings settings;
     random_source random;
+    time_point started{};
     time_point now{};
     configuration config;
     membership members;
--- /dev/null
+++ b/tests/test_invariants.cpp
@@ -0,0 +1,166 @@
+// The predicates of the promises, each with a deliberately broken variant that proves that it can fail.
+
+#include "damaskhill_bench_orders.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+using namespace damaskhill::bench;
+
+BOOST_AUTO_TEST_SUITE(invariants)
+
+namespace {
+
+order_load_settings patient() {
+    order_load_settings s;
+    s.impatient = 0.0;
+    s.accepts_not_run = 1.0;
+    return s;
+}
+
+// The holder of a claim is paused before it learns that its claim is valid; its caller repeats the order
+// through another router, and the holder resumes after the order has run elsewhere.
+void pause_holder(fleet& f, order_load& load) {
+    f.declare(order_team());
+    f.run_for(3s);
+    f.store().faults.delay = 50ms;
+    load.create(f.now());
+    const std::size_t holder = f.results().rbegin()->second.router;
+    f.run_for(80ms);
+    f.pause(holder);
+    observe_abandoned(load.monitor, load.cases[1].current);
+    load.cases[1].current = 0;
+    while (load.cases[1].current == 0 || f.result(load.cases[1].current).router == holder)
+        load.submit(1);
+    f.run_for(1500ms);
+    f.resume(holder);
+    f.run_for(5s);
+}
+
+} // namespace
+
+// Guards against a paused holder of a claim that runs the order a second time.
+BOOST_AUTO_TEST_CASE(paused_holder_cannot_run_a_sealed_order) {
+    fleet f{order_fleet(1, 3, 3)};
+    order_load load{f, patient()};
+    pause_holder(f, load);
+    BOOST_TEST(load.monitor.violation_count == 0U);
+    BOOST_TEST(f.order_runs["1"] == 1U);
+    BOOST_TEST(f.counters["orders_sealed_total/"] == 1U); // the holder did try
+}
+
+// Broken variant for P8: a sidecar that forgets its seals.
+BOOST_AUTO_TEST_CASE(sidecar_without_seals_breaks_at_most_once) {
+    fleet f{order_fleet(1, 3, 3)};
+    order_load load{f, patient()};
+    f.rewrite = [&](std::size_t node, effects& /*out*/) {
+        if (node < f.router_count()) return;
+        for (auto& [key, order] : f.nodes()[node].sidecar->orders.orders)
+            order.sealed_by = {};
+    };
+    pause_holder(f, load);
+    BOOST_TEST(violations_of(load.monitor, promise::at_most_once) > 0U);
+}
+
+// Broken variant for P8: routers that take a write for done before the store has answered.
+BOOST_AUTO_TEST_CASE(assigning_before_the_claim_is_known_breaks_at_most_once) {
+    fleet f{order_fleet(1, 3, 3)};
+    order_load load{f, patient()};
+    f.declare(order_team());
+    f.run_for(3s);
+    for (const std::size_t sidecar : f.sidecars("app"))
+        f.nodes()[sidecar].target.settings.work_time = 500ms;
+    f.rewrite = [&](std::size_t node, effects& out) {
+        std::vector<store_reply> replies;
+        for (effect& item : out) {
+            const auto* swap = std::get_if<store_swap>(&item);
+            if (swap == nullptr) continue;
+            replies.push_back({swap->call, failure_kind::none, swap->expected + 1, {}});
+            item = count{"writes_lost", {}, 1};
+        }
+        for (const store_reply& reply : replies)
+            reduce(*f.nodes()[node].router, router_event{f.now(), reply}, out);
+    };
+    load.create(f.now());
+    f.run_for(100ms);
+    for (std::size_t i = 0; i < 3; ++i)
+        f.cut(i, (i + 1) % 3); // each router reads the store by itself
+    f.run_for(3s);
+    load.cases[1].end = order_end::open; // its caller repeats it although it was answered
+    for (int i = 0; i < 3; ++i)
+        load.submit(1);
+    f.run_for(3s);
+    BOOST_TEST(violations_of(load.monitor, promise::at_most_once) > 0U);
+}
+
+// Broken variant for P7: a router that says "not_run" because it knows of no run.
+BOOST_AUTO_TEST_CASE(refusing_from_the_own_view_breaks_true_refusal) {
+    fleet f{order_fleet(1, 3, 3)};
+    order_load load{f, patient()};
+    f.declare(order_team());
+    f.run_for(3s);
+    for (const std::size_t sidecar : f.sidecars("app"))
+        f.nodes()[sidecar].target.settings.work_time = 500ms;
+    f.rewrite = [&](std::size_t /*node*/, effects& out) {
+        for (effect& item : out) {
+            if (auto* refused = std::get_if<refuse>(&item)) refused->state = run_state::not_run;
+        }
+    };
+    load.create(f.now());
+    f.run_for(200ms);
+    for (const std::size_t sidecar : f.sidecars("app"))
+        f.restart(sidecar, false);
+    f.run_for(3s);
+    BOOST_TEST(violations_of(load.monitor, promise::true_refusal) > 0U);
+}
+
+namespace {
+
+caller_request stream_request() {
+    caller_request r;
+    r.caller = 7;
+    r.stream = true;
+    return r;
+}
+
+} // namespace
+
+// Broken variants for P6: a repeated piece, a short answer, an answer after the end.
+BOOST_AUTO_TEST_CASE(wrong_answers_break_whole_answer) {
+    const std::vector<std::vector<effect>> broken{
+        {stream_data{7, "ab"}, stream_data{7, "ab"}},
+        {stream_data{7, "ab"}, stream_end{7, failure_kind::none}},
+        {stream_data{7, "abcd"}, stream_end{7, failure_kind::none}, stream_data{7, "e"}},
+        {answer_whole{7, {}, 200, {}, "abc"}},
+    };
+    for (const auto& performed : broken) {
+        invariant_monitor monitor;
+        observe_asked(monitor, stream_request(), "abcd", {}, time_point{});
+        observe_router(monitor, performed, time_point{});
+        BOOST_TEST(violations_of(monitor, promise::whole_answer) == 1U);
+    }
+}
+
+// Broken variant for P9: a sidecar that starts work after its target has been leaving for longer than the
+// limit.
+BOOST_AUTO_TEST_CASE(late_work_breaks_graceful_leave) {
+    invariant_monitor monitor;
+    observe_leaving(monitor, "app-1", time_point{});
+    const std::vector<effect> started{start_call{}};
+    observe_sidecar(monitor, "app-1", started, time_point{4s});
+    BOOST_TEST(monitor.violation_count == 0U);
+    observe_sidecar(monitor, "app-1", started, time_point{4001ms});
+    BOOST_TEST(violations_of(monitor, promise::graceful_leave) == 1U);
+}
+
+// Broken variant for P9: a stop that cuts a caller.
+BOOST_AUTO_TEST_CASE(cut_caller_breaks_graceful_leave) {
+    invariant_monitor monitor;
+    observe_broken(monitor, 7, time_point{});
+    BOOST_TEST(monitor.violation_count == 0U); // a failure may cut a caller
+    monitor.only_planned_stops = true;
+    observe_broken(monitor, 7, time_point{});
+    BOOST_TEST(violations_of(monitor, promise::graceful_leave) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/test_orders.cpp
@@ -0,0 +1,167 @@
+// Orders: memory of a sidecar, records, and the whole path under random failures.
+
+#include "damaskhill_bench_orders.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <limits>
+
+using namespace damaskhill;
+using namespace damaskhill::bench;
+
+BOOST_AUTO_TEST_SUITE(orders)
+
+namespace {
+
+const order_key key{(1'000'000ULL << 16U) | 0x7000U, 0x8000000000000001ULL};
+const time_point start{1'000'000ms};
+
+seal ask_to_seal(bool handover) { return {1, key, handover}; }
+
+} // namespace
+
+// Guards against a claim that lists an earlier seal and is sent after a later one: two routers that seal in
+// turn must not both be allowed.
+BOOST_AUTO_TEST_CASE(later_seal_stops_claims_that_list_an_earlier_one) {
+    order_memory memory;
+    random_source random{1};
+    const seal_reply first = seal_order(memory, ask_to_seal(true), start, random);
+    const seal_reply second = seal_order(memory, ask_to_seal(true), start, random);
+    BOOST_TEST((first.id != second.id));
+    BOOST_TEST((decide_send(memory, {key, {}, {first.id}}, start) == send_decision::sealed));
+    BOOST_TEST((decide_send(memory, {key, {}, {first.id, second.id}}, start) == send_decision::send));
+    BOOST_TEST((decide_send(memory, {key, {}, {first.id, second.id}}, start) == send_decision::already_sent));
+}
+
+// Guards against a hand-over that hides how long ago a caller was told "not_run".
+BOOST_AUTO_TEST_CASE(age_of_a_seal_is_that_of_the_latest_refusal) {
+    order_memory memory;
+    random_source random{1};
+    const seal_reply plain = seal_order(memory, ask_to_seal(true), start, random);
+    BOOST_TEST(plain.age_us == std::numeric_limits<std::uint64_t>::max());
+    const seal_reply refused = seal_order(memory, ask_to_seal(false), start + 1s, random);
+    BOOST_TEST(refused.age_us == 0U);
+    const seal_reply later = seal_order(memory, ask_to_seal(true), start + 3s, random);
+    BOOST_TEST(later.age_us == 2'000'000U);
+}
+
+// Guards against an order that the target refused before it ran and that is then taken as sent for ever.
+BOOST_AUTO_TEST_CASE(order_that_never_ran_may_be_sent_again) {
+    order_memory memory;
+    BOOST_TEST((decide_send(memory, {key, {}, {}}, start) == send_decision::send));
+    forget_send(memory, key);
+    BOOST_TEST((decide_send(memory, {key, {}, {}}, start) == send_decision::send));
+    note_outcome(memory, key, 200, "text/plain", "done");
+    forget_send(memory, key);
+    BOOST_TEST((decide_send(memory, {key, {}, {}}, start) == send_decision::already_sent));
+}
+
+// Guards against a long answer that a repeat would receive as an empty one.
+BOOST_AUTO_TEST_CASE(long_answer_is_marked_as_not_kept) {
+    order_memory memory;
+    random_source random{1};
+    BOOST_TEST((decide_send(memory, {key, {}, {}}, start) == send_decision::send));
+    note_outcome(memory, key, 200, "text/plain", std::string(memory.settings.kept_body_limit + 1, 'x'));
+    const seal_reply reply = seal_order(memory, ask_to_seal(true), start, random);
+    BOOST_TEST((reply.state == seal_state::finished));
+    BOOST_TEST(!reply.body_kept);
+}
+
+// Guards against memory that grows for ever.
+BOOST_AUTO_TEST_CASE(orders_are_forgotten_after_their_keys_expire) {
+    order_memory memory;
+    BOOST_TEST((decide_send(memory, {key, {}, {}}, start) == send_decision::send));
+    expire_orders(memory, start + memory.settings.past_limit);
+    BOOST_TEST(memory.orders.size() == 1U);
+    expire_orders(memory, start + memory.settings.past_limit + memory.settings.future_limit + 1s);
+    BOOST_TEST(memory.orders.empty());
+}
+
+// Guards against two valid claims of one key whatever the order in which entries reach the record.
+BOOST_AUTO_TEST_CASE(record_has_one_valid_claim) {
+    const bool ok = rc::check("each claim that becomes valid supersedes the one before", [] {
+        const auto picks = *rc::gen::container<std::vector<std::pair<std::uint8_t, std::uint8_t>>>(
+            rc::gen::pair(rc::gen::inRange<std::uint8_t>(1, 6), rc::gen::inRange<std::uint8_t>(0, 6)));
+        std::vector<order_entry> log;
+        nonce_id valid;
+        for (const auto& [nonce, supersedes] : picks) {
+            order_entry entry;
+            entry.key = key;
+            entry.nonce = nonce_id{nonce, 1};
+            if (supersedes != 0) entry.supersedes = nonce_id{supersedes, 1};
+            log.push_back(entry);
+            const order_view view = view_order(log, key);
+            const nonce_id now = view.intent == nullptr ? nonce_id{} : view.intent->nonce;
+            const bool changed = now != valid;
+            RC_ASSERT(!changed || (now == entry.nonce && entry.supersedes == valid));
+            valid = now;
+        }
+    });
+    BOOST_TEST(ok);
+}
+
+// Guards against a call for each record and retry while the store is down: a router's share of the 2,000
+// reads a second is 13 at 150 routers.
+BOOST_AUTO_TEST_CASE(failed_calls_back_off) {
+    order_writer writer;
+    effects out;
+    std::vector<append_result> results;
+    constexpr std::uint64_t keys = 100;
+    const auto look_up_all = [&](time_point now) {
+        for (std::uint64_t i = 1; i <= keys; ++i)
+            look_up_order(writer, i, order_key{key.high, key.low + i}, now, now + 1500ms, out);
+    };
+    look_up_all(start);
+    std::uint64_t calls = 0;
+    for (time_point now = start; now < start + 10s; now += 10ms) {
+        effects performed;
+        performed.swap(out);
+        for (const effect& item : performed) {
+            const auto* read = std::get_if<store_read>(&item);
+            if (read == nullptr) continue;
+            ++calls;
+            on_store_reply(writer, {read->call, failure_kind::store_unreachable, 0, {}}, now, out, results);
+        }
+        on_tick(writer, now, out, results);
+        if (!results.empty()) look_up_all(now);
+        results.clear();
+    }
+    BOOST_TEST(calls <= 130U);
+}
+
+// Guards against second runs, false refusals and lost orders under any mix of failures, with callers that
+// often give up and repeat through another router.
+BOOST_AUTO_TEST_CASE(random_failures_keep_the_promises) {
+    const bool ok = rc::check("orders under random failures", [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        constexpr auto kinds = static_cast<std::uint8_t>(order_fault::count);
+        const auto failures = *rc::gen::container<std::vector<std::tuple<std::uint8_t, int, int>>>(
+            rc::gen::tuple(rc::gen::inRange<std::uint8_t>(0, kinds), rc::gen::inRange(0, 8000),
+                           rc::gen::inRange(50, 4000)));
+        fleet f{order_fleet(seed, 3, 3)};
+        f.declare(order_team());
+        f.run_for(3s);
+        order_load_settings settings;
+        settings.orders_per_second = 10;
+        settings.impatient = 0.7;
+        settings.time_limit = 12s;
+        settings.timeout = 2s;
+        settings.patience = 3s;
+        order_load load{f, settings};
+        for (const auto& [kind, at, length] : failures) {
+            f.at(f.now() + std::chrono::milliseconds{at}, [&f, kind = kind, length = length] {
+                inject(f, static_cast<order_fault>(kind), std::chrono::milliseconds{length});
+            });
+        }
+        load.start(f.now() + 8s);
+        f.run_for(25s);
+        for (const violation& broken : load.monitor.violations)
+            RC_LOG(broken.what + "\n");
+        RC_ASSERT(load.monitor.violation_count == 0U);
+        RC_ASSERT(load.mismatches().empty());
+    });
+    BOOST_TEST(ok);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
