Accept a void claim as old only if it was seen before the submission arrived

Cause: a submission took every void claim that it found at opening for one that its caller had already been told of. A look that was answered late under failures could find a claim written after its arrival, supersede it and run the order although another submission had been refused as not_run. The writer now keeps for how long it has known each void claim, on its steady clock, and a submission supersedes only one that is older than itself.

--- a/core/damaskhill_messages.hpp
+++ b/core/damaskhill_messages.hpp
@@ -324,10 +324,12 @@
     bool known{};                     // false: the record could not be read or written
     bool may_be_written{};            // not known, and the write may have taken effect
     std::vector<order_entry> entries; // all entries of the key, in order
+    std::uint64_t void_age_us{}; // for how long at least the sender has known the void claim that is valid
     static constexpr auto fields() {
         using t = claim_reply;
         return std::tuple{field{1, "call", &t::call}, field{2, "known", &t::known},
-                          field{3, "may_be_written", &t::may_be_written}, field{4, "entries", &t::entries}};
+                          field{3, "may_be_written", &t::may_be_written}, field{4, "entries", &t::entries},
+                          field{5, "void_age_us", &t::void_age_us}};
     }
 };
 
--- a/core/damaskhill_orders.cpp
+++ b/core/damaskhill_orders.cpp
@@ -141,29 +141,45 @@
     out.emplace_back(store_swap{r.call, name, r.version, std::move(log)});
 }
 
+void note_voids(record& r, time_point now) {
+    for (const order_entry& entry : r.log.entries) {
+        if (entry.kind == order_entry_kind::intent && entry.sidecar.empty())
+            r.voids_seen.try_emplace(entry.nonce, now);
+    }
+}
+
+append_result known_result(const record& r, std::uint64_t ticket, order_key key, time_point now) {
+    append_result result{ticket, true, false, entries_of(r.log, key), 0};
+    const order_view view = view_order(result.entries, key);
+    const auto seen = view.intent == nullptr ? r.voids_seen.end() : r.voids_seen.find(view.intent->nonce);
+    if (seen != r.voids_seen.end())
+        result.void_age_us = static_cast<std::uint64_t>((now - seen->second).count());
+    return result;
+}
+
 // Answers every pending entry whose fate the cached record shows.
-void settle(record& r, bool final_view, std::vector<append_result>& results) {
+void settle(record& r, bool final_view, time_point now, std::vector<append_result>& results) {
     std::erase_if(r.pending, [&](const order_writer::pending_entry& pending) {
         const bool written = pending.look || contains(r.log, pending.entry);
         if (!written && !(final_view && !would_change_view(r.log, pending.entry))) return false;
-        results.push_back({pending.ticket, true, false, entries_of(r.log, pending.entry.key)});
+        results.push_back(known_result(r, pending.ticket, pending.entry.key, now));
         return true;
     });
 }
 
 // A look may be answered from a copy: an entry that it misses is found by the claim, which only the store
 // decides. Without this every order would cost a read.
-void settle_looks(record& r, std::vector<append_result>& results) {
+void settle_looks(record& r, time_point now, std::vector<append_result>& results) {
     std::erase_if(r.pending, [&](const order_writer::pending_entry& pending) {
         if (!pending.look) return false;
-        results.push_back({pending.ticket, true, false, entries_of(r.log, pending.entry.key)});
+        results.push_back(known_result(r, pending.ticket, pending.entry.key, now));
         return true;
     });
 }
 
 void give_up(record& r, std::vector<append_result>& results) {
     for (const auto& pending : r.pending) {
-        results.push_back({pending.ticket, false, pending.attempted, {}});
+        results.push_back({pending.ticket, false, pending.attempted, {}, 0});
     }
     r.pending.clear();
 }
@@ -171,7 +187,7 @@
 // Starts the next call that the record needs, if any.
 void advance(order_writer& writer, const std::string& name, record& r, time_point now, effects& out,
              std::vector<append_result>& results) {
-    if (r.cached && now - r.confirmed_at <= writer.settings.look_age) settle_looks(r, results);
+    if (r.cached && now - r.confirmed_at <= writer.settings.look_age) settle_looks(r, now, results);
     if (r.state != record::phase::idle || r.pending.empty()) return;
     if (!may_call(writer, now)) return;
     const bool look = std::ranges::any_of(r.pending, &order_writer::pending_entry::look);
@@ -198,23 +214,27 @@
     start_write(writer, name, r, std::move(log), now, out);
 }
 
-void on_read_result(record& r, const store_reply& reply, std::vector<append_result>& results) {
+void on_read_result(record& r, const store_reply& reply, time_point now,
+                    std::vector<append_result>& results) {
     r.version = reply.version;
     r.log = reply.log;
     r.cached = true;
     r.confirmed_at = r.call_started;
     r.failures = 0;
-    settle(r, true, results);
+    note_voids(r, now);
+    settle(r, true, now, results);
 }
 
-void on_write_result(record& r, const store_reply& reply, std::vector<append_result>& results) {
+void on_write_result(record& r, const store_reply& reply, time_point now,
+                     std::vector<append_result>& results) {
     if (reply.result == failure_kind::none) {
         r.log = std::move(r.written);
         r.written = {};
         r.version = reply.version;
         r.confirmed_at = r.call_started;
         r.failures = 0;
-        settle(r, true, results);
+        note_voids(r, now);
+        settle(r, true, now, results);
         return;
     }
     r.cached = false; // a conflict, or a lost reply: the record must be read again
@@ -275,9 +295,9 @@
             return;
         }
     } else if (was_reading) {
-        on_read_result(r, reply, results);
+        on_read_result(r, reply, now, results);
     } else {
-        on_write_result(r, reply, results);
+        on_write_result(r, reply, now, results);
     }
     advance(writer, name, r, now, out, results);
 }
@@ -291,7 +311,7 @@
         }
         std::erase_if(r.pending, [&](const order_writer::pending_entry& pending) {
             if (pending.deadline > now) return false;
-            results.push_back({pending.ticket, false, pending.attempted, {}});
+            results.push_back({pending.ticket, false, pending.attempted, {}, 0});
             return true;
         });
         advance(writer, name, r, now, out, results);
--- a/core/damaskhill_orders.hpp
+++ b/core/damaskhill_orders.hpp
@@ -66,6 +66,7 @@
     bool known{};                     // the record was read or written after the append was asked for
     bool may_be_written{};            // not known, and the entry may be in the record
     std::vector<order_entry> entries; // of the key, in order
+    std::uint64_t void_age_us{}; // for how long at least the void claim that is valid has stood, microseconds
 };
 
 /// Appends entries to records by compare-and-swap; entries that arrive during a call share the next write.
@@ -82,7 +83,8 @@
         bool cached{}; // log and version are those of the store, or older
         std::uint64_t version{};
         order_log log;
-        order_log written; // by the call in progress
+        order_log written;                         // by the call in progress
+        std::map<nonce_id, time_point> voids_seen; // void claims, by when they were first seen in the store
         std::vector<pending_entry> pending;
         std::uint64_t call{};
         time_point call_started{};
--- a/core/damaskhill_router_orders.cpp
+++ b/core/damaskhill_router_orders.cpp
@@ -193,7 +193,7 @@
     const order_view view = view_order(result.entries, r.order->key);
     if (settled_by_record(state, r, view, out)) return;
     if (view.intent != nullptr) {
-        if (r.order->sent_after < r.arrived) {
+        if (!sealed_before(state, r, result.void_age_us)) {
             // It may have been sent before the void claim was written, and its caller told "not_run" since.
             refuse_order(state, r, failure_kind::order_store_unavailable, out);
             return;
@@ -351,8 +351,8 @@
     if (served != state.served_claims.end()) {
         const auto [link, call] = served->second;
         state.served_claims.erase(served);
-        out.emplace_back(
-            send_message{link, claim_reply{call, result.known, result.may_be_written, result.entries}});
+        out.emplace_back(send_message{link, claim_reply{call, result.known, result.may_be_written,
+                                                        result.entries, result.void_age_us}});
         return;
     }
     state.remote_claims.erase(result.ticket);
@@ -520,7 +520,7 @@
 
 void on_claim(router_state& state, link_id link, const claim& asked, effects& out) {
     if (state.stopping) {
-        out.emplace_back(send_message{link, claim_reply{asked.call, false, false, {}}});
+        out.emplace_back(send_message{link, claim_reply{asked.call, false, false, {}, 0}});
         return;
     }
     const std::uint64_t ticket = state.next_ticket++;
@@ -536,7 +536,8 @@
         remote->second.fallback = state.now;
         return;
     }
-    on_append_result(state, {reply.call, reply.known, reply.may_be_written, reply.entries}, out);
+    on_append_result(state, {reply.call, reply.known, reply.may_be_written, reply.entries, reply.void_age_us},
+                     out);
 }
 
 void on_order_store_reply(router_state& state, const store_reply& reply, effects& out) {
