Start a target that returns to service at its cold limit

A sidecar kept the warm limit while its target was out of service, and gave a target whose cache was gone its full load. It now begins at the cold limit whenever it starts to take work again. In the bench a VM whose leaving was withdrawn no longer turns cold, since nothing has restarted it, and the fairness gap is taken over the whole run with the return.

--- a/bench/damaskhill_bench_data_centre_leave.cpp
+++ b/bench/damaskhill_bench_data_centre_leave.cpp
@@ -86,6 +86,8 @@
             }
         }
         fleet_.run_for(8s);
+        served_at_ = served_;
+        look_at_gap();
         leave("dc-a");
         fleet_.run_for(10s);
         if (what_ == trouble::two_in_turn) {
@@ -171,9 +173,9 @@
             fleet_.heal_all();
             fleet_.store().cut.clear();
         }
-        // Operators have restarted the engines meanwhile.
+        // The engines have lost their caches meanwhile; a VM whose leaving was withdrawn has gone on running.
         for (const std::size_t i : fleet_.sidecars("lm")) {
-            if (fleet_.nodes()[i].data_centre == name) fleet_.turn_cold(i);
+            if (fleet_.nodes()[i].data_centre == name && what_ != trouble::vm_leaving) fleet_.turn_cold(i);
         }
         for (const std::size_t i : fleet_.sidecars("lm"))
             fleet_.nodes()[i].target.refused_cold = 0;
@@ -209,12 +211,20 @@
 
     void begin_measuring() {
         measuring_ = true;
-        served_at_ = served_;
         for (const std::size_t i : fleet_.sidecars("lm"))
             busy_at_[i] = fleet_.nodes()[i].target.busy_seconds;
         fleet_.at(fleet_.now() + 1s, [this] { look(); });
     }
 
+    // The gap is taken over the whole time, with the change, the absence and the return.
+    void look_at_gap() {
+        std::vector<double> gained;
+        for (std::size_t a = 0; a < accounts; ++a)
+            gained.push_back(served_[a] - served_at_[a]);
+        found_.gap = std::max(found_.gap, std::ranges::max(gained) - std::ranges::min(gained));
+        fleet_.at(fleet_.now() + 250ms, [this] { look_at_gap(); });
+    }
+
     void look() {
         if (!measuring_) return;
         double used = 0.0;
@@ -228,10 +238,6 @@
             busy_at_[i] = busy;
         }
         found_.busy = std::min(found_.busy, used / all);
-        std::vector<double> gained;
-        for (std::size_t a = 0; a < accounts; ++a)
-            gained.push_back(served_[a] - served_at_[a]);
-        found_.gap = std::max(found_.gap, std::ranges::max(gained) - std::ranges::min(gained));
         fleet_.at(fleet_.now() + 1s, [this] { look(); });
     }
 
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -115,7 +115,16 @@
     return true;
 }
 
+// A target that was out of service may have been restarted or may have lost its cache: it begins at the cold
+// limit.
+void note_return(sidecar_state& state) {
+    const bool serves = serving(state) == serving_state::serving;
+    if (serves && !state.served) reset_to_cold(state.limit);
+    state.served = serves;
+}
+
 void pull_more(sidecar_state& state, effects& out) {
+    note_return(state);
     for (const request_class cls : both_classes) {
         while (room_for(state, cls) > 0 && pull_one(state, cls, out)) {
         }
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -127,6 +127,7 @@
     version_load load;
     target_status target;
     bool target_known{};
+    bool served{}; // it took new work at the last event
     time_point confirmed_at{};
     bool stopping{};
     time_point stop_at{};
