--- /dev/null
+++ b/tests/test_versions.cpp
@@ -0,0 +1,326 @@
+// Version moves: the test of a new version, exposure, turns at the weight store, and P5 on the whole path.
+
+#include "damaskhill_bench_fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <cmath>
+
+using namespace damaskhill;
+using namespace damaskhill::bench;
+
+BOOST_AUTO_TEST_SUITE(versions)
+
+namespace {
+
+const time_point begin{std::chrono::hours{24 * 365 * 50}};
+
+move_declaration sample_move() { return {"m", "lm", "v1", "v2", begin, begin + 60s, 0.02, false}; }
+
+evidence_key key_of(std::string version, std::string route = "chat", std::uint32_t level = load_level_low) {
+    return {"lm", std::move(version), std::move(route), level};
+}
+
+struct sample {
+    double failures{};
+    double ms{40.0};
+};
+
+void feed(version_evidence& evidence, random_source& random, const evidence_key& key, std::size_t count,
+          sample s, incarnation_id owner = {1, 1}) {
+    for (std::size_t i = 0; i < count; ++i) {
+        const bool failed = random.next_unit() < s.failures;
+        const double ms = s.ms * (0.8 + 0.8 * random.next_unit());
+        note_attempt(evidence, owner, key, failed, duration{static_cast<std::int64_t>(ms * 1000)});
+    }
+}
+
+struct trial {
+    trial() { advance_test(test, evidence, sample_move(), {}, begin); } // the move begins without evidence
+    version_evidence evidence;
+    move_test test;
+    random_source random{7};
+    // 49 outcomes of the old version for each of the new one, judged in small steps as routers do.
+    version_verdict run(std::size_t steps, sample old, sample fresh, const std::string& route = "chat",
+                        std::uint32_t level = load_level_low) {
+        for (std::size_t i = 0; i < steps; ++i) {
+            feed(evidence, random, key_of("v1", route, level), 49, old);
+            feed(evidence, random, key_of("v2", route, level), 1, fresh);
+            advance_test(test, evidence, sample_move(), {}, begin + 1s);
+        }
+        return test.verdict;
+    }
+};
+
+team_declarations sample_team(time_point start, duration period) {
+    team_declarations team;
+    team.team = "t";
+    team.accounts.push_back({"t/a", 1.0, {std::string(64, 'a')}, 256});
+    pool_declaration lm;
+    lm.name = "lm";
+    lm.version = "v1";
+    lm.warm_limit = 16;
+    lm.loads_per_minute = 30;
+    team.pools.push_back(lm);
+    team.moves.push_back({"m", "lm", "v1", "v2", start, start + period, 0.02, false});
+    return team;
+}
+
+struct move_fleet {
+    explicit move_fleet(std::uint64_t seed, duration period = 40s) : f{settings(seed)} {
+        start = f.now() + 4s;
+        team = sample_team(start, period);
+        f.declare(team);
+        f.run_for(2s);
+        fresh = f.sidecars("lm").back();
+        f.nodes()[fresh].target.version = "v2";
+        f.restart(fresh, true);
+        f.observer = [this](std::size_t node, const effects& out) {
+            if (node < f.router_count()) return;
+            for (const effect& item : out) {
+                if (!std::holds_alternative<start_call>(item)) continue;
+                const bool on_new = f.nodes()[node].target.version == "v2";
+                ++(on_new ? on_v2 : on_v1);
+                if (on_new) last_v2 = f.now();
+            }
+        };
+        ask();
+    }
+    static fleet_settings settings(std::uint64_t seed) {
+        fleet_settings s;
+        s.seed = seed;
+        s.pools.push_back({"lm", 4, {}});
+        return s;
+    }
+    void ask() {
+        caller_request r;
+        r.pool = "lm";
+        r.method = "POST";
+        r.path = "/v1/completions";
+        r.key_hash = std::string(64, 'a');
+        r.body = "q tokens=4 ";
+        r.max_tokens = 4;
+        f.ask(f.random().next() % f.router_count(), r);
+        f.at(f.now() + 3ms, [this] { ask(); });
+    }
+    void fault(version_fault wrong) {
+        for (const std::size_t i : f.sidecars("lm"))
+            f.nodes()[i].target.version_faults["v2"] = wrong;
+    }
+    [[nodiscard]] bool condemned(std::size_t router) { return !f.router(router).router->condemned.empty(); }
+    [[nodiscard]] bool any_condemned() {
+        for (std::size_t i = 0; i < f.router_count(); ++i) {
+            if (condemned(i)) return true;
+        }
+        return false;
+    }
+    // Runs until a router has condemned the new version; returns the time.
+    time_point until_condemned(duration limit) {
+        const time_point end = f.now() + limit;
+        while (!any_condemned() && f.now() < end)
+            f.run_for(10ms);
+        BOOST_REQUIRE(any_condemned());
+        return f.now();
+    }
+
+    fleet f;
+    team_declarations team;
+    time_point start;
+    std::size_t fresh{};
+    std::uint64_t on_v1{};
+    std::uint64_t on_v2{};
+    time_point last_v2{};
+};
+
+} // namespace
+
+// Guards against a test that condemns versions as good as the old one more often than it states, over many
+// looks and both measures.
+BOOST_AUTO_TEST_CASE(false_alarms_stay_within_the_stated_rate) {
+    std::size_t alarms = 0;
+    constexpr std::size_t moves = 1000;
+    for (std::size_t i = 0; i < moves; ++i) {
+        trial t;
+        t.random.state = i + 1;
+        if (t.run(150, {0.02, 40.0}, {0.02, 40.0}) == version_verdict::bad) ++alarms;
+    }
+    // At the stated 0.1%, more than 5 of 1,000 have a probability below 0.1% (Poisson with mean 1).
+    BOOST_TEST(alarms <= 5U);
+}
+
+// Guards against a fixed idea of slowness: the same latency is good beside a slow old version and bad beside
+// a fast one.
+BOOST_AUTO_TEST_CASE(slowness_is_relative_to_the_old_version) {
+    BOOST_TEST((trial{}.run(200, {0.0, 4000.0}, {0.0, 4000.0}) == version_verdict::good));
+    BOOST_TEST((trial{}.run(200, {0.0, 40.0}, {0.0, 100.0}) == version_verdict::bad));
+}
+
+// Guards against a good version that is condemned because its new target is still warming up.
+BOOST_AUTO_TEST_CASE(warming_answers_do_not_condemn) {
+    trial t;
+    feed(t.evidence, t.random, key_of("v1"), 2000, {});
+    feed(t.evidence, t.random, key_of("v2", "chat", load_level_warming), 60, {0.0, 900.0});
+    advance_test(t.test, t.evidence, sample_move(), {}, begin);
+    BOOST_TEST((t.test.verdict == version_verdict::undecided));
+    BOOST_TEST((t.run(200, {}, {}) == version_verdict::good));
+}
+
+// Guards against a version that is accepted before a route that carries traffic has been tried.
+BOOST_AUTO_TEST_CASE(no_route_is_skipped) {
+    trial t;
+    feed(t.evidence, t.random, key_of("v1", "completions"), 500, {});
+    BOOST_TEST((t.run(300, {}, {}) == version_verdict::undecided));
+    BOOST_TEST((t.run(200, {}, {0.5, 40.0}, "completions") == version_verdict::bad));
+}
+
+// Guards against a version that lives on earlier merits: it turns bad after thousands of good answers.
+BOOST_AUTO_TEST_CASE(later_failures_condemn) {
+    trial t;
+    BOOST_TEST((t.run(3000, {}, {}) == version_verdict::good));
+    BOOST_TEST((t.run(100, {}, {0.3, 40.0}) == version_verdict::bad));
+}
+
+// Guards against evidence that depends on the order or repetition in which routers hear it.
+BOOST_AUTO_TEST_CASE(evidence_merges_in_any_order) {
+    BOOST_TEST(rc::check("merge by maximum", [] {
+        random_source random{*rc::gen::arbitrary<std::uint64_t>()};
+        version_evidence own;
+        std::vector<evidence_row> sent;
+        for (int i = 0; i < 6; ++i) {
+            feed(own, random, key_of("v2"), 1 + random.next() % 5, {0.3, 40.0});
+            sent.push_back(to_row(key_of("v2"), own.totals[key_of("v2")]));
+        }
+        version_evidence heard;
+        for (int i = 0; i < 12; ++i)
+            merge_evidence(heard, {1, 1}, sent[random.next() % sent.size()]);
+        merge_evidence(heard, {1, 1}, sent.back());
+        const auto& got = heard.totals[key_of("v2")];
+        const auto& want = own.totals[key_of("v2")];
+        RC_ASSERT(got.attempts == want.attempts && got.failures == want.failures &&
+                  got.latency == want.latency);
+    }));
+}
+
+// Guards against exposure above its share when many routers with few requests each round up.
+BOOST_AUTO_TEST_CASE(exposure_holds_over_many_routers) {
+    BOOST_TEST(rc::check("sum of spent credits", [] {
+        random_source random{*rc::gen::arbitrary<std::uint64_t>()};
+        std::vector<exposure_credit> routers(1 + random.next() % 50);
+        std::uint64_t exposed = 0;
+        for (std::uint64_t started = 1; started <= 3000; ++started) {
+            exposure_credit& router = routers[random.next() % routers.size()];
+            earn(router, 0.02);
+            if (random.next() % 100 == 0) router = {}; // restarted with empty memory
+            if (spend(router)) ++exposed;
+            RC_ASSERT(static_cast<double>(exposed) <= 0.02 * static_cast<double>(started) + 1e-6);
+        }
+    }));
+}
+
+// Guards against more loads than the weight store allows, from any views of routers in a partition.
+BOOST_AUTO_TEST_CASE(turns_keep_the_rate_of_the_weight_store) {
+    const std::vector<std::string> names{"a", "b", "c", "d", "e"};
+    std::set<std::string> loaded;
+    std::string last;
+    std::size_t turns = 0;
+    for (duration t{}; t < 60s; t += 100ms) {
+        const std::string turn{turn_of(names, 6, begin + t)};
+        if (turn == last) continue;
+        last = turn;
+        ++turns;
+        loaded.insert(turn);
+    }
+    BOOST_TEST(turns == 6U);
+    BOOST_TEST(loaded.size() == names.size());
+}
+
+// Guards against a bad version that keeps traffic later than 4 s after the verdict while the store is down,
+// one router is cut off from everyone but the new target, and another restarts empty.
+BOOST_AUTO_TEST_CASE(condemned_version_gets_nothing_after_4_s) {
+    move_fleet m{11};
+    m.fault({0.5, 1.0, {}, 0.0, {}});
+    m.f.run_until(m.start);
+    m.f.store().faults.down = true;
+    const time_point verdict = m.until_condemned(30s);
+    for (std::size_t i = 0; i < m.f.nodes().size(); ++i) {
+        if (i != 0 && i != m.fresh) m.f.cut(0, i);
+    }
+    m.f.restart(1, false);
+    m.f.run_for(10s);
+    BOOST_TEST((m.last_v2 <= verdict + 4s));
+    BOOST_TEST(m.condemned(1));
+    m.f.heal_all();
+    m.f.store().faults.down = false;
+    m.f.run_for(5s);
+    // The same name in a new move gets nothing either.
+    m.team.moves[0].name = "again";
+    m.team.moves[0].start = m.f.now();
+    m.team.moves[0].deadline = m.f.now() + 60s;
+    m.f.declare(m.team);
+    const std::uint64_t before = m.on_v2;
+    m.f.run_for(10s);
+    BOOST_TEST(m.on_v2 == before);
+}
+
+// Shows that the check above can fail: the condemned fact is erased everywhere again and again, as in a fleet
+// that does not keep it, and the new version goes on to get traffic.
+BOOST_AUTO_TEST_CASE(check_fails_without_condemned_facts) {
+    move_fleet m{11};
+    m.fault({0.5, 1.0, {}, 0.0, {}});
+    const time_point verdict = m.until_condemned(30s);
+    for (int i = 0; i < 1000; ++i) {
+        for (node& n : m.f.nodes()) {
+            if (n.router) {
+                n.router->condemned.clear();
+                n.router->tests.clear();
+            } else {
+                n.sidecar->condemned.clear();
+            }
+        }
+        m.f.run_for(10ms);
+    }
+    BOOST_TEST((m.last_v2 > verdict + 4s));
+}
+
+// Guards against an operators' order that is not followed.
+BOOST_AUTO_TEST_CASE(operators_take_back) {
+    move_fleet m{12};
+    m.f.run_until(m.start + 5s);
+    BOOST_TEST(m.on_v2 > 0U);
+    m.team.moves[0].take_back = true;
+    m.f.declare(m.team);
+    const time_point ordered = m.f.now();
+    m.f.run_for(10s);
+    BOOST_TEST((m.last_v2 <= ordered + 4s));
+}
+
+// Guards against requests that wait for a version without targets: the only new target dies during the
+// exposure.
+BOOST_AUTO_TEST_CASE(nothing_waits_for_a_lost_version) {
+    move_fleet m{13};
+    m.f.run_until(m.start + 5s);
+    m.f.kill(m.fresh);
+    const time_point killed = m.f.now();
+    std::size_t late = 0;
+    m.f.on_end = [&](const caller_result& r) {
+        if (r.asked > killed && (!r.answered || r.ended - r.asked > 2s)) ++late;
+    };
+    m.f.run_for(10s);
+    BOOST_TEST(late == 0U);
+}
+
+// Guards against targets that load out of turn, and against calls that a load cuts.
+BOOST_AUTO_TEST_CASE(loads_take_turns_and_cut_nothing) {
+    move_fleet m{14};
+    std::size_t lost = 0;
+    m.f.on_end = [&](const caller_result& r) { lost += r.answered ? 0 : 1; };
+    m.f.run_until(m.start + 42s);
+    BOOST_TEST(m.f.loads.size() == 3U);
+    for (std::size_t i = 1; i < m.f.loads.size(); ++i)
+        BOOST_TEST((m.f.loads[i].first - m.f.loads[i - 1].first > 1s));
+    BOOST_TEST(lost == 0U);
+    BOOST_TEST(!m.any_condemned());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
