--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -42,6 +42,7 @@
 } // namespace
 
 bool is_eligible(const router_state& state, const peer& sidecar) {
+    if (state.isolated) return false;
     if (!sidecar.greeted || sidecar.identity.role != process_role::sidecar) return false;
     if (sidecar.last.state != serving_state::serving) return false;
     if (!data_centre_in_service(state.config, sidecar.identity.data_centre)) return false;
