--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -129,6 +129,7 @@
     version_load load;
     target_status target;
     bool target_known{};
+    bool served{}; // it took new work at the last event
     time_point confirmed_at{};
     struct held_work {
         link_id link{};
