--- /dev/null
+++ b/bench/damaskhill_bench_control.cpp
@@ -0,0 +1,260 @@
+// Control traffic and store calls of each role at today's sizes, its slopes, and the two-year size.
+//
+// Bytes are those that a process sends, with frame heads; requests, answers and their copies are not counted.
+//
+// Index of this file:
+// [SECTION] One measurement
+// [SECTION] Slopes
+// [SECTION] Bench
+
+#include "damaskhill_bench.hpp"
+#include "damaskhill_bench_fleet.hpp"
+#include "damaskhill_impl_thrift.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace damaskhill::bench {
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] One measurement
+//-----------------------------------------------------------------------------
+
+struct load {
+    std::size_t routers{3};
+    std::size_t replicas{12};
+    std::size_t accounts{16};
+    double requests{};        // a second and router
+    std::uint64_t tokens{16}; // of each request
+    double changes{};         // of account declarations, a second
+    bool pool_changes{};      // changes hit the team that declares the pool
+};
+
+struct traffic {
+    double router{};                     // bytes a second and router
+    double sidecar{};                    // bytes a second and sidecar
+    double store_calls{};                // a second, of the whole fleet
+    std::map<std::string, double> kinds; // router's bytes a second by message
+};
+
+bool is_data(const peer_message& m) {
+    return std::holds_alternative<assign>(m) || std::holds_alternative<chunk>(m) ||
+           std::holds_alternative<answer_put>(m) || std::holds_alternative<answer_value>(m);
+}
+
+const char* kind_of(const peer_message& m) {
+    static constexpr std::array<const char*, std::variant_size_v<peer_message>> names{
+        "hello",       "heartbeat",      "reserve",       "pull",        "pull_empty", "assign",
+        "chunk",       "finish",         "cancel",        "seal",        "seal_reply", "claim",
+        "claim_reply", "service_report", "service_total", "evidence",    "facts",      "config_push",
+        "config_pull", "answer_put",     "answer_get",    "answer_value"};
+    return names.at(m.index());
+}
+
+std::string key_of(std::size_t account) {
+    std::string key(64, 'a');
+    key.replace(0, 5, std::to_string(10'000 + account));
+    return key;
+}
+
+team_declarations pool_team() {
+    team_declarations team;
+    team.team = "pools";
+    pool_declaration lm;
+    lm.name = "lm";
+    lm.warm_limit = 16;
+    team.pools.push_back(lm);
+    return team;
+}
+
+team_declarations account_team(std::size_t accounts) {
+    team_declarations team;
+    team.team = "accounts";
+    for (std::size_t i = 0; i < accounts; ++i)
+        team.accounts.push_back({"accounts/" + std::to_string(i), 1.0, {key_of(i)}, 256});
+    return team;
+}
+
+void ask_one(fleet& f, std::size_t router, std::size_t account, std::uint64_t tokens) {
+    caller_request r;
+    r.pool = "lm";
+    r.method = "POST";
+    r.path = "/v1/completions";
+    r.key_hash = key_of(account);
+    r.body = "tokens=" + std::to_string(tokens) + " ";
+    r.max_tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(tokens, 512));
+    f.ask(router, std::move(r));
+}
+
+traffic measure(const load& l, std::uint64_t seed) {
+    fleet_settings settings;
+    settings.seed = seed;
+    settings.routers = l.routers;
+    settings.pools.push_back({"lm", l.replicas, {}});
+    fleet f{settings};
+    f.declare(pool_team());
+    f.declare(account_team(l.accounts));
+    f.run_for(25s); // links that carried the start become idle
+    traffic result;
+    double router_bytes = 0;
+    double sidecar_bytes = 0;
+    f.observer = [&](std::size_t i, const effects& out) {
+        for (const effect& e : out) {
+            const auto* m = std::get_if<send_message>(&e);
+            if (m == nullptr || is_data(m->message)) continue;
+            const auto bytes =
+                static_cast<double>(encode_message(m->message).size() + frame_length_size + frame_head_size);
+            (i < l.routers ? router_bytes : sidecar_bytes) += bytes;
+            if (i < l.routers) result.kinds[kind_of(m->message)] += bytes;
+        }
+    };
+    const auto calls = [&] { return f.store().reads + f.store().writes + f.store().watches; };
+    const auto calls_before = calls();
+    constexpr double seconds = 20;
+    constexpr duration step = 10ms;
+    double changes = 0;
+    double requests = 0;
+    std::size_t account = 0;
+    for (time_point end = f.now() + 20s; f.now() < end;) {
+        for (changes += l.changes * to_seconds(step); changes >= 1.0; changes -= 1.0)
+            f.declare(l.pool_changes ? pool_team() : account_team(l.accounts));
+        for (requests += l.requests * to_seconds(step); requests >= 1.0; requests -= 1.0) {
+            for (std::size_t r = 0; r < l.routers; ++r)
+                ask_one(f, r, ++account % l.accounts, l.tokens);
+        }
+        f.run_for(step);
+    }
+    result.router = router_bytes / seconds / static_cast<double>(l.routers);
+    result.sidecar = sidecar_bytes / seconds / static_cast<double>(l.replicas);
+    result.store_calls = static_cast<double>(calls() - calls_before) / seconds;
+    for (auto& [kind, bytes] : result.kinds)
+        bytes /= seconds * static_cast<double>(l.routers);
+    return result;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Slopes
+//-----------------------------------------------------------------------------
+
+// Design 1.4 and 6.1, 6.3.
+struct two_years {
+    static constexpr double routers = 370;
+    static constexpr double sidecar_links = 16.0 * 9;             // of a router: 16 of each of 9 pools
+    static constexpr double router_links = 370.0 * 16 * 9 / 2000; // of a sidecar, about 27
+    static constexpr double changes = 6700.0 / 86'400;            // a second
+    static constexpr double router_requests = 73;                 // a second and router
+    static constexpr double sidecar_requests = 27'000.0 / 2000;   // a second and sidecar
+    static constexpr double waiting_accounts = 30;                // of a router
+    static constexpr double data_centres = 8;
+};
+
+struct slopes {
+    double router_idle{};         // B/s of a router with one sidecar link and no other router
+    double router_per_router{};   // B/s for one more router, beyond the ring's growth
+    double router_per_sidecar{};  // B/s for one more sidecar link
+    double router_per_change{};   // B for one change
+    double router_per_request{};  // B for one request
+    double router_per_waiting{};  // B/s for one more waiting account
+    double sidecar_per_router{};  // B/s for one more router link
+    double sidecar_per_change{};  // B for one change of its pool
+    double sidecar_per_request{}; // B for one request that it runs
+    double store_per_router{};    // calls/s for one more router
+};
+
+double per(double more, double less, double step) { return std::max(0.0, (more - less) / step); }
+
+slopes find_slopes(std::uint64_t seed) {
+    slopes s;
+    const traffic base = measure({}, seed);
+    const traffic few_links = measure({.replicas = 4}, seed);
+    s.router_per_sidecar = per(base.router, few_links.router, 8);
+    // From 36 to 60 routers the ring has 6 neighbours a router: what grows are idle links.
+    const traffic many = measure({.routers = 36, .replicas = 2}, seed);
+    const traffic more = measure({.routers = 60, .replicas = 2}, seed);
+    s.router_per_router = per(more.router, many.router, 24);
+    s.router_idle = more.router - s.router_per_router * 59 - s.router_per_sidecar * 2;
+    s.store_per_router = per(more.store_calls, many.store_calls, 24);
+    s.sidecar_per_router = per(more.sidecar, many.sidecar, 24);
+    const traffic changed = measure({.routers = 36, .replicas = 2, .changes = 2}, seed);
+    s.router_per_change = per(changed.router, many.router, 2);
+    const traffic pool_changed =
+        measure({.routers = 36, .replicas = 2, .changes = 2, .pool_changes = true}, seed);
+    s.sidecar_per_change = per(pool_changed.sidecar, many.sidecar, 2);
+    s.router_per_change = std::max(s.router_per_change, per(pool_changed.router, many.router, 2));
+    const traffic some = measure({.requests = 10}, seed);
+    const traffic busy = measure({.requests = 30}, seed);
+    s.router_per_request = per(busy.router, some.router, 20);
+    s.sidecar_per_request = per(busy.sidecar, some.sidecar, 20.0 * 3 / 12);
+    // Overload: all accounts wait in every router all the time.
+    const traffic waiting_few = measure({.replicas = 2, .accounts = 4, .requests = 20, .tokens = 400}, seed);
+    const traffic waiting_many =
+        measure({.replicas = 2, .accounts = 16, .requests = 20, .tokens = 400}, seed);
+    // Each router has 2 sidecar links here and 16 of the pool at the two-year size.
+    s.router_per_waiting = per(waiting_many.router, waiting_few.router, 12) * 16 / 2;
+    return s;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Bench
+//-----------------------------------------------------------------------------
+
+std::string text_of(std::initializer_list<std::pair<const char*, double>> values) {
+    std::string text;
+    for (const auto& [name, value] : values) {
+        std::array<char, 80> part{};
+        std::snprintf(part.data(), part.size(), "%s%s %.1f", text.empty() ? "" : ", ", name, value);
+        text += part.data();
+    }
+    return text;
+}
+
+std::vector<row> run_control(std::uint64_t seed) {
+    constexpr double bound = 10'000; // design 1.4: B/s of each daemon
+    const traffic today = measure({.requests = 10}, seed);
+    const slopes s = find_slopes(seed);
+    using future = two_years;
+    const double links = s.router_idle + s.router_per_router * (future::routers - 1) +
+                         s.router_per_sidecar * future::sidecar_links;
+    const double changes = s.router_per_change * future::changes;
+    const double requests = s.router_per_request * future::router_requests;
+    const double waiting = s.router_per_waiting * future::waiting_accounts;
+    const double router = links + changes + requests + waiting;
+    const double sidecar = s.sidecar_per_router * future::router_links +
+                           s.sidecar_per_change * future::changes +
+                           s.sidecar_per_request * future::sidecar_requests;
+    // Watchers are two routers of each data centre; every router beyond them adds the measured slope.
+    const double store = 2 * future::data_centres + s.store_per_router * future::routers;
+    std::string kinds;
+    for (const auto& [kind, bytes] : today.kinds)
+        kinds += (kinds.empty() ? "" : ", ") + kind + " " + std::to_string(static_cast<long>(bytes));
+    const double largest = std::max(today.router, today.sidecar);
+    return {
+        {"control_traffic_today", largest, "B/s", bound, largest <= bound,
+         text_of(
+             {{"router", today.router}, {"sidecar", today.sidecar}, {"store calls/s", today.store_calls}}) +
+             "; router by message: " + kinds},
+        {"control_traffic_router", router, "B/s", bound, router <= bound,
+         text_of({{"links", links}, {"changes", changes}, {"requests", requests}, {"waiting", waiting}}) +
+             "; slopes: " +
+             text_of({{"B/s a router link", s.router_per_router},
+                      {"B/s a sidecar link", s.router_per_sidecar},
+                      {"B/s without them", s.router_idle},
+                      {"B a change", s.router_per_change},
+                      {"B a request", s.router_per_request},
+                      {"B/s a waiting account", s.router_per_waiting}})},
+        {"control_traffic_sidecar", sidecar, "B/s", bound, sidecar <= bound,
+         text_of({{"B/s a router link", s.sidecar_per_router},
+                  {"B a change", s.sidecar_per_change},
+                  {"B a request", s.sidecar_per_request}})},
+        {"control_store_watches", store, "calls/s", 2000, store <= 2000,
+         text_of({{"calls/s for one more router", s.store_per_router}})}};
+}
+
+const register_bench control_bench{"control_traffic", run_control};
+
+} // namespace
+
+} // namespace damaskhill::bench
--- a/bench/damaskhill_bench_fleet.cpp
+++ b/bench/damaskhill_bench_fleet.cpp
@@ -381,7 +381,16 @@
         if (!store_.cut.contains(nodes_[i].name)) reply_later(vm_list{store_.vms});
     } else if (const auto* watch = std::get_if<watch_config>(&item)) {
         ++store_.watches;
-        answer_watch(i, generation, watch->after, now_ + 1s);
+        const double lost = store_.faults.lost_requests + store_.faults.lost_replies;
+        if (lost > 0 && random_.next_unit() < lost) {
+            constexpr duration call_limit = 3s; // wait and time-out of the client
+            at(now_ + call_limit, [this, i, generation] {
+                deliver(i, generation, router_input{config_watched{failure_kind::store_timeout, 0, {}, 0}});
+            });
+            return;
+        }
+        at(now_ + delay,
+           [this, i, generation, after = watch->after] { answer_watch(i, generation, after, now_ + 1s); });
     } else if (const auto* read = std::get_if<store_read>(&item)) {
         ++store_.reads;
         if (random_.next_unit() < store_.faults.lost_requests) return;
--- a/core/damaskhill_membership.hpp
+++ b/core/damaskhill_membership.hpp
@@ -31,7 +31,8 @@
 /// One open link.
 struct peer {
     link_id link{};
-    bool greeted{}; // its hello has arrived
+    bool greeted{};     // its hello has arrived
+    std::string dialed; // name that was dialled, empty for an accepted link
     hello identity;
     heartbeat last;
     time_point heard{};             // time of its last message
--- a/core/damaskhill_router_config.cpp
+++ b/core/damaskhill_router_config.cpp
@@ -169,8 +169,10 @@
     const bool differs = !beat.revisions.empty() ? digest_of(beat.revisions) != state.config.digest
                                                  : beat.digest != state.config.digest;
     p.digest_differs = differs ? p.digest_differs + 1 : 0;
-    // A change that is on its way makes one heartbeat differ; only a lasting difference costs a pull.
-    if (p.digest_differs >= 2) pull_config(state, p, out);
+    // A change that is on its way makes one heartbeat differ; a lasting difference costs a pull, and one with
+    // a new neighbour, to whom no change has been passed on so far.
+    const bool new_neighbour = state.now - p.frequent_since <= state.settings.membership.heartbeat_period;
+    if (differs && (p.digest_differs >= 2 || new_neighbour)) pull_config(state, p, out);
 }
 
 //-----------------------------------------------------------------------------
@@ -249,9 +251,12 @@
 
 constexpr std::size_t watchers_per_data_centre = 2;
 constexpr duration watch_retry = 500ms;
+constexpr duration lone_watch_age = 1800ms;    // of the confirmation, after which any router may watch
+constexpr duration lone_watch_spread = 1000ms; // over which the routers begin, and repeat, such watches
 
-// A few routers in each data centre watch the store; the others hear from peers.
-bool is_watcher(const router_state& state) {
+// A few routers in each data centre watch the store; the others hear from peers. When no watcher in reach can
+// read the store, the others try too, so that one router that can is enough.
+bool is_chosen_watcher(const router_state& state) {
     std::vector<std::string> names{state.settings.name};
     for (const auto& [link, p] : state.members.peers) {
         const bool near = p.greeted && p.identity.role == process_role::router &&
@@ -262,6 +267,13 @@
     return std::ranges::find(chosen, state.settings.name) != chosen.end();
 }
 
+bool is_watcher(const router_state& state) {
+    // A share of the spread that is fixed for each name keeps a fleet from calling a failing store at once.
+    const auto share = static_cast<std::int64_t>(stable_hash(state.settings.name) %
+                                                 static_cast<std::uint64_t>(lone_watch_spread.count()));
+    return state.now - state.confirmed_at > lone_watch_age + duration{share} || is_chosen_watcher(state);
+}
+
 // Whether most of the processes that should be heard often have been heard within the silence limit: the
 // sidecars that this router dials, and its neighbours by the platform's list.
 bool hears_most_peers(const router_state& state) {
@@ -299,7 +311,9 @@
 void on_config_watched(router_state& state, const config_watched& watched, effects& out) {
     state.watching = false;
     if (watched.result != failure_kind::none) {
-        state.next_watch = state.now + watch_retry;
+        const auto jitter = duration{static_cast<std::int64_t>(
+            static_cast<double>(lone_watch_spread.count()) * state.random.next_unit())};
+        state.next_watch = state.now + (is_chosen_watcher(state) ? watch_retry : watch_retry + jitter);
         out.emplace_back(count{"store_failures_total", std::string{to_string(watched.result)}, 1});
         return;
     }
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -22,9 +22,19 @@
 
 namespace {
 
+// One ring joins all routers and one those of the own data centre, which must stay joined when the data
+// centre is cut off from the others.
 void find_neighbours(router_state& state) {
+    std::vector<std::string> near{state.settings.name};
+    for (const auto& [link, p] : state.members.peers) {
+        const bool same = p.greeted && p.identity.role == process_role::router &&
+                          p.identity.data_centre == state.settings.data_centre;
+        if (same) near.push_back(p.identity.name);
+    }
+    std::ranges::sort(near);
     state.members.neighbours =
         ring_neighbours(live_routers(state.members, state.settings.name), state.settings.name);
+    state.members.neighbours.merge(ring_neighbours(near, state.settings.name));
 }
 
 } // namespace
@@ -33,6 +43,7 @@
     peer p;
     p.link = opened.link;
     p.heard = state.now;
+    p.dialed = opened.dialed;
     state.members.peers[opened.link] = p;
     if (!opened.dialed.empty()) on_dialed(state.members, opened.dialed, true, state.now, state.random);
     hello greeting;
@@ -50,10 +61,11 @@
     state.members.peers.erase(link);
     find_neighbours(state);
     state.reserved_room.erase(link);
-    const auto target = state.members.targets.find(closed.identity.name);
-    const bool replaced = find_peer_named(state.members, closed.identity.name) != nullptr;
-    if (target != state.members.targets.end() && !replaced) {
-        on_dialed(state.members, closed.identity.name, false, state.now, state.random);
+    // A link that closes before its hello has no identity, but must be dialled again too.
+    const std::string& name = closed.greeted ? closed.identity.name : closed.dialed;
+    const bool replaced = find_peer_named(state.members, name) != nullptr;
+    if (state.members.targets.contains(name) && !replaced) {
+        on_dialed(state.members, name, false, state.now, state.random);
     }
     if (closed.greeted) {
         out.emplace_back(count{"links_closed_total", std::string{to_string(closed.identity.role)}, 1});
--- a/programs/damaskhillctl.cpp
+++ b/programs/damaskhillctl.cpp
@@ -236,7 +236,7 @@
         std::int64_t minutes = 0;
         const char* end = text.data() + text.size();
         const auto read = std::from_chars(text.data() + 1, end, minutes);
-        constexpr std::int64_t longest = 60 * 24 * 365;
+        constexpr std::int64_t longest = std::chrono::minutes{std::chrono::hours{24 * 365}}.count();
         if (read.ec == std::errc{} && read.ptr == end && minutes >= 0 && minutes <= longest) {
             return (wall_clock() + std::chrono::minutes{minutes}).time_since_epoch().count();
         }
