--- a/bench/damaskhill_bench_control.cpp
+++ b/bench/damaskhill_bench_control.cpp
@@ -149,19 +149,21 @@
     static constexpr double sidecar_requests = 27'000.0 / 2000;   // a second and sidecar
     static constexpr double waiting_accounts = 30;                // of a router
     static constexpr double data_centres = 8;
+    static constexpr double accounts_per_team = 110; // 22,000 accounts in 200 teams
 };
 
 struct slopes {
-    double router_idle{};         // B/s of a router with one sidecar link and no other router
-    double router_per_router{};   // B/s for one more router, beyond the ring's growth
-    double router_per_sidecar{};  // B/s for one more sidecar link
-    double router_per_change{};   // B for one change
-    double router_per_request{};  // B for one request
-    double router_per_waiting{};  // B/s for one more waiting account
-    double sidecar_per_router{};  // B/s for one more router link
-    double sidecar_per_change{};  // B for one change of its pool
-    double sidecar_per_request{}; // B for one request that it runs
-    double store_per_router{};    // calls/s for one more router
+    double router_idle{};                // B/s of a router with one sidecar link and no other router
+    double router_per_router{};          // B/s for one more router, beyond the ring's growth
+    double router_per_sidecar{};         // B/s for one more sidecar link
+    double router_per_change{};          // B for one change
+    double router_per_changed_account{}; // B for one change, for one more account in the team
+    double router_per_request{};         // B for one request
+    double router_per_waiting{};         // B/s for one more waiting account
+    double sidecar_per_router{};         // B/s for one more router link
+    double sidecar_per_change{};         // B for one change of its pool
+    double sidecar_per_request{};        // B for one request that it runs
+    double store_per_router{};           // calls/s for one more router
 };
 
 double per(double more, double less, double step) { return (more - less) / step; }
@@ -180,6 +182,9 @@
     s.sidecar_per_router = per(more.sidecar, many.sidecar, 24);
     const traffic changed = measure({.routers = 36, .replicas = 2, .changes = 2}, seed);
     s.router_per_change = per(changed.router, many.router, 2);
+    constexpr double more_accounts = 64 - 16;
+    const traffic large = measure({.routers = 36, .replicas = 2, .accounts = 64, .changes = 2}, seed);
+    s.router_per_changed_account = per(large.router, changed.router, 2 * more_accounts);
     const traffic pool_changed =
         measure({.routers = 36, .replicas = 2, .changes = 2, .pool_changes = true}, seed);
     s.sidecar_per_change = per(pool_changed.sidecar, many.sidecar, 2);
@@ -218,9 +223,12 @@
     using future = two_years;
     const double links = s.router_idle + s.router_per_router * (future::routers - 1) +
                          s.router_per_sidecar * future::sidecar_links;
-    const double changes = s.router_per_change * future::changes;
+    const double change =
+        s.router_per_change + s.router_per_changed_account * (future::accounts_per_team - 16);
+    const double changes = change * future::changes;
     const double requests = s.router_per_request * future::router_requests;
-    const double waiting = s.router_per_waiting * future::waiting_accounts;
+    // Below zero when fewer accounts make the same requests change the same rows more often.
+    const double waiting = std::max(0.0, s.router_per_waiting) * future::waiting_accounts;
     const double router = links + changes + requests + waiting;
     const double sidecar = s.sidecar_per_router * future::router_links +
                            s.sidecar_per_change * future::changes +
@@ -243,6 +251,7 @@
                       {"B/s a sidecar link", s.router_per_sidecar},
                       {"B/s without them", s.router_idle},
                       {"B a change", s.router_per_change},
+                      {"B a change and account", s.router_per_changed_account},
                       {"B a request", s.router_per_request},
                       {"B/s a waiting account", s.router_per_waiting}})},
         {"control_traffic_sidecar", sidecar, "B/s", bound, sidecar <= bound,
