Answer orders that arrive at the end of a planned stop; refuse before declarations are known

An order that arrives after the last request has ended needs a write to its record before it can be refused as not_run, which takes longer than the 200 ms that the process still lives. Such an order is now refused at once with run state unknown, and the listening socket closes when the stop is complete.

--- a/backends/damaskhill_impl_restinio.cpp
+++ b/backends/damaskhill_impl_restinio.cpp
@@ -137,7 +137,9 @@
 http_server::http_server(event_loop& loop, http_server_settings settings)
     : impl_(std::make_unique<implementation>(loop, settings)) {}
 
-http_server::~http_server() {
+http_server::~http_server() { stop_accepting(); }
+
+void http_server::stop_accepting() {
     if (impl_->running) impl_->running->close_async([] {}, [](const std::exception_ptr&) {});
 }
 
--- a/backends/damaskhill_impl_restinio.hpp
+++ b/backends/damaskhill_impl_restinio.hpp
@@ -69,6 +69,8 @@
     /// Serves "IP:port" on the loop. Writes network when the address cannot be used.
     [[nodiscard]] std::optional<bool> listen(std::string_view address, handler on_request,
                                              closed_handler on_closed, failure& why);
+    /// Refuses new connections; open ones are served on.
+    void stop_accepting();
 
 private:
     struct implementation;
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -180,6 +180,11 @@
         refuse_caller(input.caller, input.request, kind, run, std::move(detail), out);
         return std::nullopt;
     };
+    if (state.config.teams.empty()) {
+        // A router that has just started knows no key. The request may repeat an order that has run.
+        const run_state run = input.idempotency_key.empty() ? run_state::not_run : run_state::unknown;
+        return refuse_with(failure_kind::isolated, run, "no declarations are known yet");
+    }
     result.account = find_account(state.config, input.key_hash);
     if (result.account == nullptr) {
         return refuse_with(failure_kind::unauthorized, run_state::not_run, "Authorization: Bearer <key>");
@@ -266,6 +271,11 @@
         refuse_caller(input.caller, r->id, reason, run_state::not_run, {}, out);
         return;
     }
+    if (state.exited && r->order) {
+        // A definite refusal takes a write to the order record, for which the process does not live long enough.
+        refuse_caller(input.caller, r->id, failure_kind::draining, run_state::unknown, {}, out);
+        return;
+    }
     state.requests.emplace(r->id, r);
     state.by_caller.emplace(input.caller, r->id);
     state.deadlines.emplace(r->deadline, r->id);
--- a/programs/damaskhill_router.cpp
+++ b/programs/damaskhill_router.cpp
@@ -28,8 +28,11 @@
     event_loop& loop;
     caller_frontend& frontend;
     router_platform& platform;
+    http_server& server;
 
     void operator()(const exit_process& /*unused*/) const {
+        // A connection that is accepted now might be cut by the end of the process.
+        server.stop_accepting();
         loop.after(200ms, [this_loop = &loop] { this_loop->stop(); }); // lets the last replies leave
     }
     template <class Effect>
@@ -78,8 +81,9 @@
     router_platform platform{store, submit};
     caller_frontend frontend{submit};
     router.set_transport(&links);
-    router.set_handler([&](effect&& item) { std::visit(effect_performer{loop, frontend, platform}, item); });
     http_server server{loop, {}};
+    router.set_handler(
+        [&](effect&& item) { std::visit(effect_performer{loop, frontend, platform, server}, item); });
     failure why;
     const auto on_request = [&](http_request&& request, http_reply_ptr reply) {
         if (!answer_operations(request, reply, state, metrics)) {
