--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,7 +5,7 @@
 #   fleet_start_all               starts everything and waits until every router is ready
 #   fleet_start NAME              starts one process; fleet_signal NAME SIGNAL; fleet_wait_gone NAME
 #   fleet_stop_all                ends what was started here, by process id
-#   fleet_apply                   applies the declarations in DIR/teams
+#   fleet_apply                   applies the declarations in DIR/teams; ctl TEAM COMMAND... runs damaskhillctl
 #
 # Names of processes: store, router-{a,b,c}, engine-{1..12}, sidecar-{1..12} (in front of an engine),
 # app-{1..3}, appcar-{1..3} (sidecar in front of an app). The last letter of a data centre is given by the number.
@@ -26,24 +26,24 @@
   local z vms=()
   for z in "${!zones[@]}"; do
     fleet_router_settings "${zones[z]}" "$z"
-    vms+=("$(fleet_vm "router-${zones[z]}" $((base + 10 + z)) router "$z" "")")
+    vms+=("$(fleet_vm "router-${zones[z]}" $((base + 10 + z)) router "$z" "" $((base + 1 + z)))")
   done
   for ((i = 1; i <= engines; i++)); do
     fleet_sidecar_settings "sidecar-$i" "$i" 30 "$model" model_engine
-    vms+=("$(fleet_vm "sidecar-$i" $((base + 30 + i)) sidecar $((i % 3)) "$model")")
+    vms+=("$(fleet_vm "sidecar-$i" $((base + 30 + i)) sidecar $((i % 3)) "$model" $((base + 50 + i)))")
   done
   for ((i = 1; i <= apps; i++)); do
     fleet_sidecar_settings "appcar-$i" "$i" 130 "$service" service
-    vms+=("$(fleet_vm "appcar-$i" $((base + 130 + i)) sidecar $((i % 3)) "$service")")
+    vms+=("$(fleet_vm "appcar-$i" $((base + 130 + i)) sidecar $((i % 3)) "$service" $((base + 140 + i)))")
   done
   vm_lines=("${vms[@]}")
   routers=http://127.0.0.1:$((base + 1)),http://127.0.0.1:$((base + 2)),http://127.0.0.1:$((base + 3))
   run_logs=$dir/runs-1.log,$dir/runs-2.log,$dir/runs-3.log
 }
 
-fleet_vm() { # name, link port, role, number of the data centre, pool, "true" when leaving
-  printf '{"name":"%s","address":"127.0.0.1:%s","role":"%s","data_centre":"%s-%s","pool":"%s","leaving":%s}' \
-    "$1" "$2" "$3" "$region" "${zones[$(($4 % ${#zones[@]}))]}" "$5" "${6:-false}"
+fleet_vm() { # name, link port, role, number of the data centre, pool, HTTP port
+  printf '{"name":"%s","address":"127.0.0.1:%s","role":"%s","data_centre":"%s-%s","pool":"%s","http":"127.0.0.1:%s"}' \
+    "$1" "$2" "$3" "$region" "${zones[$(($4 % ${#zones[@]}))]}" "$5" "$6"
 }
 
 fleet_router_settings() { # letter, number
@@ -128,11 +128,13 @@
   curl -sf -m 2 -o /dev/null -X PUT -d "{\"vms\":[$joined]}" "$store_url/v1/vms"
 }
 
+ctl() { # team, command and arguments
+  "$bin/damaskhillctl" --store "$store_url" --team "$1" --root "$dir" "${@:2}" >>"$dir/log/ctl.log" 2>&1
+}
+
 fleet_apply() {
   local team
-  for team in $teams; do
-    "$bin/damaskhillctl" --store "$store_url" --team "$team" --root "$dir" apply >>"$dir/log/ctl.log" 2>&1 || return 1
-  done
+  for team in $teams; do ctl "$team" apply || return 1; done
 }
 
 fleet_start_all() {
