Refuse service paths that have a second spelling; test refusals, bounds and damaged requests

Order routes are compared as text: /services/app//orders or %6frders passed as a call that may be repeated, while a service that normalises paths takes it for the order route. Paths with empty or dot segments and with needless escapes are now refused as malformed_request before any work. The tests cover type, status, run state and Retry-After of each refusal, the bounds of headers and bodies, and altered and truncated requests.

--- a/backends/damaskhill_impl_frontend.cpp
+++ b/backends/damaskhill_impl_frontend.cpp
@@ -9,6 +9,8 @@
 #include "damaskhill_impl_json.hpp"
 
 #include <array>
+#include <cctype>
+#include <charconv>
 
 #include <openssl/evp.h>
 
@@ -38,6 +40,36 @@
     return false;
 }
 
+// Value of a percent-encoded byte at the start of the text, or nothing when it is not one.
+std::optional<char> percent_byte(std::string_view text) {
+    constexpr std::size_t length = 3;
+    if (text.size() < length) return std::nullopt;
+    unsigned int value = 0;
+    const auto end = std::from_chars(text.data() + 1, text.data() + length, value, 16);
+    if (end.ec != std::errc{} || end.ptr != text.data() + length) return std::nullopt;
+    return static_cast<char>(value);
+}
+
+// Whether the path has no other spelling that a service may take for the same: no empty, "." or ".." segment,
+// and no escape of "/" or of a character that needs none (RFC 3986, section 6.2.2). Order routes are compared
+// as text, so that another spelling would pass as a call that may be repeated.
+bool has_one_spelling(std::string_view path) {
+    path = path.substr(0, path.find('?'));
+    for (std::size_t at = path.find('%'); at != std::string_view::npos; at = path.find('%', at + 1)) {
+        const auto byte = percent_byte(path.substr(at));
+        if (!byte) return false;
+        const bool plain = std::isalnum(static_cast<unsigned char>(*byte)) != 0;
+        if (plain || std::string_view{"-._~/"}.find(*byte) != std::string_view::npos) return false;
+    }
+    while (!path.empty()) {
+        path.remove_prefix(1); // the slash before the segment
+        const std::string_view segment = path.substr(0, path.find('/'));
+        path.remove_prefix(segment.size());
+        if (segment == "." || segment == ".." || (segment.empty() && !path.empty())) return false;
+    }
+    return true;
+}
+
 bool decode_route(const http_request& from, caller_request& to, failure& why) {
     constexpr std::string_view services = "/services/";
     constexpr std::string_view answers = "/v1/answers/";
@@ -62,7 +94,9 @@
         to.route = caller_route::service;
         to.pool = rest.substr(0, slash);
         to.path = slash == std::string_view::npos ? "/" : std::string{rest.substr(slash)};
-        return true;
+        if (has_one_spelling(to.path)) return true;
+        return fail(why, failure_kind::malformed_request, "path",
+                    "no empty, \".\" or \"..\" segments and no needless escapes");
     }
     return fail(why, failure_kind::not_found, from.target,
                 "/v1/completions, /v1/chat/completions, /v1/answers/<id> or /services/<pool>/<path>");
--- /dev/null
+++ b/tests/test_frontend.cpp
@@ -0,0 +1,197 @@
+// Callers' HTTP interface: bounds, refusals, and damaged requests.
+
+#include "damaskhill_impl_frontend.hpp"
+#include "damaskhill_impl_json.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <set>
+
+using namespace damaskhill;
+
+BOOST_AUTO_TEST_SUITE(frontend)
+
+namespace {
+
+struct reply_log {
+    std::uint32_t status{};
+    http_headers headers;
+    std::string body;
+    int ends{};
+};
+
+class fake_reply final : public http_reply {
+public:
+    explicit fake_reply(reply_log& log) : log_(log) {}
+    void whole(std::uint32_t status, const http_headers& headers, std::string body) override {
+        log_.status = status;
+        log_.headers = headers;
+        log_.body = std::move(body);
+        ++log_.ends;
+    }
+    void begin(std::uint32_t status, const http_headers& headers) override {
+        log_.status = status;
+        log_.headers = headers;
+    }
+    void chunk(std::string data) override { log_.body += data; }
+    void end() override { ++log_.ends; }
+    void abort() override { ++log_.ends; }
+
+private:
+    reply_log& log_;
+};
+
+http_request completion() {
+    http_request request;
+    request.connection = 1;
+    request.method = "POST";
+    request.target = "/v1/completions";
+    request.headers = {{"Authorization", "Bearer key"}, {"X-Request-Timeout-Ms", "500"}};
+    request.body = R"({"model":"m","prompt":"hello","max_tokens":4,"stream":true})";
+    return request;
+}
+
+failure_kind refused(const http_request& request) {
+    failure why;
+    return decode_caller_request(request, why) ? failure_kind::none : why.kind;
+}
+
+// Refusals that the router gives to callers, with the status that the interface promises.
+const std::map<failure_kind, std::uint32_t>& callers_refusals() {
+    using k = failure_kind;
+    static const std::map<failure_kind, std::uint32_t> statuses{{k::unauthorized, 401},
+                                                                {k::malformed_request, 400},
+                                                                {k::header_too_large, 431},
+                                                                {k::body_too_large, 413},
+                                                                {k::not_found, 404},
+                                                                {k::unknown_pool, 404},
+                                                                {k::queue_full, 429},
+                                                                {k::deadline_exceeded, 504},
+                                                                {k::isolated, 503},
+                                                                {k::draining, 503},
+                                                                {k::key_required, 400},
+                                                                {k::malformed_key, 400},
+                                                                {k::key_expired, 410},
+                                                                {k::key_reused, 422},
+                                                                {k::order_store_unavailable, 503},
+                                                                {k::order_outcome_unknown, 503},
+                                                                {k::quarantined, 422},
+                                                                {k::target_failed, 502},
+                                                                {k::retry_budget_exhausted, 503},
+                                                                {k::answer_expired, 404},
+                                                                {k::answer_incomplete, 502}};
+    return statuses;
+}
+
+} // namespace
+
+// Guards against a refusal without a type, status or run state, or without Retry-After where waiting helps.
+BOOST_AUTO_TEST_CASE(every_refusal_is_a_typed_problem) {
+    std::set<std::string> types;
+    for (const auto& [kind, status] : callers_refusals()) {
+        for (const run_state state : {run_state::not_run, run_state::unknown}) {
+            reply_log log;
+            caller_id caller = 0;
+            caller_frontend front{
+                [&](router_input&& input) { caller = std::get<caller_request>(input).caller; }};
+            front.on_request(completion(), std::make_shared<fake_reply>(log));
+            front.perform(refuse{caller, {1, 2}, kind, state, 3, "detail"});
+            const json problem = json::parse(log.body);
+            BOOST_TEST(log.status == status);
+            BOOST_TEST(log.ends == 1);
+            BOOST_TEST(find_header(log.headers, "Content-Type") == "application/problem+json");
+            BOOST_TEST(find_header(log.headers, "Retry-After") == "3");
+            BOOST_TEST(problem.at("status") == status);
+            BOOST_TEST(problem.at("run_state") == to_string(state));
+            BOOST_TEST(!problem.at("title").get<std::string>().empty());
+            types.insert(problem.at("type").get<std::string>());
+        }
+    }
+    BOOST_TEST(types.size() == callers_refusals().size());
+}
+
+// Guards against a request beyond a bound being accepted, and one at the bound being refused.
+BOOST_AUTO_TEST_CASE(bounds_of_headers_and_body) {
+    http_request request = completion();
+    std::size_t used = 0;
+    for (const auto& [name, value] : request.headers)
+        used += name.size() + value.size();
+    request.headers.emplace_back("X", std::string(caller_header_limit - used - 1, 'a'));
+    BOOST_TEST((refused(request) == failure_kind::none));
+    request.headers.back().second += 'a';
+    BOOST_TEST((refused(request) == failure_kind::header_too_large));
+
+    request = completion();
+    request.target = "/services/app/orders";
+    request.body = std::string(caller_body_limit, 'a');
+    BOOST_TEST((refused(request) == failure_kind::none));
+    request.body += 'a';
+    BOOST_TEST((refused(request) == failure_kind::body_too_large));
+}
+
+// Guards against a refused request that never gets its reply, or gets it as if it had reached the router.
+BOOST_AUTO_TEST_CASE(malformed_request_reaches_the_router_as_such) {
+    reply_log log;
+    std::optional<caller_malformed> seen;
+    caller_frontend front{[&](router_input&& input) { seen = std::get<caller_malformed>(input); }};
+    http_request request = completion();
+    request.body.pop_back();
+    front.on_request(std::move(request), std::make_shared<fake_reply>(log));
+    BOOST_REQUIRE(seen);
+    BOOST_TEST((seen->kind == failure_kind::malformed_request));
+}
+
+// Guards against an order that is not recognised because its path is spelt in another way that the service
+// takes for the same.
+BOOST_AUTO_TEST_CASE(paths_of_services_have_one_spelling) {
+    http_request request = completion();
+    for (const char* path : {"/services/app//orders", "/services/app/./orders", "/services/app/x/../orders",
+                             "/services/app/%6frders", "/services/app/%2e/orders", "/services/app/a/..",
+                             "/services/app/orders%2F1", "/services/app/%zz", "/services/app/%4"}) {
+        request.target = path;
+        BOOST_TEST((refused(request) == failure_kind::malformed_request), path);
+    }
+    for (const char* path : {"/services/app/orders", "/services/app/orders/", "/services/app/stock/a%20b.1",
+                             "/services/app/stock?next=//x/../%6f", "/services/app"}) {
+        request.target = path;
+        BOOST_TEST((refused(request) == failure_kind::none), path);
+    }
+}
+
+// Guards against a broken stream that looks like a whole one.
+BOOST_AUTO_TEST_CASE(broken_stream_ends_with_an_error_event) {
+    for (const failure_kind reason : {failure_kind::none, failure_kind::answer_incomplete}) {
+        reply_log log;
+        caller_id caller = 0;
+        caller_frontend front{[&](router_input&& input) { caller = std::get<caller_request>(input).caller; }};
+        front.on_request(completion(), std::make_shared<fake_reply>(log));
+        front.perform(stream_begin{caller, {1, 2}});
+        front.perform(stream_data{caller, "text"});
+        front.perform(stream_end{caller, reason});
+        BOOST_TEST((log.body.find("[DONE]") != std::string::npos) == (reason == failure_kind::none));
+        BOOST_TEST((log.body.find("answer_incomplete") != std::string::npos) ==
+                   (reason != failure_kind::none));
+        BOOST_TEST(log.ends == 1);
+    }
+}
+
+// Guards against a crash or an untyped failure: altered and truncated requests decode to a value or a refusal
+// that callers know.
+RC_BOOST_PROP(damaged_request_is_decoded_or_refused,
+              (const std::vector<std::pair<std::uint16_t, char>>& changes, std::uint16_t cut,
+               std::uint8_t part)) {
+    http_request request = completion();
+    if (part % 5 == 4) request.target = "/services/app/orders?a=b";
+    std::string* const texts[] = {&request.method, &request.target, &request.headers[1].second, &request.body,
+                                  &request.target};
+    std::string& text = *texts[part % 5];
+    for (const auto& [at, value] : changes)
+        text[at % text.size()] = value;
+    text.resize(text.size() - cut % text.size());
+    failure why;
+    const auto decoded = decode_caller_request(request, why);
+    RC_ASSERT(decoded.has_value() || callers_refusals().contains(why.kind));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
