--- a/backends/damaskhill_impl_recording.cpp
+++ b/backends/damaskhill_impl_recording.cpp
@@ -80,10 +80,10 @@
 
 // In the order of the alternatives of peer_message and effect.
 constexpr std::array message_names{
-    "hello",       "heartbeat",      "reserve",       "pull",        "pull_empty", "assign",
-    "chunk",       "finish",         "cancel",        "seal",        "seal_reply", "claim",
-    "claim_reply", "service_report", "service_total", "evidence",    "facts",      "config_push",
-    "config_pull", "answer_put",     "answer_get",    "answer_value"};
+    "hello",       "heartbeat",      "reserve",       "pull",         "pull_empty", "assign",
+    "chunk",       "finish",         "cancel",        "seal",         "seal_reply", "claim",
+    "claim_reply", "service_report", "service_total", "evidence",     "facts",      "config_push",
+    "config_pull", "answer_put",     "answer_get",    "answer_value", "load_order"};
 constexpr std::array effect_names{"answer_whole", "stream_begin", "stream_data", "stream_end",   "refuse",
                                   "send_message", "dial",         "close_link",  "store_read",   "store_swap",
                                   "watch_config", "store_facts",  "list_vms",    "exit_process", "start_call",
