Share service between accounts across the fleet

Cause: routers knew their own charges only, so an account that came through several routers was served several times, and streams were charged by an estimate that could be off by four times.

Routers report a grow-only total and a decayed sum to the account's aggregation router every 500 ms and get the fleet total back for waiting accounts. The newest report of an incarnation counts, so lost, repeated and reordered reports do no harm. Streams are charged as they run. Sidecars order by fleet total, recent local charges and an offset that starts returning accounts at the floor, bridges totals that fall with lost memory, and lets an account that nobody served for 2 s repay no more than 2 s.

--- a/backends/damaskhill_impl_target.cpp
+++ b/backends/damaskhill_impl_target.cpp
@@ -49,7 +49,7 @@
         if (engine && status == 200) {
             on_engine_data(attempt, status, std::move(data));
         } else if (status != 429 && status != 503) {
-            submit_(call_chunk{attempt, std::move(data)});
+            submit_(call_chunk{attempt, std::move(data), 0});
         }
     };
     handlers.on_done = [this, attempt](http_result&& result) { on_done(attempt, std::move(result)); };
@@ -120,7 +120,7 @@
         std::string text = choice.contains("delta") ? choice["delta"].value("content", std::string{})
                                                     : choice.value("text", std::string{});
         ++call.tokens;
-        submit_(call_chunk{attempt, std::move(text)});
+        submit_(call_chunk{attempt, std::move(text), 1});
     } catch (const json::exception&) {
         call.ended = false;
     }
--- a/bench/damaskhill_bench_fleet.cpp
+++ b/bench/damaskhill_bench_fleet.cpp
@@ -493,7 +493,8 @@
     done.status = status;
     done.content_type =
         target.settings.kind == target_kind::model_engine ? "text/event-stream" : "application/json";
-    done.tokens = static_cast<std::uint32_t>(found->second.done);
+    done.tokens = static_cast<std::uint32_t>(found->second.done) -
+                  static_cast<std::uint32_t>(found->second.call.resume_offset);
     target.calls.erase(found);
     deliver(i, nodes_[i].generation, sidecar_input{done});
 }
@@ -518,15 +519,16 @@
             finish_target_call(i, attempt, false, 0);
             return;
         }
-        deliver(i, nodes_[i].generation, sidecar_input{call_chunk{attempt, "done " + order}});
+        deliver(i, nodes_[i].generation, sidecar_input{call_chunk{attempt, "done " + order, 0}});
         finish_target_call(i, attempt, true, 200);
         return;
     }
     const auto whole = static_cast<std::uint64_t>(call.done);
     if (whole > call.sent) {
         const std::string text = expected_text(call.call.body, whole).substr(call.sent);
+        const auto tokens = static_cast<std::uint32_t>(whole - call.sent);
         call.sent = whole;
-        deliver(i, nodes_[i].generation, sidecar_input{call_chunk{attempt, text}});
+        deliver(i, nodes_[i].generation, sidecar_input{call_chunk{attempt, text, tokens}});
     }
     if (call.done >= call.work) finish_target_call(i, attempt, true, 200);
 }
--- /dev/null
+++ b/bench/damaskhill_bench_load.cpp
@@ -0,0 +1,93 @@
+// Index of this file:
+// [SECTION] Load
+// [SECTION] Gap between accounts
+
+#include "damaskhill_bench_load.hpp"
+
+#include <algorithm>
+
+namespace damaskhill::bench {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load
+//-----------------------------------------------------------------------------
+
+std::string name_of_account(std::size_t i) { return "t/" + std::to_string(i); }
+
+std::string key_of_account(std::size_t i) { return format_hex128(0, i) + format_hex128(0, i); }
+
+team_declarations sample_accounts(std::span<const double> shares, std::uint32_t cold_limit,
+                                  std::uint32_t warm_limit) {
+    team_declarations team;
+    team.team = "t";
+    for (std::size_t i = 0; i < shares.size(); ++i)
+        team.accounts.push_back({name_of_account(i), shares[i], {key_of_account(i)}, 256});
+    pool_declaration pool;
+    pool.name = "lm";
+    pool.cold_limit = cold_limit;
+    pool.warm_limit = warm_limit;
+    team.pools.push_back(pool);
+    return team;
+}
+
+caller_request model_request(std::size_t account, std::uint64_t tokens, std::uint32_t max_tokens,
+                             request_class cls, std::uint64_t number) {
+    caller_request r;
+    r.pool = "lm";
+    r.method = "POST";
+    r.path = "/v1/completions";
+    r.key_hash = key_of_account(account);
+    r.body = "n=" + std::to_string(number) + " tokens=" + std::to_string(tokens) + " ";
+    r.max_tokens = max_tokens;
+    r.cls = cls;
+    r.stream = true;
+    r.timeout_ms = 600'000;
+    return r;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Gap between accounts
+//-----------------------------------------------------------------------------
+
+gap_meter::gap_meter(std::vector<double> shares)
+    : shares_(std::move(shares)), pairs_(shares_.size() * shares_.size()) {}
+
+void gap_meter::sample(std::span<const double> service, const std::vector<bool>& waiting) {
+    const std::size_t accounts = shares_.size();
+    for (std::size_t a = 0; a < accounts; ++a) {
+        for (std::size_t b = a + 1; b < accounts; ++b) {
+            range& pair = pairs_[a * accounts + b];
+            if (!waiting[a] || !waiting[b]) {
+                pair.open = false;
+                continue;
+            }
+            const double difference = service[a] / shares_[a] - service[b] / shares_[b];
+            if (!pair.open) pair = {true, difference, difference};
+            pair.low = std::min(pair.low, difference);
+            pair.high = std::max(pair.high, difference);
+            const double factor = 1.0 / shares_[a] + 1.0 / shares_[b];
+            largest_ = std::max(largest_, (pair.high - pair.low) / factor);
+        }
+    }
+}
+
+void gap_meter::restart() {
+    for (range& pair : pairs_)
+        pair.open = false;
+}
+
+std::vector<bool> waiting_accounts(fleet& f, std::size_t accounts) {
+    std::set<account_id> waiting;
+    for (std::size_t i = 0; i < f.router_count(); ++i) {
+        if (!f.router(i).up) continue;
+        for (const auto& [key, queue] : f.router(i).router->queues) {
+            if (!queue.empty()) waiting.insert(key.account);
+        }
+    }
+    std::vector<bool> result(accounts);
+    for (std::size_t i = 0; i < accounts; ++i)
+        result[i] = waiting.contains(account_id_of(name_of_account(i)));
+    return result;
+}
+
+} // namespace damaskhill::bench
--- /dev/null
+++ b/bench/damaskhill_bench_load.hpp
@@ -0,0 +1,58 @@
+// Shared parts of the benches on sharing capacity: accounts, requests, and the measured gap between accounts.
+//
+// Index of this file:
+// [SECTION] Load
+// [SECTION] Gap between accounts
+
+#pragma once
+
+#include "damaskhill_bench_fleet.hpp"
+
+namespace damaskhill::bench {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load
+//-----------------------------------------------------------------------------
+
+/// Key hash of account number i, as declared by sample_accounts.
+[[nodiscard]] std::string key_of_account(std::size_t i);
+/// Name of account number i.
+[[nodiscard]] std::string name_of_account(std::size_t i);
+/// A team "t" with one model pool "lm" and an account for each share.
+[[nodiscard]] team_declarations sample_accounts(std::span<const double> shares, std::uint32_t cold_limit,
+                                                std::uint32_t warm_limit);
+/// A request of an account for a number of tokens; the hint is max_tokens.
+[[nodiscard]] caller_request model_request(std::size_t account, std::uint64_t tokens,
+                                           std::uint32_t max_tokens, request_class cls, std::uint64_t number);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Gap between accounts
+//-----------------------------------------------------------------------------
+
+/// Largest gap between any two accounts, in units of service. The gap of accounts a and b is the largest
+/// change of service(a)/share(a) - service(b)/share(b) over any interval in which both wait without a break,
+/// divided by 1/share(a) + 1/share(b), the factor by which design 6.1 bounds it.
+class gap_meter {
+public:
+    explicit gap_meter(std::vector<double> shares);
+    /// Takes a sample: service of each account since the start, and which accounts wait now.
+    void sample(std::span<const double> service, const std::vector<bool>& waiting);
+    /// Ends all intervals.
+    void restart();
+    [[nodiscard]] double largest() const { return largest_; }
+
+private:
+    struct range {
+        bool open{};
+        double low{};
+        double high{};
+    };
+    std::vector<double> shares_;
+    std::vector<range> pairs_;
+    double largest_{};
+};
+
+/// Accounts with a request in a queue of any router, by account number.
+[[nodiscard]] std::vector<bool> waiting_accounts(fleet& f, std::size_t accounts);
+
+} // namespace damaskhill::bench
--- a/core/damaskhill_events.hpp
+++ b/core/damaskhill_events.hpp
@@ -200,8 +200,10 @@
 struct call_chunk {
     attempt_id attempt;
     std::string data;
+    std::uint32_t tokens{}; // model engines: generated tokens in the data
     static constexpr auto fields() {
-        return std::tuple{field{1, "attempt", &call_chunk::attempt}, field{2, "data", &call_chunk::data}};
+        return std::tuple{field{1, "attempt", &call_chunk::attempt}, field{2, "data", &call_chunk::data},
+                          field{3, "tokens", &call_chunk::tokens}};
     }
 };
 
--- a/core/damaskhill_fairness.hpp
+++ b/core/damaskhill_fairness.hpp
@@ -1,7 +1,9 @@
-// Fair service between client accounts: grow-only service counters and the order of service.
+// Fair service between client accounts: service counters across the fleet and the order of service.
 //
 // Index of this file:
+// [SECTION] Decaying sums
 // [SECTION] Service ledger (routers)
+// [SECTION] Aggregation (routers)
 // [SECTION] Order of service (sidecars)
 
 #pragma once
@@ -15,96 +17,202 @@
 
 namespace damaskhill {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Decaying sums
+//-----------------------------------------------------------------------------
+
+/// Sum of service units that halves with each half-life.
+struct decaying_sum {
+    double value{}; // at the time `at`
+    time_point at{};
+};
+
+/// Value now, units.
+[[nodiscard]] double value_at(const decaying_sum& sum, time_point now, duration half_life);
+/// Adds units (may be negative); the sum never falls below zero.
+void add_to(decaying_sum& sum, double units, time_point now, duration half_life);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Service ledger (routers)
 //-----------------------------------------------------------------------------
 
 struct ledger_settings {
-    duration half_life{60s}; // of all totals, so that lost memory costs a bounded amount
+    duration half_life{60s}; // of all sums, so that lost memory costs a bounded amount
     duration report_period{500ms};
+    std::size_t rows_per_report{1000}; // in one period; the rest waits for the next one
 };
 
+/// Account and pool.
+using service_key = std::pair<account_id, std::string>;
+
 /// Service of accounts in pools: what this router incarnation has charged, and what it knows of the others.
 struct service_ledger {
-    using key = std::pair<account_id, std::string>;
     struct entry {
-        double own{};       // charged by this incarnation; grows only
-        double reported{};  // last value of own that was sent
-        double others{};    // sum over other incarnations as last heard
-        time_point heard{}; // time of others
+        double own{};         // sum of the sizes of all charges and corrections here; grows only
+        decaying_sum recent;  // net charges here
+        decaying_sum others;  // recent service through other incarnations, from the aggregation router
+        time_point heard{};   // when `others` was heard; zero: never
+        time_point charged{}; // last charge that was no correction
+        std::string reporter; // aggregation router as of `epoch`
+        std::uint64_t epoch{};
+    };
+    std::map<service_key, entry> entries;
+    std::set<service_key> changed; // since they were last reported
+    std::uint64_t epoch{1};        // changes with the set of live routers
+};
+
+/// Charges units (negative: a correction) and marks the entry for the next report.
+void charge(service_ledger& ledger, const ledger_settings& settings, account_id account,
+            std::string_view pool, double units, time_point now);
+/// Recent service across the fleet as known here, units.
+[[nodiscard]] double fleet_service(const service_ledger& ledger, const ledger_settings& settings,
+                                   account_id account, std::string_view pool, time_point now);
+/// Age of the newest total from the aggregation router; the largest value if none was heard.
+[[nodiscard]] duration total_age(const service_ledger& ledger, account_id account, std::string_view pool,
+                                 time_point now);
+/// Time since this router last charged the account; at most a day.
+[[nodiscard]] duration unserved_time(const service_ledger& ledger, account_id account, std::string_view pool,
+                                     time_point now);
+/// Takes a row of a service_total.
+void accept_total(service_ledger& ledger, const service_row& row, time_point now);
+/// Row for a report; waiting is the caller's.
+[[nodiscard]] service_row report_row(const service_ledger& ledger, const ledger_settings& settings,
+                                     const service_key& key, time_point now);
+/// The set of live routers has changed: everything is reported anew, since the new aggregation router of an
+/// account knows nothing of it.
+void start_epoch(service_ledger& ledger);
+/// Drops entries whose sums have decayed to nothing.
+void expire(service_ledger& ledger, const ledger_settings& settings, time_point now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Aggregation (routers)
+//-----------------------------------------------------------------------------
+
+/// Recent service of accounts over all router incarnations, at the accounts' aggregation router.
+/// Reports may be lost, repeated or reordered: of each incarnation the report with the largest grow-only
+/// total counts, and it replaces the earlier one.
+struct service_totals {
+    struct report {
+        double own{}; // grow-only total
+        decaying_sum recent;
+    };
+    struct entry {
+        std::map<incarnation_id, report> reports;
+        decaying_sum sum; // of all reports, and of the incarnations that were folded
     };
-    std::map<key, entry> entries;
+    std::map<service_key, entry> entries;
 };
 
-/// Charges units (may be negative for a correction; the total never falls below zero).
-void charge(service_ledger& ledger, account_id account, std::string_view pool, double units);
-/// Service across the fleet as known here, units.
-[[nodiscard]] double fleet_service(const service_ledger& ledger, account_id account, std::string_view pool);
+/// Merges one row of a report.
+void merge_report(service_totals& totals, const ledger_settings& settings, incarnation_id owner,
+                  const service_row& row, time_point now);
+/// Recent service over the fleet, units.
+[[nodiscard]] double total_service(const service_totals& totals, const ledger_settings& settings,
+                                   const service_key& key, time_point now);
+/// Folds incarnations into the sum that have not been heard for ten half-lives, and drops what has decayed.
+void expire(service_totals& totals, const ledger_settings& settings, time_point now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Order of service (sidecars)
 //-----------------------------------------------------------------------------
 
 struct service_order_settings {
-    duration staleness{1s}; // how long a local charge is added to the fleet total that may not contain it yet
+    duration half_life{60s};       // the same as the ledgers'
+    duration charge_window{250ms}; // local charges count for so long, until a row that contains them arrives
+    duration total_slack{1s};      // a total that is older than the newest one by more is not taken
+    duration memory{5s};           // an account that no longer waits is remembered for so long
+    duration repay_limit{2s}; // an account that was not served for so long repays no more than the same time
+    double lag_charges{4.0};  // a total may fall at once by so many of the account's largest charges
+};
+
+/// What a reservation row says of an account.
+struct waiting_account {
+    double share{1.0};
+    double fleet_service{}; // recent, units
+    duration age{};         // of the part of fleet_service that came from the aggregation router
+    duration unserved{};    // since the sending router last charged the account
 };
 
-/// Accounts that wait for one target, ordered by (fleet service + recent local charges) / share.
-/// Every operation costs at most the logarithm of the number of waiting accounts.
+/// Accounts that wait for one target, ordered by (fleet service + recent local charges + offset) / share.
+/// The offset raises an account that returns from idleness to the floor (the lowest position). It lowers one
+/// that has not been served for repay_limit and is far above the floor, so that nobody is stopped to repay
+/// after a healed partition. Every operation costs at most the logarithm of the number of waiting accounts.
 class service_order {
 public:
     explicit service_order(service_order_settings settings = {}) : settings_(settings) {}
 
-    /// Records that requests of the account wait, with its share and its service across the fleet in units.
-    void set_waiting(account_id account, double share, double fleet_service, time_point now);
-    /// Forgets an account that no longer waits; its recent charges stay until they age out.
-    void clear_waiting(account_id account);
+    /// Records that requests of the account wait.
+    void set_waiting(account_id account, const waiting_account& row, time_point now);
+    /// The account no longer waits.
+    void clear_waiting(account_id account, time_point now);
     /// Charges units to an account for work started here; may be negative for a correction.
     void charge(account_id account, double units, time_point now);
-    /// Drops charges older than the staleness.
+    /// Drops charges and accounts whose time has passed.
     void expire(time_point now);
     /// Calls f(account) from the least served account upwards until f returns true.
     template <class F>
     bool visit_in_order(F&& f) const {
-        for (const auto& [normalised, account] : order_) {
+        for (const auto& [position, account] : order_) {
             if (f(account)) return true;
         }
         return false;
     }
+    /// Lowest service per share among waiting accounts, units; empty when none waits.
+    [[nodiscard]] std::optional<double> floor(time_point now) const;
     [[nodiscard]] std::size_t size() const { return order_.size(); }
+    [[nodiscard]] std::size_t known() const { return accounts_.size(); }
 
 private:
+    // All sums decay alike, so they are kept in units of a scale that grows with time instead: then nothing
+    // but a charge or a new total changes an order that is once established.
     struct state {
         double share{1.0};
         double fleet{};
         double recent{};
-        double position{};
+        double offset{};
+        double lifted{};     // in place of totals that fell
+        double largest{};    // largest charge
+        double position{};   // key in order_
+        time_point as_of{};  // of fleet
+        time_point heard{};  // when fleet was taken
+        time_point left{};   // when it ceased to wait
+        time_point served{}; // last sign of service anywhere, or when it began to wait
         bool waiting{};
     };
     struct recent_charge {
         time_point at;
         account_id account;
-        double units;
+        double amount; // scaled
     };
+    [[nodiscard]] double scale(time_point now) const;
+    void start_scale(time_point now);
+    [[nodiscard]] static double position_of(const state& value);
+    void lower_to_ceiling(state& value, time_point now) const;
+    void bridge_jump(state& value, double total) const;
+    void take_total(state& value, const waiting_account& row, time_point now) const;
+    [[nodiscard]] double present_floor() const { return order_.empty() ? floor_ : order_.begin()->first; }
     void reorder(account_id account, state& value);
-    void drop_if_unused(account_id account);
 
     service_order_settings settings_;
     std::unordered_map<account_id, state> accounts_;
     std::set<std::pair<double, account_id>> order_; // waiting accounts only
     std::deque<recent_charge> charges_;             // in the order of time
+    std::deque<std::pair<time_point, account_id>> gone_;
+    time_point scale_start_{};
+    double floor_{}; // position from which the last account was served
 };
 
 /// What the sidecar needs of an order of service; benches swap in other policies.
 template <class T>
 concept order_policy = requires(T order, account_id account, time_point now) {
-    order.set_waiting(account, 1.0, 0.0, now);
-    order.clear_waiting(account);
+    order.set_waiting(account, waiting_account{}, now);
+    order.clear_waiting(account, now);
     order.charge(account, 1.0, now);
     order.expire(now);
     {
         order.visit_in_order([](account_id) { return true; })
         } -> std::same_as<bool>;
+    { order.floor(now) } -> std::same_as<std::optional<double>>;
 };
 static_assert(order_policy<service_order>);
 
--- a/core/damaskhill_messages.hpp
+++ b/core/damaskhill_messages.hpp
@@ -55,12 +55,19 @@
     std::vector<team_revision> revisions; // configuration in force
     std::uint64_t confirmed_ms{}; // age of the last successful read of the store known here, milliseconds
     std::string version;          // sidecars: version that the target serves now
+    std::vector<std::uint64_t> stored_prefixes;  // sidecars: prefix hashes cached since the last heartbeat
+    std::vector<std::uint64_t> evicted_prefixes; // sidecars: and dropped
     static constexpr auto fields() {
         using t = heartbeat;
-        return std::tuple{field{1, "sequence", &t::sequence},   field{2, "state", &t::state},
-                          field{3, "free_room", &t::free_room}, field{4, "limit", &t::limit},
-                          field{5, "revisions", &t::revisions}, field{6, "confirmed_ms", &t::confirmed_ms},
-                          field{7, "version", &t::version}};
+        return std::tuple{field{1, "sequence", &t::sequence},
+                          field{2, "state", &t::state},
+                          field{3, "free_room", &t::free_room},
+                          field{4, "limit", &t::limit},
+                          field{5, "revisions", &t::revisions},
+                          field{6, "confirmed_ms", &t::confirmed_ms},
+                          field{7, "version", &t::version},
+                          field{8, "stored_prefixes", &t::stored_prefixes},
+                          field{9, "evicted_prefixes", &t::evicted_prefixes}};
     }
 };
 
@@ -78,13 +85,22 @@
     std::uint64_t oldest_ms{}; // age of the oldest one, milliseconds
     double cost_hint{};        // expected cost of the next one, service units
     double share{1.0};         // relative weight of the account
-    double fleet_service{};    // service that the account has had from this pool across the fleet, units
+    double fleet_service{}; // recent service that the account has had from this pool across the fleet, units
+    std::uint64_t
+        service_age_ms{};        // age of the part of it that came from the aggregation router, milliseconds
+    std::uint64_t unserved_ms{}; // since the sender last charged the account, milliseconds
     static constexpr auto fields() {
         using t = reserve_row;
-        return std::tuple{field{1, "account", &t::account},     field{2, "cls", &t::cls},
-                          field{3, "version", &t::version},     field{4, "waiting", &t::waiting},
-                          field{5, "oldest_ms", &t::oldest_ms}, field{6, "cost_hint", &t::cost_hint},
-                          field{7, "share", &t::share},         field{8, "fleet_service", &t::fleet_service}};
+        return std::tuple{field{1, "account", &t::account},
+                          field{2, "cls", &t::cls},
+                          field{3, "version", &t::version},
+                          field{4, "waiting", &t::waiting},
+                          field{5, "oldest_ms", &t::oldest_ms},
+                          field{6, "cost_hint", &t::cost_hint},
+                          field{7, "share", &t::share},
+                          field{8, "fleet_service", &t::fleet_service},
+                          field{9, "service_age_ms", &t::service_age_ms},
+                          field{10, "unserved_ms", &t::unserved_ms}};
     }
 };
 
@@ -173,10 +189,12 @@
     std::uint64_t number{};
     std::uint64_t offset{}; // of the first byte in the whole answer
     std::string data;
+    double units{}; // cost of the attempt so far, service units
     static constexpr auto fields() {
         using t = chunk;
         return std::tuple{field{1, "attempt", &t::attempt}, field{2, "number", &t::number},
-                          field{3, "offset", &t::offset}, field{4, "data", &t::data}};
+                          field{3, "offset", &t::offset}, field{4, "data", &t::data},
+                          field{5, "units", &t::units}};
     }
 };
 
@@ -329,16 +347,19 @@
 // [SECTION] Fairness
 //-----------------------------------------------------------------------------
 
-/// Service that one router incarnation has charged to an account in a pool; grows only.
+/// Report: sum of the sizes of all charges that one router incarnation has made to an account in a pool. It
+/// grows only, so that it orders the reports. Total: recent service over the fleet, units.
 struct service_row {
     account_id account;
     std::string pool;
     double units{};
-    bool waiting{}; // the account waits at the sender, which wants the fleet total back
+    bool waiting{};  // the account waits at the sender, which wants the fleet total back
+    double recent{}; // report: decayed net service of the sender; total: the receiver's part of it
     static constexpr auto fields() {
         using t = service_row;
         return std::tuple{field{1, "account", &t::account}, field{2, "pool", &t::pool},
-                          field{3, "units", &t::units}, field{4, "waiting", &t::waiting}};
+                          field{3, "units", &t::units}, field{4, "waiting", &t::waiting},
+                          field{5, "recent", &t::recent}};
     }
 };
 
@@ -351,7 +372,7 @@
 };
 
 struct service_total {
-    std::vector<service_row> rows; // units: sum over the fleet
+    std::vector<service_row> rows;
     static constexpr auto fields() { return std::tuple{field{1, "rows", &service_total::rows}}; }
 };
 
--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -94,6 +94,7 @@
     std::string version; // version stamp, empty: any
     std::uint64_t crash_hash{};
     double cost_hint{}; // service units
+    double charged{};   // for the present attempt, service units
     time_point arrived{};
     time_point queued{}; // when it last began to wait
     time_point deadline{};
@@ -147,6 +148,10 @@
     configuration config;
     membership members;
     service_ledger ledger;
+    service_totals totals;        // of the accounts whose aggregation router this is
+    std::uint64_t routers_seen{}; // hash of the live routers and their links, to notice a change
+    time_point next_service_report{};
+    time_point next_ledger_expiry{};
     order_writer orders;
     answer_cache answers;
     quarantine crashes;
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -347,7 +347,8 @@
     begin_attempt(r.answer, state.random.next_id<attempt_id>());
     state.by_attempt.emplace(r.answer.current, r.id);
     r.attempt_traceparent = child_traceparent(r.traceparent, state.random);
-    charge_service(state, r, r.cost_hint);
+    r.charged = r.cost_hint;
+    charge_service(state, r, r.charged);
     assign message;
     message.pull_id = pull_id;
     message.attempt = r.answer.current;
@@ -381,6 +382,11 @@
         return;
     }
     const bool first = r->answer.text.empty();
+    // A stream that outgrows its estimate is charged as it runs.
+    if (piece.attempt == r->answer.current && piece.units > r->charged) {
+        charge_service(state, *r, piece.units - r->charged);
+        r->charged = piece.units;
+    }
     switch (accept_chunk(r->answer, piece)) {
     case chunk_verdict::accepted:
         break;
@@ -389,7 +395,10 @@
         out.emplace_back(count{"chunks_dropped_total", "gap", 1});
         out.emplace_back(send_message{r->link, cancel{piece.attempt}});
         on_finish(state, r->link,
-                  finish{.attempt = piece.attempt, .outcome = attempt_outcome::connection_lost}, out);
+                  finish{.attempt = piece.attempt,
+                         .outcome = attempt_outcome::connection_lost,
+                         .units = r->charged},
+                  out);
         return;
     default:
         out.emplace_back(count{"chunks_dropped_total", "duplicate", 1});
@@ -416,7 +425,8 @@
 void end_attempt(router_state& state, request& r, const finish& end, effects& out) {
     state.by_attempt.erase(r.answer.current);
     r.answer.current = {};
-    charge_service(state, r, end.units - r.cost_hint);
+    charge_service(state, r, end.units - r.charged);
+    r.charged = 0.0;
     const bool ok = end.outcome == attempt_outcome::completed;
     out.emplace_back(span{r.attempt_traceparent, r.traceparent, "router.attempt", r.attempt_start, state.now,
                           ok, std::string{to_string(end.outcome)}});
@@ -522,7 +532,12 @@
     }
     std::ranges::sort(lost); // the order of a hash map must not reach the effects
     for (const attempt_id attempt : lost) {
-        on_finish(state, link, finish{.attempt = attempt, .outcome = attempt_outcome::connection_lost}, out);
+        const request_ptr r = find_request(state, state.by_attempt.at(attempt));
+        on_finish(state, link,
+                  finish{.attempt = attempt,
+                         .outcome = attempt_outcome::connection_lost,
+                         .units = r ? r->charged : 0.0},
+                  out);
     }
 }
 
--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -22,7 +22,11 @@
     row.version = key.version;
     const auto account = state.config.accounts.find(key.account);
     row.share = account == state.config.accounts.end() ? 1.0 : account->second.share;
-    row.fleet_service = fleet_service(state.ledger, key.account, key.pool);
+    row.fleet_service = fleet_service(state.ledger, state.settings.ledger, key.account, key.pool, state.now);
+    row.service_age_ms = static_cast<std::uint64_t>(
+        to_milliseconds(total_age(state.ledger, key.account, key.pool, state.now)));
+    row.unserved_ms = static_cast<std::uint64_t>(
+        to_milliseconds(unserved_time(state.ledger, key.account, key.pool, state.now)));
     const auto queue = state.queues.find(key);
     if (queue == state.queues.end() || queue->second.empty()) return row;
     row.waiting = static_cast<std::uint32_t>(queue->second.size());
@@ -104,18 +108,123 @@
 //-----------------------------------------------------------------------------
 
 void charge_service(router_state& state, const request& r, double units) {
-    charge(state.ledger, r.account, r.input.pool, units);
+    charge(state.ledger, state.settings.ledger, r.account, r.input.pool, units, state.now);
 }
 
+namespace {
+
+// Whether requests of the account wait in this router for the pool.
+bool waits_here(const router_state& state, const service_key& key) {
+    const auto queue = state.queues.lower_bound({key.second, key.first, request_class::interactive, {}});
+    return queue != state.queues.end() && queue->first.pool == key.second &&
+           queue->first.account == key.first && !queue->second.empty();
+}
+
+void mark_rows(router_state& state, const service_key& key) {
+    auto queue = state.queues.lower_bound({key.second, key.first, request_class::interactive, {}});
+    for (;
+         queue != state.queues.end() && queue->first.pool == key.second && queue->first.account == key.first;
+         ++queue)
+        state.dirty.insert(queue->first);
+}
+
+// A new link may have lost reports, and a new incarnation has no memory: both start an epoch.
+void notice_routers(router_state& state) {
+    std::uint64_t seen = 1;
+    for (const auto& [link, p] : state.members.peers) {
+        if (!p.greeted || p.identity.role != process_role::router) continue;
+        seen = stable_hash(p.identity.name, seen ^ link ^ p.identity.incarnation.low);
+    }
+    if (seen == state.routers_seen) return;
+    state.routers_seen = seen;
+    start_epoch(state.ledger);
+}
+
+const std::string& reporter_of(router_state& state, const service_key& key,
+                               std::span<const std::string> routers) {
+    auto& entry = state.ledger.entries[key];
+    if (entry.epoch != state.ledger.epoch) {
+        const std::string text = format_hex128(key.first.value, 0) + key.second;
+        entry.reporter = rendezvous(routers, text, 1).front();
+        entry.epoch = state.ledger.epoch;
+    }
+    return entry.reporter;
+}
+
+void send_service_reports(router_state& state, effects& out) {
+    notice_routers(state);
+    const auto routers = live_routers(state.members, state.settings.name);
+    std::map<std::string, service_report> reports;
+    const auto add = [&](const service_key& key, bool waiting) {
+        service_row row = report_row(state.ledger, state.settings.ledger, key, state.now);
+        row.waiting = waiting;
+        reports[reporter_of(state, key, routers)].rows.push_back(std::move(row));
+    };
+    std::set<service_key> waiting;
+    for (const auto& [key, queue] : state.queues) {
+        if (!queue.empty()) waiting.emplace(key.account, key.pool);
+    }
+    for (const service_key& key : waiting) {
+        add(key, true);
+        state.ledger.changed.erase(key);
+    }
+    std::size_t rows = state.settings.ledger.rows_per_report;
+    for (; rows > 0 && !state.ledger.changed.empty(); --rows) {
+        const service_key key = *state.ledger.changed.begin();
+        state.ledger.changed.erase(state.ledger.changed.begin());
+        add(key, false);
+    }
+    for (auto& [name, report] : reports) {
+        report.owner = state.settings.incarnation;
+        if (name == state.settings.name) {
+            on_service_report(state, 0, report, out);
+        } else if (const peer* aggregator = find_peer_named(state.members, name)) {
+            out.emplace_back(send_message{aggregator->link, std::move(report)});
+        }
+    }
+}
+
+} // namespace
+
 void on_fairness_tick(router_state& state, effects& out) {
+    if (state.now >= state.next_service_report) {
+        state.next_service_report = state.now + state.settings.ledger.report_period;
+        send_service_reports(state, out);
+    }
+    constexpr duration expiry_period = 60s;
+    if (state.now >= state.next_ledger_expiry) {
+        state.next_ledger_expiry = state.now + expiry_period;
+        expire(state.ledger, state.settings.ledger, state.now);
+        expire(state.totals, state.settings.ledger, state.now);
+    }
     if (state.now < state.next_flush) return;
     state.next_flush = state.now + state.settings.reservation_period;
     flush_reservations(state, out);
 }
 
-void on_service_report(router_state& /*state*/, link_id /*link*/, const service_report& /*report*/,
-                       effects& /*out*/) {}
+void on_service_report(router_state& state, link_id link, const service_report& report, effects& out) {
+    service_total reply;
+    for (const service_row& row : report.rows) {
+        merge_report(state.totals, state.settings.ledger, report.owner, row, state.now);
+        if (!row.waiting) continue;
+        service_row total = row;
+        total.units = total_service(state.totals, state.settings.ledger, {row.account, row.pool}, state.now);
+        reply.rows.push_back(std::move(total));
+    }
+    if (reply.rows.empty()) return;
+    if (link == 0) {
+        on_service_total(state, reply, out);
+    } else {
+        out.emplace_back(send_message{link, std::move(reply)});
+    }
+}
 
-void on_service_total(router_state& /*state*/, const service_total& /*total*/, effects& /*out*/) {}
+void on_service_total(router_state& state, const service_total& total, effects& /*out*/) {
+    for (const service_row& row : total.rows) {
+        accept_total(state.ledger, row, state.now);
+        // Sidecars order by the total, so they hear of it even when the queue has not changed.
+        if (waits_here(state, {row.account, row.pool})) mark_rows(state, {row.account, row.pool});
+    }
+}
 
 } // namespace damaskhill::detail
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -92,7 +92,8 @@
 
 // Withdraws the account from the order of a class when nothing of it waits any more.
 void update_waiting(sidecar_state& state, account_id account, request_class cls) {
-    if (oldest_row(state, account, cls) == nullptr) state.order[index_of(cls)].clear_waiting(account);
+    if (oldest_row(state, account, cls) == nullptr)
+        state.order[index_of(cls)].clear_waiting(account, state.now);
 }
 
 bool pull_one(sidecar_state& state, request_class cls, effects& out) {
@@ -121,6 +122,13 @@
     }
 }
 
+waiting_account waiting_of(const reserve_row& row) {
+    const auto age = [](std::uint64_t ms) {
+        return duration{std::chrono::milliseconds{static_cast<std::int64_t>(ms)}};
+    };
+    return {row.share, row.fleet_service, age(row.service_age_ms), age(row.unserved_ms)};
+}
+
 void on_reserve(sidecar_state& state, link_id link, const reserve& message, effects& out) {
     for (const reserve_row& incoming : message.rows) {
         auto& rows = state.rows[incoming.account][index_of(incoming.cls)];
@@ -133,8 +141,8 @@
                 {link, incoming.version, incoming.waiting, incoming.oldest_ms, incoming.cost_hint});
         }
         if (oldest_row(state, incoming.account, incoming.cls) != nullptr) {
-            state.order[index_of(incoming.cls)].set_waiting(incoming.account, incoming.share,
-                                                            incoming.fleet_service, state.now);
+            state.order[index_of(incoming.cls)].set_waiting(incoming.account, waiting_of(incoming),
+                                                            state.now);
         } else {
             update_waiting(state, incoming.account, incoming.cls);
         }
@@ -231,6 +239,7 @@
     running_call call;
     call.work = work;
     call.link = link;
+    call.charged = work.cost_hint;
     call.offset = work.resume_offset;
     call.started = state.now;
     call.last_byte = state.now;
@@ -265,6 +274,11 @@
     return 1.0 + prompt_weight * static_cast<double>(call.work.body.size()) / bytes_per_token + tokens;
 }
 
+// Cost of what a call has used up to now.
+double units_so_far(const sidecar_state& state, const running_call& call) {
+    return units_of(state, call, call.tokens);
+}
+
 // Ends a call and tells its router.
 void end_call(sidecar_state& state, running_call& call, finish end, effects& out) {
     end.attempt = call.work.attempt;
@@ -276,7 +290,7 @@
         end.first_us = static_cast<std::uint64_t>((call.first_byte - call.started).count());
     }
     end.total_us = static_cast<std::uint64_t>((state.now - call.started).count());
-    charge_account(state, call.work.account, end.units - call.work.cost_hint);
+    charge_account(state, call.work.account, end.units - call.charged);
     const bool ok = end.outcome == attempt_outcome::completed;
     out.emplace_back(span{call.traceparent, call.work.traceparent, "sidecar.call", call.started, state.now,
                           ok, state.settings.pool + " " + state.settings.name});
@@ -296,7 +310,7 @@
     out.emplace_back(cancel_call{message.attempt});
     finish end;
     end.outcome = attempt_outcome::connection_lost;
-    end.units = found->second.work.cost_hint;
+    end.units = units_so_far(state, found->second);
     end_call(state, found->second, std::move(end), out);
     pull_more(state, out);
 }
@@ -319,7 +333,13 @@
         }
     }
     call.last_byte = state.now;
-    chunk message{piece.attempt, call.chunks, call.offset, piece.data};
+    call.tokens += piece.tokens;
+    const double units = units_so_far(state, call);
+    if (units > call.charged) {
+        charge_account(state, call.work.account, units - call.charged);
+        call.charged = units;
+    }
+    chunk message{piece.attempt, call.chunks, call.offset, piece.data, units};
     ++call.chunks;
     call.offset += piece.data.size();
     call.checksum = chain_checksum(call.checksum, piece.data);
@@ -362,7 +382,7 @@
         finish end;
         end.outcome = attempt_outcome::connection_lost;
         end.target_crashed = crashed;
-        end.units = call.work.cost_hint;
+        end.units = units_so_far(state, call);
         end_call(state, call, std::move(end), out);
     }
 }
@@ -568,7 +588,7 @@
         out.emplace_back(cancel_call{attempt});
         finish end;
         end.outcome = attempt_outcome::connection_lost;
-        end.units = call.work.cost_hint;
+        end.units = units_so_far(state, call);
         end_call(state, call, std::move(end), out);
     }
 }
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -54,6 +54,8 @@
     link_id link{}; // of the router that wants the answer
     std::uint64_t chunks{};
     std::uint64_t offset{};
+    std::uint32_t tokens{}; // generated in this attempt
+    double charged{};       // service units
     std::uint64_t checksum{};
     std::string kept; // orders: the answer, for repeats
     time_point started{};
