Give interactive requests precedence and notice cold targets by their streams

Cause: batch streams held a target while interactive requests waited, and a target that turned cold at its full limit kept all its streams, because only the first byte of a new request could tell.

A sidecar with no room cancels its youngest batch stream for an interactive request; the stream resumes elsewhere at its offset, at most twice. Batch requests that have waited for 10 s have a claim on the reserved quarter of the limit, so that they finish. Interactive requests that queue for more than 1 s lose precedence when their account is 5 s of service ahead of the batch accounts.

The rate of running streams is watched in windows of 200 ms; below a third of the best rate the limit falls to the cold limit and the youngest streams above it are resumed elsewhere. Used room is counted and no longer scanned.

--- a/core/damaskhill_limits.cpp
+++ b/core/damaskhill_limits.cpp
@@ -43,6 +43,19 @@
     return false;
 }
 
+bool on_progress(target_limit& target, double rate) {
+    if (rate > target.best_rate) {
+        target.best_rate = rate;
+        return false;
+    }
+    const bool cold = rate * target.settings.cold_factor < target.best_rate;
+    target.best_rate -= (target.best_rate - rate) * baseline_rise;
+    if (!cold || target.limit <= target.settings.cold_limit) return false;
+    reset_to_cold(target);
+    ++target.cold_turns;
+    return true;
+}
+
 void on_overload(target_limit& target) { reset_to_cold(target); }
 
 std::uint32_t present_limit(const target_limit& target) {
--- a/core/damaskhill_limits.hpp
+++ b/core/damaskhill_limits.hpp
@@ -28,6 +28,7 @@
     limit_settings settings;
     double limit{2.0};
     std::array<double, 2> baseline_s{}; // least typical first-byte latency for each request_class, 0: unknown
+    double best_rate{};                 // highest typical tokens/s of one stream, 0: unknown
     std::uint32_t cold_turns{};
 };
 
@@ -35,6 +36,8 @@
 void reset_to_cold(target_limit& target);
 /// Takes the first-byte latency of an answer into account; returns true if the target was found cold.
 bool on_latency(target_limit& target, request_class cls, duration first_byte);
+/// Takes the rate of running streams into account, tokens/s each; returns true if the target was found cold.
+bool on_progress(target_limit& target, double rate);
 /// The target refused a request for lack of room.
 void on_overload(target_limit& target);
 /// Present limit, requests.
@@ -48,6 +51,7 @@
 concept limit_policy = requires(T& target, request_class cls) {
     reset_to_cold(target);
     { on_latency(target, cls, duration{}) } -> std::same_as<bool>;
+    { on_progress(target, 1.0) } -> std::same_as<bool>;
     on_overload(target);
     { present_limit(target) } -> std::same_as<std::uint32_t>;
     { free_room(target, cls, 0U, 0U) } -> std::same_as<std::uint32_t>;
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -14,6 +14,7 @@
 #include "damaskhill_trace.hpp"
 
 #include <algorithm>
+#include <numbers>
 
 namespace damaskhill {
 
@@ -43,6 +44,9 @@
 
 namespace {
 
+void end_call(sidecar_state& state, running_call& call, finish end, effects& out);
+double units_so_far(const sidecar_state& state, const running_call& call);
+
 constexpr std::size_t index_of(request_class cls) { return static_cast<std::size_t>(cls); }
 constexpr std::array both_classes{request_class::interactive, request_class::batch};
 
@@ -50,20 +54,14 @@
 // [SECTION] Room
 //-----------------------------------------------------------------------------
 
-// Requests of the class that run or have been asked for.
-std::uint32_t used_room(const sidecar_state& state, request_class cls) {
-    const auto running =
-        std::ranges::count_if(state.running, [&](const auto& call) { return call.second.work.cls == cls; });
-    const auto asked = std::ranges::count_if(state.pulls, [&](const auto& p) { return p.second.cls == cls; });
-    return static_cast<std::uint32_t>(running + asked);
+std::uint32_t room_for(const sidecar_state& state, request_class cls) {
+    if (state.suspects > 0 || serving(state) != serving_state::serving) return 0;
+    return free_room(state.limit, cls, state.used[0], state.used[1]);
 }
 
-std::uint32_t room_for(const sidecar_state& state, request_class cls) {
-    const bool suspect_runs =
-        std::ranges::any_of(state.running, [](const auto& call) { return call.second.work.suspect; });
-    if (suspect_runs || serving(state) != serving_state::serving) return 0;
-    return free_room(state.limit, cls, used_room(state, request_class::interactive),
-                     used_room(state, request_class::batch));
+void close_pull(sidecar_state& state, std::map<std::uint64_t, open_pull>::iterator pull) {
+    --state.used[index_of(pull->second.cls)];
+    state.pulls.erase(pull);
 }
 
 //-----------------------------------------------------------------------------
@@ -96,29 +94,98 @@
         state.order[index_of(cls)].clear_waiting(account, state.now);
 }
 
-bool pull_one(sidecar_state& state, request_class cls, effects& out) {
+std::optional<account_id> least_served(sidecar_state& state, request_class cls) {
     std::optional<account_id> chosen;
     state.order[index_of(cls)].visit_in_order([&](account_id account) {
         if (oldest_row(state, account, cls) == nullptr) return false;
         chosen = account;
         return true;
     });
+    return chosen;
+}
+
+bool pull_one(sidecar_state& state, request_class cls, effects& out) {
+    const auto chosen = least_served(state, cls);
     if (!chosen) return false;
     waiting_row* row = oldest_row(state, *chosen, cls);
     --row->waiting;
     const std::uint64_t id = state.next_pull++;
     const bool alone = state.running.empty() && state.pulls.empty();
     state.pulls[id] = {row->link, *chosen, cls, row->cost_hint, state.now};
+    ++state.used[index_of(cls)];
     out.emplace_back(send_message{row->link, pull{id, *chosen, cls, alone}});
     charge_account(state, *chosen, row->cost_hint);
     update_waiting(state, *chosen, cls);
     return true;
 }
 
+// Whether a batch request goes before the interactive ones: when it has waited for long, within the part of
+// the limit that is reserved otherwise, and when interactive requests have put their account too far ahead.
+bool batch_is_due(sidecar_state& state) {
+    const auto account = least_served(state, request_class::batch);
+    if (!account) return false;
+    const auto waited =
+        static_cast<std::int64_t>(oldest_row(state, *account, request_class::batch)->oldest_ms);
+    const auto claim =
+        static_cast<std::uint32_t>(present_limit(state.limit) * state.limit.settings.reserved_share);
+    const bool aged = std::chrono::milliseconds{waited} > state.settings.batch_patience;
+    if (aged && state.used[1] < std::max(claim, 1U)) return true;
+    // Interactive requests that queue up come from an account that asks for more than it can be given.
+    const auto hurried = least_served(state, request_class::interactive);
+    if (!hurried) return false;
+    const auto queued =
+        static_cast<std::int64_t>(oldest_row(state, *hurried, request_class::interactive)->oldest_ms);
+    if (std::chrono::milliseconds{queued} < state.settings.interactive_patience) return false;
+    const auto interactive = state.order[0].floor(state.now);
+    const auto batch = state.order[1].floor(state.now);
+    if (!interactive || !batch) return false;
+    const double lead = std::numbers::ln2 * to_seconds(state.settings.class_lead) /
+                        to_seconds(state.settings.order_of_service.half_life);
+    constexpr double slack_units = 1.0; // both orders start from nothing
+    return *interactive > *batch * (1.0 + lead) + slack_units;
+}
+
+bool may_preempt(const sidecar_state& state, const running_call& call) {
+    return call.work.cls == request_class::batch && call.work.stream && !call.work.order &&
+           call.work.preemptions < state.settings.max_preemptions;
+}
+
+void preempt(sidecar_state& state, running_call& call, effects& out) {
+    out.emplace_back(cancel_call{call.work.attempt});
+    out.emplace_back(count{"preemptions_total", {}, 1});
+    finish end;
+    end.outcome = attempt_outcome::connection_lost;
+    end.preempted = true;
+    end.units = units_so_far(state, call);
+    end_call(state, call, std::move(end), out);
+}
+
+// Cancels the youngest batch stream that may be resumed elsewhere; false if there is none.
+bool preempt_youngest(sidecar_state& state, effects& out) {
+    running_call* youngest = nullptr;
+    for (auto& [attempt, call] : state.running) {
+        if (!may_preempt(state, call)) continue;
+        if (youngest == nullptr || call.started > youngest->started) youngest = &call;
+    }
+    if (youngest == nullptr) return false;
+    preempt(state, *youngest, out);
+    return true;
+}
+
 void pull_more(sidecar_state& state, effects& out) {
-    for (const request_class cls : both_classes) {
-        while (room_for(state, cls) > 0 && pull_one(state, cls, out)) {
-        }
+    while (room_for(state, request_class::batch) > 0 && batch_is_due(state) &&
+           pull_one(state, request_class::batch, out)) {
+    }
+    while (room_for(state, request_class::interactive) > 0 &&
+           pull_one(state, request_class::interactive, out)) {
+    }
+    while (room_for(state, request_class::batch) > 0 && pull_one(state, request_class::batch, out)) {
+    }
+    const bool full = state.used[0] + state.used[1] >= present_limit(state.limit);
+    if (!full || state.suspects > 0 || serving(state) != serving_state::serving) return;
+    while (least_served(state, request_class::interactive) && !batch_is_due(state) &&
+           state.used[0] + state.used[1] <= present_limit(state.limit) && preempt_youngest(state, out)) {
+        if (!pull_one(state, request_class::interactive, out)) break;
     }
 }
 
@@ -156,7 +223,7 @@
     const auto found = state.pulls.find(message.pull_id);
     if (found == state.pulls.end()) return;
     const open_pull ended = found->second;
-    state.pulls.erase(found);
+    close_pull(state, found);
     charge_account(state, ended.account, -ended.cost_hint);
     // The router has nothing for this sidecar until its next row.
     const auto rows = state.rows.find(ended.account);
@@ -217,7 +284,7 @@
 void on_assign(sidecar_state& state, link_id link, const assign& work, effects& out) {
     const auto asked = state.pulls.find(work.pull_id);
     const bool expected = asked != state.pulls.end() && asked->second.link == link;
-    if (expected) state.pulls.erase(asked);
+    if (expected) close_pull(state, asked);
     if (!expected || state.running.contains(work.attempt)) {
         out.emplace_back(count{"assigns_refused_total", "unexpected", 1});
         send_not_sent(link, work, failure_kind::stale_revision, out);
@@ -260,6 +327,8 @@
     start.traceparent = call.traceparent;
     if (work.order) start.idempotency_key = key_text(work.order->key);
     start.fence = state.settings.fence;
+    ++state.used[index_of(work.cls)];
+    if (work.suspect) ++state.suspects;
     state.running.emplace(work.attempt, std::move(call));
     out.emplace_back(std::move(start));
 }
@@ -300,6 +369,8 @@
         note_outcome(state.orders, call.work.order->key, known ? end.status : 0, end.content_type, call.kept);
     }
     const link_id link = call.link;
+    --state.used[index_of(call.work.cls)];
+    if (call.work.suspect) --state.suspects;
     state.running.erase(call.work.attempt);
     if (find_peer(state.members, link) != nullptr) out.emplace_back(send_message{link, std::move(end)});
 }
@@ -332,6 +403,10 @@
                 log_change{"target has turned cold: limit is " + std::to_string(present_limit(state.limit))});
         }
     }
+    if (call.tokens > 0) {
+        state.window_tokens += piece.tokens;
+        state.window_seconds += to_seconds(state.now - call.last_byte);
+    }
     call.last_byte = state.now;
     call.tokens += piece.tokens;
     const double units = units_so_far(state, call);
@@ -443,7 +518,7 @@
             continue;
         }
         charge_account(state, it->second.account, -it->second.cost_hint);
-        it = state.pulls.erase(it);
+        close_pull(state, it++);
     }
     // Orders go on, since their outcome will be asked for; everything else has lost its caller.
     std::vector<attempt_id> orphans;
@@ -593,6 +668,36 @@
     }
 }
 
+// Gives up what a cold target cannot bear: streams are resumed elsewhere, the youngest first.
+void shed_excess(sidecar_state& state, effects& out) {
+    std::vector<std::pair<time_point, attempt_id>> streams;
+    for (const auto& [attempt, call] : state.running) {
+        if (call.work.stream && !call.work.order) streams.emplace_back(call.started, attempt);
+    }
+    std::ranges::sort(streams, std::greater{});
+    for (const auto& [started, attempt] : streams) {
+        if (state.running.size() <= present_limit(state.limit)) return;
+        preempt(state, state.running.at(attempt), out);
+    }
+}
+
+// Running streams tell of a cold turn before any new request could: their rate falls.
+void watch_progress(sidecar_state& state, effects& out) {
+    constexpr duration window = 200ms;
+    if (state.settings.kind != target_kind::model_engine || state.now - state.window_start < window) return;
+    double seconds = state.window_seconds;
+    for (const auto& [attempt, call] : state.running) {
+        if (call.tokens > 0) seconds += to_seconds(state.now - call.last_byte);
+    }
+    if (seconds > 0.0 && on_progress(state.limit, static_cast<double>(state.window_tokens) / seconds)) {
+        out.emplace_back(log_change{"target has turned cold: its streams have slowed down"});
+        shed_excess(state, out);
+    }
+    state.window_tokens = 0;
+    state.window_seconds = 0.0;
+    state.window_start = state.now;
+}
+
 // A router that has not answered a pull for this long has lost it.
 constexpr duration pull_limit = 3s;
 
@@ -603,7 +708,7 @@
             continue;
         }
         charge_account(state, it->second.account, -it->second.cost_hint);
-        it = state.pulls.erase(it);
+        close_pull(state, it++);
     }
 }
 
@@ -614,6 +719,7 @@
         on_link_closed(state, link, out);
     }
     end_silent_calls(state, out);
+    watch_progress(state, out);
     end_lost_pulls(state);
     expire_orders(state.orders, state.now);
     for (service_order& order : state.order)
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -42,6 +42,9 @@
     duration idle_call_limit{5s}; // a model engine that sends nothing for so long is taken as lost
     duration service_call_limit{30s};
     std::uint32_t max_preemptions{2}; // of one stream
+    duration batch_patience{10s};     // batch requests that wait for longer have a claim on the reserved part
+    duration interactive_patience{1s}; // interactive requests that wait for longer have no precedence beyond
+    duration class_lead{5s};           // this much service per share ahead of the batch accounts
 };
 
 //-----------------------------------------------------------------------------
@@ -100,6 +103,11 @@
     std::map<account_id, std::array<std::vector<waiting_row>, 2>> rows;
     std::map<attempt_id, running_call> running;
     std::map<std::uint64_t, open_pull> pulls;
+    std::array<std::uint32_t, 2> used{}; // running calls and open pulls, by request_class
+    std::uint32_t suspects{};            // running calls that must run alone
+    std::uint64_t window_tokens{};       // generated since window_start
+    double window_seconds{};             // that streams took for them, summed over the streams
+    time_point window_start{};
     std::uint64_t next_pull{1};
     order_memory orders;
     std::set<condemned_version> condemned;
