--- a/backends/damaskhill_impl_target.cpp
+++ b/backends/damaskhill_impl_target.cpp
@@ -54,7 +54,7 @@
         if (engine && status == 200) {
             on_engine_data(attempt, status, std::move(data));
         } else if (status != 429 && status != 503) {
-            submit_(call_chunk{attempt, std::move(data)});
+            submit_(call_chunk{attempt, std::move(data), 0});
         }
     };
     handlers.on_done = [this, attempt](http_result&& result) { on_done(attempt, std::move(result)); };
@@ -122,7 +122,7 @@
     if (event->end) call.ended = true;
     if (call.malformed || event->text.empty()) return;
     ++call.tokens;
-    submit_(call_chunk{attempt, std::move(event->text)});
+    submit_(call_chunk{attempt, std::move(event->text), 1});
 }
 
 std::optional<engine_event> decode_engine_event(std::string_view line, failure& why) {
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -14,6 +14,7 @@
 #include "damaskhill_trace.hpp"
 
 #include <algorithm>
+#include <numbers>
 
 namespace damaskhill {
 
@@ -57,6 +58,9 @@
 
 namespace {
 
+void end_call(sidecar_state& state, running_call& call, finish end, effects& out);
+double units_so_far(const sidecar_state& state, const running_call& call);
+
 constexpr std::size_t index_of(request_class cls) { return static_cast<std::size_t>(cls); }
 constexpr std::array both_classes{request_class::interactive, request_class::batch};
 
@@ -64,20 +68,19 @@
 // [SECTION] Room
 //-----------------------------------------------------------------------------
 
-// Requests of the class that run or have been asked for.
-std::uint32_t used_room(const sidecar_state& state, request_class cls) {
-    const auto running =
-        std::ranges::count_if(state.running, [&](const auto& call) { return call.second.work.cls == cls; });
-    const auto asked = std::ranges::count_if(state.pulls, [&](const auto& p) { return p.second.cls == cls; });
-    return static_cast<std::uint32_t>(running + asked);
+std::uint32_t room_for(const sidecar_state& state, request_class cls) {
+    if (state.suspects > 0 || serving(state) != serving_state::serving) return 0;
+    return free_room(state.limit, cls, state.used[0], state.used[1]);
 }
 
-std::uint32_t room_for(const sidecar_state& state, request_class cls) {
-    const bool suspect_runs =
-        std::ranges::any_of(state.running, [](const auto& call) { return call.second.work.suspect; });
-    if (suspect_runs || serving(state) != serving_state::serving) return 0;
-    return free_room(state.limit, cls, used_room(state, request_class::interactive),
-                     used_room(state, request_class::batch));
+void close_pull(sidecar_state& state, std::map<std::uint64_t, open_pull>::iterator pull) {
+    --state.used[index_of(pull->second.cls)];
+    state.pulls.erase(pull);
+}
+
+void close_pull(sidecar_state& state, std::uint64_t pull_id) {
+    const auto found = state.pulls.find(pull_id);
+    if (found != state.pulls.end()) close_pull(state, found);
 }
 
 //-----------------------------------------------------------------------------
@@ -106,22 +109,29 @@
 
 // Withdraws the account from the order of a class when nothing of it waits any more.
 void update_waiting(sidecar_state& state, account_id account, request_class cls) {
-    if (oldest_row(state, account, cls) == nullptr) state.order[index_of(cls)].clear_waiting(account);
+    if (oldest_row(state, account, cls) == nullptr)
+        state.order[index_of(cls)].clear_waiting(account, state.now);
 }
 
-bool pull_one(sidecar_state& state, request_class cls, effects& out) {
+std::optional<account_id> least_served(sidecar_state& state, request_class cls) {
     std::optional<account_id> chosen;
     state.order[index_of(cls)].visit_in_order([&](account_id account) {
         if (oldest_row(state, account, cls) == nullptr) return false;
         chosen = account;
         return true;
     });
+    return chosen;
+}
+
+bool pull_one(sidecar_state& state, request_class cls, effects& out) {
+    const auto chosen = least_served(state, cls);
     if (!chosen) return false;
     waiting_row* row = oldest_row(state, *chosen, cls);
     --row->waiting;
     const std::uint64_t id = state.next_pull++;
     const bool alone = state.running.empty() && state.pulls.empty();
     state.pulls[id] = {row->link, *chosen, cls, row->cost_hint, state.now};
+    ++state.used[index_of(cls)];
     out.emplace_back(send_message{row->link, pull{id, *chosen, cls, alone}});
     charge_account(state, *chosen, row->cost_hint);
     update_waiting(state, *chosen, cls);
@@ -136,14 +146,84 @@
     state.served = serves;
 }
 
+// Whether a batch request goes before the interactive ones: when it has waited for long, within the part of
+// the limit that is reserved otherwise, and when interactive requests have put their account too far ahead.
+bool batch_is_due(sidecar_state& state) {
+    const auto account = least_served(state, request_class::batch);
+    if (!account) return false;
+    const auto waited =
+        static_cast<std::int64_t>(oldest_row(state, *account, request_class::batch)->oldest_ms);
+    const auto claim =
+        static_cast<std::uint32_t>(present_limit(state.limit) * state.limit.settings.reserved_share);
+    const bool aged = std::chrono::milliseconds{waited} > state.settings.batch_patience;
+    if (aged && state.used[1] < std::max(claim, 1U)) return true;
+    // Interactive requests that queue up come from an account that asks for more than it can be given.
+    const auto hurried = least_served(state, request_class::interactive);
+    if (!hurried) return false;
+    const auto queued =
+        static_cast<std::int64_t>(oldest_row(state, *hurried, request_class::interactive)->oldest_ms);
+    if (std::chrono::milliseconds{queued} < state.settings.interactive_patience) return false;
+    const auto interactive = state.order[0].floor(state.now);
+    const auto batch = state.order[1].floor(state.now);
+    if (!interactive || !batch) return false;
+    const double lead = std::numbers::ln2 * to_seconds(state.settings.class_lead) /
+                        to_seconds(state.settings.order_of_service.half_life);
+    constexpr double slack_units = 1.0; // both orders start from nothing
+    return *interactive > *batch * (1.0 + lead) + slack_units;
+}
+
+bool may_preempt(const sidecar_state& state, const running_call& call) {
+    return call.work.cls == request_class::batch && call.work.stream && !call.work.order &&
+           call.work.preemptions < state.settings.max_preemptions;
+}
+
+void preempt(sidecar_state& state, running_call& call, effects& out) {
+    out.emplace_back(cancel_call{call.work.attempt});
+    out.emplace_back(count{"preemptions_total", {}, 1});
+    finish end;
+    end.outcome = attempt_outcome::connection_lost;
+    end.preempted = true;
+    end.units = units_so_far(state, call);
+    end_call(state, call, std::move(end), out);
+}
+
+// Cancels the youngest batch stream that may be resumed elsewhere; false if there is none.
+bool preempt_youngest(sidecar_state& state, effects& out) {
+    running_call* youngest = nullptr;
+    for (auto& [attempt, call] : state.running) {
+        if (!may_preempt(state, call)) continue;
+        if (youngest == nullptr || call.started > youngest->started) youngest = &call;
+    }
+    if (youngest == nullptr) return false;
+    preempt(state, *youngest, out);
+    return true;
+}
+
 void pull_more(sidecar_state& state, effects& out) {
     note_return(state);
-    for (const request_class cls : both_classes) {
-        while (room_for(state, cls) > 0 && pull_one(state, cls, out)) {
-        }
+    while (room_for(state, request_class::batch) > 0 && batch_is_due(state) &&
+           pull_one(state, request_class::batch, out)) {
+    }
+    while (room_for(state, request_class::interactive) > 0 &&
+           pull_one(state, request_class::interactive, out)) {
+    }
+    while (room_for(state, request_class::batch) > 0 && pull_one(state, request_class::batch, out)) {
+    }
+    const bool full = state.used[0] + state.used[1] >= present_limit(state.limit);
+    if (!full || state.suspects > 0 || serving(state) != serving_state::serving) return;
+    while (least_served(state, request_class::interactive) && !batch_is_due(state) &&
+           state.used[0] + state.used[1] <= present_limit(state.limit) && preempt_youngest(state, out)) {
+        if (!pull_one(state, request_class::interactive, out)) break;
     }
 }
 
+waiting_account waiting_of(const reserve_row& row) {
+    const auto age = [](std::uint64_t ms) {
+        return duration{std::chrono::milliseconds{static_cast<std::int64_t>(ms)}};
+    };
+    return {row.share, row.fleet_service, age(row.service_age_ms), age(row.unserved_ms)};
+}
+
 void on_reserve(sidecar_state& state, link_id link, const reserve& message, effects& out) {
     for (const reserve_row& incoming : message.rows) {
         auto& rows = state.rows[incoming.account][index_of(incoming.cls)];
@@ -156,8 +236,8 @@
                 {link, incoming.version, incoming.waiting, incoming.oldest_ms, incoming.cost_hint});
         }
         if (oldest_row(state, incoming.account, incoming.cls) != nullptr) {
-            state.order[index_of(incoming.cls)].set_waiting(incoming.account, incoming.share,
-                                                            incoming.fleet_service, state.now);
+            state.order[index_of(incoming.cls)].set_waiting(incoming.account, waiting_of(incoming),
+                                                            state.now);
         } else {
             update_waiting(state, incoming.account, incoming.cls);
         }
@@ -171,7 +251,7 @@
     const auto found = state.pulls.find(message.pull_id);
     if (found == state.pulls.end()) return;
     const open_pull ended = found->second;
-    state.pulls.erase(found);
+    close_pull(state, found);
     charge_account(state, ended.account, -ended.cost_hint);
     // The router has nothing for this sidecar until its next row.
     const auto rows = state.rows.find(ended.account);
@@ -278,7 +358,7 @@
         pull_config(state, link, out);
         return;
     }
-    if (expected) state.pulls.erase(asked);
+    if (expected) close_pull(state, asked);
     if (order == revision_order::router_behind) {
         refuse_for_revision(state, link, work, "stale_revision", out);
         return;
@@ -304,6 +384,7 @@
     running_call call;
     call.work = work;
     call.link = link;
+    call.charged = work.cost_hint;
     call.offset = work.resume_offset;
     call.started = state.now;
     call.last_byte = state.now;
@@ -325,6 +406,8 @@
     start.traceparent = call.traceparent;
     if (work.order) start.idempotency_key = key_text(work.order->key);
     start.fence = state.settings.fence;
+    ++state.used[index_of(work.cls)];
+    if (work.suspect) ++state.suspects;
     state.running.emplace(work.attempt, std::move(call));
     out.emplace_back(std::move(start));
 }
@@ -339,6 +422,11 @@
     return 1.0 + prompt_weight * static_cast<double>(call.work.body.size()) / bytes_per_token + tokens;
 }
 
+// Cost of what a call has used up to now.
+double units_so_far(const sidecar_state& state, const running_call& call) {
+    return units_of(state, call, call.tokens);
+}
+
 // Ends a call and tells its router.
 void end_call(sidecar_state& state, running_call& call, finish end, effects& out) {
     end.attempt = call.work.attempt;
@@ -351,7 +439,7 @@
     }
     end.load_level = call.load_level;
     end.total_us = static_cast<std::uint64_t>((state.now - call.started).count());
-    charge_account(state, call.work.account, end.units - call.work.cost_hint);
+    charge_account(state, call.work.account, end.units - call.charged);
     const bool ok = end.outcome == attempt_outcome::completed;
     out.emplace_back(span{call.traceparent, call.work.traceparent, "sidecar.call", call.started, state.now,
                           ok, state.settings.pool + " " + state.settings.name});
@@ -366,6 +454,8 @@
         }
     }
     const link_id link = call.link;
+    --state.used[index_of(call.work.cls)];
+    if (call.work.suspect) --state.suspects;
     state.running.erase(call.work.attempt);
     if (find_peer(state.members, link) != nullptr) out.emplace_back(send_message{link, std::move(end)});
 }
@@ -377,7 +467,7 @@
     if (waits != state.held.end()) {
         const sidecar_state::held_work item = *waits;
         state.held.erase(waits);
-        state.pulls.erase(item.work.pull_id);
+        close_pull(state, item.work.pull_id);
         charge_account(state, item.work.account, -item.work.cost_hint);
         send_not_sent(item.link, item.work, failure_kind::draining, out);
         pull_more(state, out);
@@ -387,7 +477,7 @@
     out.emplace_back(cancel_call{message.attempt});
     finish end;
     end.outcome = attempt_outcome::connection_lost;
-    end.units = found->second.work.cost_hint;
+    end.units = units_so_far(state, found->second);
     end_call(state, found->second, std::move(end), out);
     pull_more(state, out);
 }
@@ -408,7 +498,7 @@
         return true;
     });
     for (const auto& item : overdue) {
-        state.pulls.erase(item.work.pull_id);
+        close_pull(state, item.work.pull_id);
         refuse_for_revision(state, item.link, item.work, "configuration_missing", out);
     }
 }
@@ -431,8 +521,18 @@
                 log_change{"target has turned cold: limit is " + std::to_string(present_limit(state.limit))});
         }
     }
+    if (call.tokens > 0) {
+        state.window_tokens += piece.tokens;
+        state.window_seconds += to_seconds(state.now - call.last_byte);
+    }
     call.last_byte = state.now;
-    chunk message{piece.attempt, call.chunks, call.offset, piece.data};
+    call.tokens += piece.tokens;
+    const double units = units_so_far(state, call);
+    if (units > call.charged) {
+        charge_account(state, call.work.account, units - call.charged);
+        call.charged = units;
+    }
+    chunk message{piece.attempt, call.chunks, call.offset, piece.data, units};
     ++call.chunks;
     call.offset += piece.data.size();
     call.checksum = chain_checksum(call.checksum, piece.data);
@@ -475,7 +575,7 @@
         finish end;
         end.outcome = attempt_outcome::connection_lost;
         end.target_crashed = crashed;
-        end.units = call.work.cost_hint;
+        end.units = units_so_far(state, call);
         end_call(state, call, std::move(end), out);
     }
 }
@@ -542,7 +642,7 @@
             continue;
         }
         charge_account(state, it->second.account, -it->second.cost_hint);
-        it = state.pulls.erase(it);
+        close_pull(state, it++);
     }
     // Orders go on, since their outcome will be asked for; everything else has lost its caller.
     std::vector<attempt_id> orphans;
@@ -698,11 +798,41 @@
         out.emplace_back(cancel_call{attempt});
         finish end;
         end.outcome = attempt_outcome::connection_lost;
-        end.units = call.work.cost_hint;
+        end.units = units_so_far(state, call);
         end_call(state, call, std::move(end), out);
     }
 }
 
+// Gives up what a cold target cannot bear: streams are resumed elsewhere, the youngest first.
+void shed_excess(sidecar_state& state, effects& out) {
+    std::vector<std::pair<time_point, attempt_id>> streams;
+    for (const auto& [attempt, call] : state.running) {
+        if (call.work.stream && !call.work.order) streams.emplace_back(call.started, attempt);
+    }
+    std::ranges::sort(streams, std::greater{});
+    for (const auto& [started, attempt] : streams) {
+        if (state.running.size() <= present_limit(state.limit)) return;
+        preempt(state, state.running.at(attempt), out);
+    }
+}
+
+// Running streams tell of a cold turn before any new request could: their rate falls.
+void watch_progress(sidecar_state& state, effects& out) {
+    constexpr duration window = 200ms;
+    if (state.settings.kind != target_kind::model_engine || state.now - state.window_start < window) return;
+    double seconds = state.window_seconds;
+    for (const auto& [attempt, call] : state.running) {
+        if (call.tokens > 0) seconds += to_seconds(state.now - call.last_byte);
+    }
+    if (seconds > 0.0 && on_progress(state.limit, static_cast<double>(state.window_tokens) / seconds)) {
+        out.emplace_back(log_change{"target has turned cold: its streams have slowed down"});
+        shed_excess(state, out);
+    }
+    state.window_tokens = 0;
+    state.window_seconds = 0.0;
+    state.window_start = state.now;
+}
+
 // A router that has not answered a pull for this long has lost it.
 constexpr duration pull_limit = 3s;
 
@@ -713,7 +843,7 @@
             continue;
         }
         charge_account(state, it->second.account, -it->second.cost_hint);
-        it = state.pulls.erase(it);
+        close_pull(state, it++);
     }
 }
 
@@ -725,6 +855,7 @@
     }
     end_silent_calls(state, out);
     end_overdue_held(state, out);
+    watch_progress(state, out);
     end_lost_pulls(state);
     expire_orders(state.orders, state.now);
     for (service_order& order : state.order)
