Add benches answer_integrity and graceful_stop; wait for proof of a crash

Causes and changes: - a stopping router stayed the shard's writer, so that every other router wrote by itself and none knew the age of a void claim: a draining router is no longer chosen, and it tells its peers of the stop at once; - a lost connection to an engine counted as a crash of everything in flight: the sidecar now waits up to 1 s for a status report that shows a new boot or an unreachable target.

--- /dev/null
+++ b/bench/damaskhill_bench_answer_integrity.cpp
@@ -0,0 +1,220 @@
+// Streams and whole answers while links fall silent, processes pause and VMs are replaced: every caller gets
+// the whole answer to its own request, or none.
+//
+// Index of this file:
+// [SECTION] Load
+// [SECTION] Failures
+// [SECTION] Registration
+
+#include "damaskhill_bench.hpp"
+#include "damaskhill_bench_orders.hpp"
+
+namespace damaskhill::bench {
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load
+//-----------------------------------------------------------------------------
+
+constexpr std::size_t routers = 4;
+constexpr double questions_per_second = 30;
+constexpr duration load_time = 150s;
+constexpr duration fault_period = 3s;
+
+struct asked_question {
+    std::string expected;
+    request_id request;
+    caller_id fetch{};
+};
+
+caller_request make_question(std::uint64_t number, random_source& random, std::uint64_t tokens) {
+    caller_request r;
+    r.pool = "lm";
+    r.method = "POST";
+    r.path = "/v1/completions";
+    r.key_hash = std::string(64, 'a');
+    r.body = "q" + std::to_string(number) + " tokens=" + std::to_string(tokens) + " ";
+    r.max_tokens = static_cast<std::uint32_t>(tokens);
+    r.stream = number % 2 == 0;
+    r.request = random.next_id<request_id>();
+    return r;
+}
+
+void ask_questions(fleet& f, invariant_monitor& monitor, std::map<caller_id, asked_question>& asked,
+                   time_point end) {
+    const double gap = -std::log(1.0 - f.random().next_unit()) / questions_per_second;
+    f.at(f.now() + duration{static_cast<std::int64_t>(gap * 1e6)}, [&f, &monitor, &asked, end] {
+        if (f.now() >= end) return;
+        const std::uint64_t tokens = 20 + f.random().next() % 600;
+        caller_request r = make_question(asked.size() + 1, f.random(), tokens);
+        r.caller = f.ask(f.random().next() % routers, r);
+        const std::string expected = expected_text(r.body, tokens);
+        asked[r.caller] = {expected, r.request, 0};
+        observe_asked(monitor, r, expected, {}, f.now());
+        ask_questions(f, monitor, asked, end);
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Failures
+//-----------------------------------------------------------------------------
+
+// One failure of the kinds that can delay, cross, cut or lose pieces of an answer.
+void inject_one(fleet& f, std::uint64_t number) {
+    const std::size_t router = f.random().next() % routers;
+    const auto sidecars = f.sidecars("lm");
+    const std::size_t sidecar = sidecars[f.random().next() % sidecars.size()];
+    constexpr duration pause = 4s; // longer than the silence limit of links
+    switch (number % 6) {
+    case 0: // a link goes silent while new ones work
+        f.cut(router, sidecar);
+        f.at(f.now() + 50ms, [&f, router, sidecar] { f.heal(router, sidecar); });
+        return;
+    case 1: // answers arrive late
+        f.pause(sidecar);
+        f.at(f.now() + pause, [&f, sidecar] { f.resume(sidecar); });
+        return;
+    case 2: // a VM is replaced
+        f.restart(sidecar, true);
+        return;
+    case 3:
+        f.pause(router);
+        f.at(f.now() + pause, [&f, router] { f.resume(router); });
+        return;
+    case 4:
+        f.cut(router, sidecar);
+        f.at(f.now() + 2500ms, [&f, router, sidecar] { f.heal(router, sidecar); });
+        return;
+    default: // a router's VM is replaced; its callers' connections break
+        f.restart(router, false);
+        return;
+    }
+}
+
+// Longest time from the loss of a link's messages until the router closes it.
+struct silence_watch {
+    std::map<std::pair<std::size_t, std::size_t>, time_point> silent_since;
+    duration longest{};
+};
+
+std::vector<row> run(std::uint64_t seed) {
+    fleet_settings settings;
+    settings.seed = seed;
+    settings.routers = routers;
+    settings.pools.push_back({"lm", 8, {}});
+    settings.tune_router = [](router_settings& s) { s.retry.budget_limit = 200; };
+    fleet f{settings};
+    team_declarations team;
+    team.team = "t";
+    team.accounts.push_back({"t/a", 1.0, {std::string(64, 'a')}, 4096});
+    pool_declaration lm;
+    lm.name = "lm";
+    lm.warm_limit = 16;
+    team.pools.push_back(lm);
+    f.declare(team);
+    f.run_for(6s);
+
+    invariant_monitor monitor;
+    std::map<caller_id, asked_question> asked;
+    silence_watch silence;
+    f.observer = [&](std::size_t node, const effects& out) {
+        if (node >= routers) return;
+        observe_router(monitor, out, f.now());
+        for (const effect& item : out) {
+            const auto* closing = std::get_if<close_link>(&item);
+            if (closing == nullptr) continue;
+            const auto link = f.nodes()[node].links.find(closing->link);
+            if (link == f.nodes()[node].links.end()) continue;
+            const auto since = silence.silent_since.find(std::minmax(node, link->second.peer));
+            if (since == silence.silent_since.end()) continue;
+            silence.longest = std::max(silence.longest, f.now() - since->second);
+            silence.silent_since.erase(since);
+        }
+    };
+    const time_point end = f.now() + load_time;
+    std::uint64_t number = 0;
+    for (time_point at = f.now() + 1s; at < end; at += fault_period, ++number)
+        f.at(at, [&f, number] { inject_one(f, number); });
+    // A silent link of its own, to time how soon it is noticed.
+    const auto probe = std::pair<std::size_t, std::size_t>{0, f.sidecars("lm").back()};
+    ask_questions(f, monitor, asked, end);
+    f.run_until(end + 60s);
+    f.cut(probe.first, probe.second);
+    silence.silent_since[std::minmax(probe.first, probe.second)] = f.now();
+    f.run_for(5s);
+    f.heal_all();
+    f.run_for(5s);
+
+    // A finished answer is fetched through another router after its own router has died.
+    std::size_t fetched = 0;
+    std::size_t not_fetched = 0;
+    caller_request last = make_question(1'000'000, f.random(), 100);
+    std::vector<std::pair<caller_id, std::string>> fetches;
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        caller_request r = make_question(1'000'000 + i, f.random(), 100);
+        r.stream = false;
+        const caller_id caller = f.ask(1, r);
+        asked[caller] = {expected_text(r.body, 100), r.request, 0};
+    }
+    f.run_for(10s);
+    f.kill(1);
+    f.run_for(3s);
+    for (const auto& [caller, question] : asked) {
+        const caller_result& result = f.result(caller);
+        if (result.router != 1 || !result.answered || f.now() - result.ended > 60s) continue;
+        caller_request r = last;
+        r.route = caller_route::fetch_answer;
+        r.request = question.request;
+        fetches.emplace_back(f.ask(2, r), question.expected);
+    }
+    f.run_for(3s);
+    for (const auto& [caller, expected] : fetches) {
+        const bool right = f.result(caller).answered && f.result(caller).text == expected;
+        ++(right ? fetched : not_fetched);
+    }
+
+    std::size_t answered = 0;
+    std::size_t open = 0;
+    std::size_t broken_by_router = 0;
+    std::size_t refused = 0;
+    for (const auto& [caller, question] : asked) {
+        const caller_result& result = f.result(caller);
+        answered += result.answered ? 1 : 0;
+        open += result.ended == time_point{} ? 1 : 0;
+        broken_by_router += result.broken && result.refusal == failure_kind::none ? 1 : 0;
+        refused += !result.answered && result.refusal != failure_kind::none ? 1 : 0;
+        if (!result.answered && result.refusal != failure_kind::none &&
+            std::getenv("DAMASKHILL_TRACE") != nullptr) {
+            std::fprintf(stderr, "refused: %s broken %d bytes %zu of %zu asked %.3f ended %.3f\n",
+                         std::string{to_string(result.refusal)}.c_str(), result.broken ? 1 : 0,
+                         result.text.size(), question.expected.size(), to_seconds(result.asked - end),
+                         to_seconds(result.ended - end));
+        }
+    }
+    const auto wrong = static_cast<double>(violations_of(monitor, promise::whole_answer));
+    const std::string detail = "answers=" + std::to_string(answered) + " open=" + std::to_string(open) +
+                               " cut_by_router_loss=" + std::to_string(broken_by_router) +
+                               " refused=" + std::to_string(refused);
+    constexpr double silence_bound_s = 2.0 + 0.5 + 0.02; // limit after the last heartbeat, and a tick
+    const double silence_s = to_seconds(silence.longest);
+    return {{"answer_integrity.wrong", wrong, "answers", 0, wrong == 0 && answered > 0, detail},
+            {"answer_integrity.open", static_cast<double>(open), "requests", 0, open == 0, {}},
+            {"answer_integrity.interrupted", static_cast<double>(refused), "requests", 0, refused == 0, {}},
+            {"answer_integrity.silence_noticed",
+             silence_s,
+             "s",
+             silence_bound_s,
+             silence_s > 0 && silence_s <= silence_bound_s,
+             {}},
+            {"answer_integrity.not_fetched", static_cast<double>(not_fetched), "answers", 0,
+             not_fetched == 0 && fetched > 0, "fetched=" + std::to_string(fetched)}};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Registration
+//-----------------------------------------------------------------------------
+
+const register_bench registered{"answer_integrity", run};
+
+} // namespace
+} // namespace damaskhill::bench
--- /dev/null
+++ b/bench/damaskhill_bench_graceful_stop.cpp
@@ -0,0 +1,186 @@
+// Planned stops at full load: every router and sidecar in turn, and a target that leaves. Nothing may be cut.
+//
+// Index of this file:
+// [SECTION] Load
+// [SECTION] Rolling stop
+// [SECTION] Registration
+
+#include "damaskhill_bench.hpp"
+#include "damaskhill_bench_orders.hpp"
+
+namespace damaskhill::bench {
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load
+//-----------------------------------------------------------------------------
+
+constexpr std::size_t routers = 4;
+constexpr double questions_per_second = 40;
+constexpr std::size_t batch_each = 8;        // one of so many questions is a long one
+constexpr duration readiness_period = 1s;    // between two looks of the balancer at /readyz
+constexpr duration drain_bound{30s + 100ms}; // drain limit and the tick that notices it
+
+// Questions through the routers that are ready as the balancer last saw them.
+class question_load {
+public:
+    question_load(fleet& f, invariant_monitor& monitor) : fleet_{f}, monitor_{monitor} {}
+
+    void start(time_point end) {
+        const double gap = -std::log(1.0 - fleet_.random().next_unit()) / questions_per_second;
+        fleet_.at(fleet_.now() + duration{static_cast<std::int64_t>(gap * 1e6)}, [this, end] {
+            if (fleet_.now() >= end) return;
+            ask();
+            start(end);
+        });
+    }
+
+    std::set<std::size_t> ready{0, 1, 2, 3};
+    std::vector<caller_id> asked;
+
+private:
+    void ask() {
+        const std::uint64_t number = asked.size() + 1;
+        const std::uint64_t tokens = number % batch_each == 0 ? 1500 : 100;
+        caller_request r;
+        r.pool = "lm";
+        r.method = "POST";
+        r.path = "/v1/completions";
+        r.key_hash = std::string(64, 'a');
+        r.body = "q" + std::to_string(number) + " tokens=" + std::to_string(tokens) + " ";
+        r.max_tokens = static_cast<std::uint32_t>(tokens);
+        r.stream = number % 2 == 0;
+        auto chosen = ready.begin();
+        std::advance(chosen, static_cast<std::ptrdiff_t>(fleet_.random().next() % ready.size()));
+        const caller_id caller = fleet_.ask(*chosen, r);
+        r.caller = caller;
+        observe_asked(monitor_, r, expected_text(r.body, tokens), {}, fleet_.now());
+        asked.push_back(caller);
+    }
+
+    fleet& fleet_;
+    invariant_monitor& monitor_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Rolling stop
+//-----------------------------------------------------------------------------
+
+struct stop_times {
+    duration longest{};
+    std::size_t unfinished{};
+};
+
+// SIGTERM; when the process has ended, its replacement starts.
+void stop_and_replace(fleet& f, std::size_t node, stop_times& times) {
+    const time_point asked = f.now();
+    f.stop(node);
+    ++times.unfinished;
+    const auto look = std::make_shared<std::function<void()>>();
+    *look = [&f, node, asked, look, &times] {
+        if (f.nodes()[node].up) {
+            f.at(f.now() + 20ms, *look);
+            return;
+        }
+        --times.unfinished;
+        times.longest = std::max(times.longest, f.now() - asked);
+        f.start(node);
+    };
+    f.at(f.now() + 20ms, *look);
+}
+
+std::vector<row> run(std::uint64_t seed) {
+    fleet_settings settings = order_fleet(seed, routers, 6);
+    settings.pools.push_back({"lm", 6, {}});
+    fleet f{settings};
+    team_declarations team = order_team();
+    pool_declaration lm;
+    lm.name = "lm";
+    lm.warm_limit = 16;
+    team.pools.push_back(lm);
+    team.accounts[0].max_waiting = 4096;
+    f.declare(team);
+    f.run_for(6s);
+
+    order_load_settings order_settings;
+    order_settings.impatient = 0.0;
+    order_settings.timeout = 20s;
+    order_settings.patience = 25s;
+    order_load orders{f, order_settings};
+    orders.monitor.only_planned_stops = true;
+    question_load questions{f, orders.monitor};
+    stop_times times;
+    time_point at = f.now() + 2s;
+    for (std::size_t node = 0; node < f.nodes().size(); ++node) {
+        // The balancer takes a router out as soon as /readyz is false, and back when it is true.
+        if (node < routers) {
+            f.at(at + readiness_period, [&questions, node] { questions.ready.erase(node); });
+            f.at(at + 15s, [&questions, node] { questions.ready.insert(node); });
+        }
+        f.at(at, [&f, node, &times] { stop_and_replace(f, node, times); });
+        at += node < routers ? 16s : 4s;
+    }
+    // One target of each pool leaves for good; the platform lists it as leaving.
+    const std::size_t leaving_app = f.sidecars("app").front();
+    const std::size_t leaving_lm = f.sidecars("lm").front();
+    f.at(at, [&] {
+        for (const std::size_t node : {leaving_app, leaving_lm}) {
+            observe_leaving(orders.monitor, f.nodes()[node].name, f.now());
+            for (vm_entry& vm : f.store().vms)
+                vm.leaving = vm.leaving || vm.name == f.nodes()[node].name;
+        }
+    });
+    const time_point end = at + 15s;
+    orders.start(end);
+    questions.start(end);
+    f.run_until(end + 60s);
+
+    std::size_t cut = 0;
+    std::size_t refused_as_run = 0;
+    std::size_t draining = 0;
+    for (const auto& [caller, result] : f.results()) {
+        if (result.answered) continue;
+        const bool refused = !result.broken && result.ended != time_point{};
+        if (refused && result.refusal == failure_kind::draining && result.state == run_state::not_run) {
+            ++draining;
+        } else if (refused) {
+            ++refused_as_run;
+        } else {
+            ++cut;
+        }
+        if (!(refused && result.refusal == failure_kind::draining) &&
+            std::getenv("DAMASKHILL_TRACE") != nullptr)
+            std::fprintf(stderr,
+                         "cut: caller %llu router %zu asked %.3f ended %.3f broken %d refusal %s pool %s\n",
+                         static_cast<unsigned long long>(caller), result.router,
+                         to_seconds(result.asked - (end - 15s)), to_seconds(result.ended - (end - 15s)),
+                         result.broken ? 1 : 0, std::string{to_string(result.refusal)}.c_str(),
+                         result.request.pool.c_str());
+    }
+    const auto late = static_cast<double>(violations_of(orders.monitor, promise::graceful_leave));
+    const auto wrong = static_cast<double>(violations_of(orders.monitor, promise::whole_answer) +
+                                           violations_of(orders.monitor, promise::at_most_once) +
+                                           violations_of(orders.monitor, promise::true_refusal));
+    const std::string detail = "requests=" + std::to_string(f.results().size()) +
+                               " refused_draining=" + std::to_string(draining) +
+                               " stops=" + std::to_string(f.nodes().size());
+    const auto all_cut = static_cast<double>(cut + refused_as_run);
+    return {{"graceful_stop.cut", all_cut, "requests", 0, all_cut == 0, detail},
+            {"graceful_stop.late_work", late, "calls", 0, late == 0, {}},
+            {"graceful_stop.other_promises", wrong, "violations", 0, wrong == 0, {}},
+            {"graceful_stop.longest_stop",
+             to_seconds(times.longest),
+             "s",
+             to_seconds(drain_bound),
+             times.longest <= drain_bound && times.unfinished == 0,
+             {}}};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Registration
+//-----------------------------------------------------------------------------
+
+const register_bench registered{"graceful_stop", run};
+
+} // namespace
+} // namespace damaskhill::bench
--- a/core/damaskhill_router.cpp
+++ b/core/damaskhill_router.cpp
@@ -98,6 +98,7 @@
     if (state.stopping) return;
     state.stopping = true;
     state.stop_at = state.now;
+    state.members.next_heartbeat = state.now; // peers hear of it on the next tick
     out.emplace_back(
         log_change{"stop requested; requests in progress: " + std::to_string(state.requests.size())});
 }
--- a/core/damaskhill_router_orders.cpp
+++ b/core/damaskhill_router_orders.cpp
@@ -30,7 +30,13 @@
 
 // Link of the router that batches the writes of the record, 0 if it is this one or not linked.
 link_id shard_link(const router_state& state, const order_entry& entry) {
-    const auto routers = live_routers(state.members, state.settings.name);
+    std::vector<std::string> routers = live_routers(state.members, state.settings.name);
+    // A stopping router refuses claims; all others must agree on the next one, which then knows the record.
+    std::erase_if(routers, [&](const std::string& name) {
+        if (name == state.settings.name) return state.stopping;
+        const peer* p = find_peer_named(state.members, name);
+        return p == nullptr || p->last.state == serving_state::draining;
+    });
     const auto owner = rendezvous(routers, order_record(entry.key, state.settings.orders), 1);
     if (owner.empty() || owner.front() == state.settings.name) return 0;
     const peer* p = find_peer_named(state.members, owner.front());
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -337,7 +337,12 @@
 
 void on_call_finished(sidecar_state& state, const call_finished& done, effects& out) {
     const auto found = state.running.find(done.attempt);
-    if (found == state.running.end()) return;
+    if (found == state.running.end() || found->second.lost_at) return;
+    if (!done.transport_ok && done.sent) {
+        // A lost connection alone is no proof of a crash: the next status reports decide.
+        found->second.lost_at = state.now;
+        return;
+    }
     finish end;
     end.status = done.status;
     end.content_type = done.content_type;
@@ -347,10 +352,7 @@
         out.emplace_back(count{"target_overloads_total", {}, 1});
     }
     if (!done.transport_ok) {
-        // Whether the process crashed is decided by its status reports; a lost connection alone is no proof.
-        end.outcome = done.sent ? attempt_outcome::connection_lost : attempt_outcome::not_sent;
-        end.target_crashed =
-            done.sent && !found->second.work.order && state.settings.kind == target_kind::model_engine;
+        end.outcome = attempt_outcome::not_sent;
     } else if (done.overloaded) {
         end.outcome = attempt_outcome::not_sent; // the target refused it before it ran
     } else if (done.status >= 500 && !found->second.work.order) {
@@ -360,6 +362,23 @@
     pull_more(state, out);
 }
 
+// Ends calls whose connection broke: at once when the target is seen down, else after the limit.
+void end_lost_calls(sidecar_state& state, bool crashed, effects& out) {
+    std::vector<attempt_id> lost;
+    for (const auto& [attempt, call] : state.running) {
+        if (!call.lost_at) continue;
+        if (crashed || state.now - *call.lost_at > state.settings.crash_proof_limit) lost.push_back(attempt);
+    }
+    for (const attempt_id attempt : lost) {
+        running_call& call = state.running.at(attempt);
+        finish end;
+        end.outcome = attempt_outcome::connection_lost;
+        end.target_crashed = crashed;
+        end.units = call.work.cost_hint;
+        end_call(state, call, std::move(end), out);
+    }
+}
+
 void lose_all_calls(sidecar_state& state, bool crashed, effects& out) {
     while (!state.running.empty()) {
         running_call& call = state.running.begin()->second;
@@ -384,6 +403,7 @@
     if (was_up != status.reachable) {
         out.emplace_back(log_change{status.reachable ? "target is reachable" : "target is not reachable"});
         if (status.reachable) reset_to_cold(state.limit);
+        if (!status.reachable) end_lost_calls(state, true, out);
     }
     state.target = status;
     state.target_known = true;
@@ -600,6 +620,7 @@
         on_link_closed(state, link, out);
     }
     end_silent_calls(state, out);
+    end_lost_calls(state, false, out);
     end_lost_pulls(state);
     expire_orders(state.orders, state.now);
     for (service_order& order : state.order)
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -41,6 +41,7 @@
     duration drain_limit{30s};    // after which a stop abandons what still runs
     duration idle_call_limit{5s}; // a model engine that sends nothing for so long is taken as lost
     duration service_call_limit{30s};
+    duration crash_proof_limit{1s};   // after a lost connection, in which status reports show a crash
     std::uint32_t max_preemptions{2}; // of one stream
 };
 
@@ -59,7 +60,8 @@
     time_point started{};
     time_point first_byte{};
     time_point last_byte{};
-    bool ran_alone{true}; // nothing else has run on the target since it started
+    bool ran_alone{true};              // nothing else has run on the target since it started
+    std::optional<time_point> lost_at; // its connection broke; whether the target crashed is not known yet
     std::string traceparent;
 };
 
