--- a/bench/damaskhill_bench_orders.hpp
+++ b/bench/damaskhill_bench_orders.hpp
@@ -27,6 +27,7 @@
     double impatient{0.05};      // share of submissions that the caller gives up within half a second
     double accepts_not_run{0.5}; // share of callers for which "not_run" is the end
     std::string pool{"app"};
+    std::function<bool(std::size_t)> is_ready; // routers that the balancer uses; empty: all
 };
 
 //-----------------------------------------------------------------------------
@@ -136,8 +137,10 @@
         }
         ++c.submissions;
         c.last_state = run_state::unknown;
-        const std::size_t router =
+        std::size_t router =
             (number * 7 + c.submissions + fleet_.random().next() % 2) % fleet_.router_count();
+        while (settings_.is_ready && !settings_.is_ready(router))
+            router = (router + 1) % fleet_.router_count();
         const caller_id caller = fleet_.ask(router, c.request);
         c.current = caller;
         by_caller_[caller] = number;
