--- a/bench/damaskhill_bench_answer_integrity.cpp
+++ b/bench/damaskhill_bench_answer_integrity.cpp
@@ -171,6 +171,17 @@
     for (const auto& [caller, expected] : fetches) {
         const bool right = f.result(caller).answered && f.result(caller).text == expected;
         ++(right ? fetched : not_fetched);
+        if (right || std::getenv("DAMASKHILL_TRACE") == nullptr) continue;
+        std::fprintf(stderr, "not fetched: refusal %s broken %d\n",
+                     std::string{to_string(f.result(caller).refusal)}.c_str(),
+                     f.result(caller).broken ? 1 : 0);
+        for (std::size_t i = 0; i < routers; ++i) {
+            if (!f.nodes()[i].up) continue;
+            const router_state& state = *f.nodes()[i].router;
+            std::fprintf(stderr, "router %zu knows %zu routers, keeps %zu answers\n", i,
+                         live_routers(state.members, state.settings.name).size(),
+                         state.answers.answers.size());
+        }
     }
 
     std::size_t answered = 0;
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -351,10 +351,8 @@
         on_overload(state.limit);
         out.emplace_back(count{"target_overloads_total", {}, 1});
     }
-    if (!done.transport_ok) {
-        end.outcome = attempt_outcome::not_sent;
-    } else if (done.overloaded) {
-        end.outcome = attempt_outcome::not_sent; // the target refused it before it ran
+    if (!done.transport_ok || done.overloaded) {
+        end.outcome = attempt_outcome::not_sent; // nothing was sent, or the target refused it before it ran
     } else if (done.status >= 500 && !found->second.work.order) {
         end.outcome = attempt_outcome::target_error;
     }
