Withdraw a reservation only from sidecars that hold it

Cause: when a queue emptied, every linked sidecar of its pool was told, although most had never heard of it; a request that is pulled within the reservation period is known to two.

--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -167,7 +167,8 @@
     std::set<std::pair<time_point, request_id>> delayed; // waiting out a retry delay
     std::map<queue_key, request_queue> queues;
     std::map<std::pair<account_id, std::string>, std::uint32_t> waiting_by_account; // and pool
-    std::set<queue_key> dirty; // queues whose rows have to be sent
+    std::set<queue_key> dirty;                   // queues whose rows have to be sent
+    std::map<queue_key, std::set<link_id>> told; // sidecars that hold a row of the queue
 
     std::map<std::string, std::vector<link_id>, std::less<>> sidecars; // greeted links by pool
     std::unordered_map<link_id, std::int64_t> reserved_room;           // rows sent since the last heartbeat
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -76,6 +76,8 @@
         return;
     }
     std::erase(state.sidecars[closed.identity.pool], link);
+    for (auto& [key, links] : state.told)
+        links.erase(link);
     const auto seen = state.seen_sidecars.find(closed.identity.incarnation);
     if (seen != state.seen_sidecars.end() &&
         find_peer_incarnation(state.members, closed.identity.incarnation) == nullptr) {
--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -66,6 +66,7 @@
     const reserve_row row = row_of(state, key);
     for (const link_id link : choose_first(candidates, state.settings.placement, state.random)) {
         ++state.reserved_room[link];
+        state.told[key].insert(link);
         out.emplace_back(send_message{link, reserve{{row}}});
     }
 }
@@ -75,8 +76,9 @@
     if (sidecar == nullptr) return;
     reserve message;
     for (const auto& [key, queue] : state.queues) {
-        if (key.pool == sidecar->identity.pool && may_run(*sidecar, key))
-            message.rows.push_back(row_of(state, key));
+        if (queue.empty() || key.pool != sidecar->identity.pool || !may_run(*sidecar, key)) continue;
+        message.rows.push_back(row_of(state, key));
+        state.told[key].insert(link);
     }
     if (!message.rows.empty()) out.emplace_back(send_message{link, std::move(message)});
 }
@@ -90,10 +92,13 @@
         for (const link_id link : links->second) {
             const peer* sidecar = find_peer(state.members, link);
             if (sidecar == nullptr || !may_run(*sidecar, key)) continue;
-            // A withdrawal goes to everyone; waiting requests only to those that may take them.
+            // A withdrawal goes to those that hold a row; waiting requests only to those that may take them.
             if (row.waiting > 0 && !is_eligible(state, *sidecar)) continue;
+            if (row.waiting == 0 && !state.told[key].contains(link)) continue;
+            if (row.waiting > 0) state.told[key].insert(link);
             messages[link].rows.push_back(row);
         }
+        if (row.waiting == 0) state.told.erase(key);
     }
     state.dirty.clear();
     for (auto& [link, message] : messages)
