--- a/bench/damaskhill_bench_control.cpp
+++ b/bench/damaskhill_bench_control.cpp
@@ -116,13 +116,13 @@
     constexpr double seconds = 20;
     constexpr duration step = 10ms;
     double changes = 0;
-    double requests = 0;
     std::size_t account = 0;
     for (time_point end = f.now() + 20s; f.now() < end;) {
         for (changes += l.changes * to_seconds(step); changes >= 1.0; changes -= 1.0)
             f.declare(l.pool_changes ? pool_team() : account_team(l.accounts));
-        for (requests += l.requests * to_seconds(step); requests >= 1.0; requests -= 1.0) {
-            for (std::size_t r = 0; r < l.routers; ++r)
+        // Random arrivals: a period could coincide with that of the reservations.
+        for (std::size_t r = 0; r < l.routers; ++r) {
+            if (f.random().next_unit() < l.requests * to_seconds(step))
                 ask_one(f, r, ++account % l.accounts, l.tokens);
         }
         f.run_for(step);
