--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -76,6 +76,7 @@
     }
     for (const link_id link : choose_first(candidates, state.settings.placement, state.random)) {
         ++state.reserved_room[link];
+        state.told[key].insert(link);
         out.emplace_back(send_message{link, reserve{{row_for(state, *find_peer(state.members, link), key)}}});
     }
 }
@@ -85,7 +86,11 @@
     if (sidecar == nullptr) return;
     reserve message;
     for (const auto& [key, queue] : state.queues) {
-        if (key.pool == sidecar->identity.pool) message.rows.push_back(row_for(state, *sidecar, key));
+        if (queue.empty() || key.pool != sidecar->identity.pool) continue;
+        const reserve_row row = row_for(state, *sidecar, key);
+        if (row.waiting == 0) continue;
+        message.rows.push_back(row);
+        state.told[key].insert(link);
     }
     if (!message.rows.empty()) out.emplace_back(send_message{link, std::move(message)});
 }
@@ -99,10 +104,13 @@
             const peer* sidecar = find_peer(state.members, link);
             if (sidecar == nullptr) continue;
             const reserve_row row = row_for(state, *sidecar, key);
-            // A withdrawal goes to everyone; waiting requests only to those that may take them.
+            // A withdrawal goes to those that hold a row; waiting requests only to those that may take them.
             if (row.waiting > 0 && !is_eligible(state, *sidecar)) continue;
+            if (row.waiting == 0 && !state.told[key].contains(link)) continue;
+            if (row.waiting > 0) state.told[key].insert(link);
             messages[link].rows.push_back(row);
         }
+        if (!state.queues.contains(key)) state.told.erase(key);
     }
     state.dirty.clear();
     for (auto& [link, message] : messages)
