Announce suspects again after an empty pull

Only an idle sidecar may take a request that was in flight at a crash. When a busy one pulled, the router answered with an empty pull, which withdrew the row at the sidecar; nothing announced the request again, so that it waited until its deadline beside an idle target. A suspect can still wait long under steady load, since no sidecar is kept free for it.

--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -273,7 +273,8 @@
         return;
     }
     if (state.exited && r->order) {
-        // A definite refusal takes a write to the order record, for which the process does not live long enough.
+        // A definite refusal takes a write to the order record, for which the process does not live long
+        // enough.
         refuse_caller(input.caller, r->id, failure_kind::draining, run_state::unknown, {}, out);
         return;
     }
@@ -328,6 +329,16 @@
     return nullptr;
 }
 
+// An empty pull withdraws the row at the sidecar. When suspects still wait, which only an idle sidecar may
+// take, the row is sent again with the next reservations.
+void announce_suspects(router_state& state, const queue_key& key) {
+    const auto queue = state.queues.find(key);
+    if (queue == state.queues.end()) return;
+    const bool suspects_wait = std::ranges::any_of(
+        queue->second, [&](const request& r) { return is_suspect(state.crashes, r.crash_hash); });
+    if (suspects_wait) state.dirty.insert(key);
+}
+
 } // namespace
 
 void on_pull(router_state& state, link_id link, const pull& asked, effects& out) {
@@ -335,6 +346,8 @@
     request* r = nullptr;
     if (sidecar != nullptr && is_eligible(state, *sidecar)) r = next_for(state, *sidecar, asked);
     if (r == nullptr) {
+        if (sidecar != nullptr)
+            announce_suspects(state, {sidecar->identity.pool, asked.account, asked.cls, {}});
         out.emplace_back(send_message{link, pull_empty{asked.pull_id}});
         return;
     }
