--- a/backends/damaskhill_impl_target.cpp
+++ b/backends/damaskhill_impl_target.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+bool is_part_of_answer(std::uint32_t status, bool order) {
+    const bool overloaded = status == 429 || status == 503;
+    return !overloaded && (status < 500 || order);
+}
+
 void target_client::start(const start_call& asked) {
     const bool engine = kind_ == target_kind::model_engine;
     http_call call;
@@ -50,10 +55,12 @@
     if (!asked.idempotency_key.empty()) call.headers.emplace_back("Idempotency-Key", asked.idempotency_key);
     const attempt_id attempt = asked.attempt;
     http_call_handlers handlers;
-    handlers.on_data = [this, engine, attempt](std::uint32_t status, std::string_view, std::string&& data) {
+    const bool order = !asked.idempotency_key.empty();
+    handlers.on_data = [this, engine, order, attempt](std::uint32_t status, std::string_view,
+                                                      std::string&& data) {
         if (engine && status == 200) {
             on_engine_data(attempt, status, std::move(data));
-        } else if (status != 429 && status != 503) {
+        } else if (is_part_of_answer(status, order)) {
             submit_(call_chunk{attempt, std::move(data)});
         }
     };
--- a/backends/damaskhill_impl_target.hpp
+++ b/backends/damaskhill_impl_target.hpp
@@ -30,6 +30,11 @@
 // [SECTION] Target client
 //-----------------------------------------------------------------------------
 
+/// Whether the body of a reply other than an engine's event stream belongs to the caller's answer. A refusal
+/// for lack of room and a failure of a call that is retried do not: what the next attempt sends would follow
+/// them.
+[[nodiscard]] bool is_part_of_answer(std::uint32_t status, bool order);
+
 class target_client {
 public:
     /// `rejected` hears of every event of the target that could not be decoded.
--- a/tests/test_target.cpp
+++ b/tests/test_target.cpp
@@ -33,4 +33,16 @@
     RC_ASSERT(event.has_value() || why.kind == failure_kind::malformed_document);
 }
 
+// Guards against the body of a failed attempt standing before the text of the next one in the caller's
+// answer.
+BOOST_AUTO_TEST_CASE(body_of_a_retried_failure_is_no_answer) {
+    BOOST_TEST(!is_part_of_answer(500, false));
+    BOOST_TEST(!is_part_of_answer(502, false));
+    BOOST_TEST(is_part_of_answer(500, true)); // an order is never retried: this is its answer
+    BOOST_TEST(!is_part_of_answer(429, false));
+    BOOST_TEST(!is_part_of_answer(503, true)); // refused before it ran
+    BOOST_TEST(is_part_of_answer(400, false));
+    BOOST_TEST(is_part_of_answer(200, false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
