Add version moves to the demo

damaskhill_load good-move and bad-move keep short questions going until every target serves the new version, or until every router has condemned it; the stand-in engine counts requests by version.

--- a/programs/damaskhill_load.cpp
+++ b/programs/damaskhill_load.cpp
@@ -5,6 +5,7 @@
 // [SECTION] Options
 // [SECTION] Helpers
 // [SECTION] Checks
+// [SECTION] Version moves
 // [SECTION] Mixed load
 // [SECTION] Verification
 // [SECTION] Program
@@ -37,6 +38,7 @@
     std::string ledger;
     std::string planned;
     std::string title;
+    std::string version;
     std::uint64_t seed{1};
     std::uint64_t seconds{3};
     std::uint64_t concurrency{24};
@@ -413,6 +415,100 @@
              static_cast<unsigned long long>(crashed), quarantined, repeats, right, others.size()));
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Version moves
+//-----------------------------------------------------------------------------
+
+/// Keeps short questions going while a version move is watched.
+class move_watch {
+public:
+    move_watch(const options& o, bench_of_callers& bench)
+        : options_(o), bench_(bench), until_(wall_clock() + std::chrono::seconds{o.seconds}) {}
+
+    // Runs until every target serves the version.
+    int good() {
+        run([this] { return count_serving() == options_.engines.size(); });
+        const std::size_t serving = count_serving();
+        const bool ok = serving == options_.engines.size() && all_right();
+        return report(ok, options_.title,
+                      text("%zu of %zu targets serve %s after %.1f s, %zu of %zu questions answered", serving,
+                           options_.engines.size(), options_.version.c_str(),
+                           to_seconds(wall_clock() - begin_), right_, asked_));
+    }
+
+    // Runs until every router has condemned the version, then 4 s, then watches that it gets nothing.
+    int bad() {
+        run([this] { return count_condemned() == bench_.all().where().routers.size(); });
+        const bool condemned = count_condemned() == bench_.all().where().routers.size();
+        const std::uint64_t exposed = exposures();
+        const std::size_t asked = asked_;
+        const auto settled = wall_clock() + 4s;
+        until_ = settled;
+        run([] { return false; });
+        const std::uint64_t before = exposures();
+        until_ = wall_clock() + 1s;
+        run([] { return false; });
+        const std::uint64_t late = exposures() - before;
+        const bool ok = condemned && late == 0 && all_right();
+        return report(
+            ok, options_.title,
+            text("%s after %llu of %zu requests, %llu more 4 s later; %zu of %zu questions answered",
+                 condemned ? "condemned" : "not condemned", static_cast<unsigned long long>(exposed), asked,
+                 static_cast<unsigned long long>(late), right_, asked_));
+    }
+
+private:
+    [[nodiscard]] bool all_right() const { return right_ == asked_; }
+
+    void run(const std::function<bool()>& reached) {
+        while (wall_clock() < until_ && !reached()) {
+            constexpr std::size_t batch = 128;
+            for (std::size_t i = 0; i < batch; ++i)
+                bench_.start(bench_.make(work_kind::quick, 1));
+            const auto done = bench_.finish();
+            asked_ += done.size();
+            right_ += count_if(done, answered);
+        }
+    }
+
+    std::size_t count_serving() {
+        std::size_t serving = 0;
+        for (const auto& url : options_.engines)
+            serving += bench_.get_json(url + "/status").value("version", "") == options_.version ? 1 : 0;
+        return serving;
+    }
+
+    std::size_t count_condemned() {
+        std::size_t condemned = 0;
+        for (const auto& router : bench_.all().where().routers) {
+            const http_result answer = bench_.call({"GET", router + "/metrics", {}, {}});
+            condemned +=
+                answer.body.find("\ndamaskhill_versions_condemned_total") != std::string::npos ? 1 : 0;
+        }
+        return condemned;
+    }
+
+    std::uint64_t exposures() {
+        std::uint64_t sum = 0;
+        for (const auto& url : options_.engines) {
+            const json stats = bench_.get_json(url + "/admin/stats");
+            sum +=
+                stats.value("requests_by_version", json::object()).value(options_.version, std::uint64_t{0});
+        }
+        return sum;
+    }
+
+    const options& options_;
+    bench_of_callers& bench_;
+    time_point begin_{wall_clock()};
+    time_point until_;
+    std::size_t asked_{};
+    std::size_t right_{};
+};
+
+int check_good_move(const options& o, bench_of_callers& bench) { return move_watch{o, bench}.good(); }
+int check_bad_move(const options& o, bench_of_callers& bench) { return move_watch{o, bench}.bad(); }
+
 //-----------------------------------------------------------------------------
 // [SECTION] Mixed load
 //-----------------------------------------------------------------------------
@@ -660,6 +756,8 @@
     {"all-busy", "work reaches every one of --targets; --title", check_all_busy},
     {"ask", "a question with --request-id", check_ask},
     {"fetch", "the answer to --request-id from every router", check_fetch},
+    {"good-move", "short questions until --targets serve --to-version", check_good_move},
+    {"bad-move", "short questions until --to-version is condemned", check_bad_move},
     {"crash", "a request that crashes --targets", check_crash}};
 
 void print_usage() {
@@ -674,6 +772,7 @@
                 "      --planned FILE       planned stops, lines of: router URL or \"any\", begin, end in us "
                 "(verify)\n"
                 "      --title TEXT         name of the step; run then demands that all work is answered\n"
+                "      --to-version V       version of a move (good-move, bad-move)\n"
                 "      --seed N             of prompts, keys and jitter (default 1)\n"
                 "      --seconds N          length of a mixed load (default 3)\n"
                 "      --concurrency N      callers of a mixed load (default 24)\n"
@@ -700,7 +799,8 @@
         seed,
         seconds,
         concurrency,
-        accept
+        accept,
+        version
     };
     static const option table[] = {{"deployment", required_argument, nullptr, 'd'},
                                    {"routers", required_argument, nullptr, 'r'},
@@ -715,14 +815,13 @@
                                    {"seconds", required_argument, nullptr, seconds},
                                    {"concurrency", required_argument, nullptr, concurrency},
                                    {"accept-not-run", required_argument, nullptr, accept},
+                                   {"to-version", required_argument, nullptr, version},
                                    {"help", no_argument, nullptr, 'h'},
                                    {"version", no_argument, nullptr, 'V'},
                                    {nullptr, 0, nullptr, 0}};
-    const std::map<int, std::string*> texts{{'d', &o.deployment},
-                                            {request_id, &o.request_id},
-                                            {ledger, &o.ledger},
-                                            {planned, &o.planned},
-                                            {title, &o.title}};
+    const std::map<int, std::string*> texts{{'d', &o.deployment}, {request_id, &o.request_id},
+                                            {ledger, &o.ledger},  {planned, &o.planned},
+                                            {title, &o.title},    {version, &o.version}};
     const std::map<int, std::vector<std::string>*> lists{
         {'r', &o.routers}, {targets, &o.engines}, {busy, &o.busy}, {run_logs, &o.run_logs}};
     const std::map<int, std::uint64_t*> numbers{
--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -62,6 +62,7 @@
     std::vector<json> cache_events;
     std::uint64_t reported_running{}; // lags behind
     std::uint64_t requests{};
+    std::map<std::string, std::uint64_t> requests_by_version;
     std::uint64_t cold_overloads{}; // requests that arrived beyond the cold limit while cold
     std::uint64_t crashes{};
     std::uint64_t refused_orders{};
@@ -157,6 +158,7 @@
     const json body = body_of(request);
     const std::string prompt = prompt_of(body);
     ++e.requests;
+    ++e.requests_by_version[e.version];
     const bool cold = wall_clock() < e.warm_at;
     if (cold && e.streams.size() >= e.config.cold_limit) ++e.cold_overloads;
     if (prompt.find("CRASH") != std::string::npos) {
@@ -216,11 +218,9 @@
 }
 
 json stats_of(const engine& e) {
-    return {{"requests", e.requests},
-            {"running", e.streams.size()},
-            {"cold_overloads", e.cold_overloads},
-            {"crashes", e.crashes},
-            {"refused_orders", e.refused_orders}};
+    return {{"requests", e.requests},      {"requests_by_version", e.requests_by_version},
+            {"running", e.streams.size()}, {"cold_overloads", e.cold_overloads},
+            {"crashes", e.crashes},        {"refused_orders", e.refused_orders}};
 }
 
 void on_request(engine& e, http_request&& request, const http_reply_ptr& reply) {
