--- a/core/damaskhill_router_config.cpp
+++ b/core/damaskhill_router_config.cpp
@@ -76,14 +76,18 @@
 
 constexpr duration pull_pause = 1s; // between two pulls on one link
 
-// A change goes to the neighbours only, and each router passes it on once. At 370 routers a push to all
-// of them would cost each router 370 copies of every change.
+// The neighbours hear that a team has changed, pull it from the first that tells them, and tell their own
+// neighbours. Each router thus receives one copy of a change: a team of 110 accounts is about 10 KB, and a
+// push to each of a dozen neighbours would cost 8 KB/s at the two-year rate of changes.
 void spread(router_state& state, std::span<const std::string> changed, link_id except, effects& out) {
     if (changed.empty()) return;
+    std::vector<team_revision> revisions;
+    for (const std::string& name : changed)
+        revisions.push_back({name, state.config.teams.at(name).revision});
     for (auto& [link, p] : state.members.peers) {
         if (!p.greeted || link == except) continue;
         if (p.identity.role == process_role::router) {
-            if (state.members.neighbours.contains(p.identity.name)) send_teams(state, link, changed, out);
+            if (state.members.neighbours.contains(p.identity.name)) send_heartbeat(state, p, out, revisions);
         } else if (p.identity.role == process_role::sidecar && digest_for(state, p) != p.digest_told) {
             // A sidecar hears of a change from all of its routers and pulls it from one.
             send_heartbeat(state, p, out);
@@ -102,17 +106,19 @@
 
 // Teams of which the peer has an older revision. A sidecar gets those that matter to it, and those that
 // it already has: a team that no longer declares its pool must be told so.
-std::vector<std::string> newer_than(const router_state& state, const peer& p,
-                                    std::span<const team_revision> have) {
+std::vector<std::string> newer_than(const router_state& state, const peer& p, const config_pull& asked) {
+    const auto& have = asked.have;
     const bool all = p.identity.role == process_role::router;
     std::vector<team_revision> wanted =
-        all ? revisions_of(state.config)
-            : relevant_revisions(state.config, p.identity.pool, p.identity.data_centre);
+        asked.partial ? std::vector<team_revision>{}
+        : all         ? revisions_of(state.config)
+                      : relevant_revisions(state.config, p.identity.pool, p.identity.data_centre);
     std::map<std::string_view, std::uint64_t> known;
     for (const team_revision& r : have) {
         known[r.team] = r.revision;
         const auto team = state.config.teams.find(r.team);
-        if (!all && team != state.config.teams.end()) wanted.push_back({r.team, team->second.revision});
+        if ((!all || asked.partial) && team != state.config.teams.end())
+            wanted.push_back({r.team, team->second.revision});
     }
     std::set<std::string> newer;
     for (const team_revision& r : wanted) {
@@ -140,12 +146,36 @@
     const peer* p = find_peer(state.members, link);
     if (p == nullptr) return;
     // Answered also when nothing is newer: a router that starts waits for the answer.
-    if (!send_teams(state, link, newer_than(state, *p, asked.have), out)) {
+    if (!send_teams(state, link, newer_than(state, *p, asked), out)) {
         out.emplace_back(send_message{link, config_push{}});
     }
     note_newer(state, asked.have, out);
 }
 
+namespace {
+
+// Asks the peer for teams that it has newer, unless another peer has just been asked for them.
+void pull_changed(router_state& state, const peer& p, std::span<const team_revision> theirs, effects& out) {
+    constexpr duration answer_limit = 300ms; // after which the next peer that tells is asked
+    config_pull asked;
+    asked.partial = true;
+    for (const team_revision& their : theirs) {
+        const auto mine = state.config.teams.find(their.team);
+        const std::uint64_t present = mine == state.config.teams.end() ? 0 : mine->second.revision;
+        if (present >= their.revision) continue;
+        auto& newer = state.newer[their.team];
+        if (newer.revision == 0) newer.since = state.now;
+        const bool known = newer.revision >= their.revision;
+        newer.revision = std::max(newer.revision, their.revision);
+        if (known && newer.asked != time_point{} && state.now - newer.asked <= answer_limit) continue;
+        newer.asked = state.now;
+        asked.have.push_back({their.team, present});
+    }
+    if (!asked.have.empty()) out.emplace_back(send_message{p.link, std::move(asked)});
+}
+
+} // namespace
+
 void note_newer(router_state& state, std::span<const team_revision> theirs, effects& out) {
     bool behind = false;
     for (const team_revision& their : theirs) {
@@ -166,11 +196,13 @@
 
 void compare_digest(router_state& state, peer& p, const heartbeat& beat, effects& out) {
     if (p.identity.role != process_role::router) return;
-    const bool differs = !beat.revisions.empty() ? digest_of(beat.revisions) != state.config.digest
-                                                 : beat.digest != state.config.digest;
+    pull_changed(state, p, beat.revisions, out);
+    const bool differs = beat.revisions.empty() && beat.digest != state.config.digest;
     p.digest_differs = differs ? p.digest_differs + 1 : 0;
-    // A change that is on its way makes one heartbeat differ; only a lasting difference costs a pull.
-    if (p.digest_differs >= 2) pull_config(state, p, out);
+    // A change that is on its way makes one heartbeat differ; a lasting difference costs a pull, and one with
+    // a new neighbour, to whom no change has been passed on so far.
+    const bool new_neighbour = state.now - p.frequent_since <= state.settings.membership.heartbeat_period;
+    if (differs && (p.digest_differs >= 2 || new_neighbour)) pull_config(state, p, out);
 }
 
 //-----------------------------------------------------------------------------
@@ -249,9 +281,12 @@
 
 constexpr std::size_t watchers_per_data_centre = 2;
 constexpr duration watch_retry = 500ms;
+constexpr duration lone_watch_age = 1800ms;    // of the confirmation, after which any router may watch
+constexpr duration lone_watch_spread = 1000ms; // over which the routers begin, and repeat, such watches
 
-// A few routers in each data centre watch the store; the others hear from peers.
-bool is_watcher(const router_state& state) {
+// A few routers in each data centre watch the store; the others hear from peers. When no watcher in reach can
+// read the store, the others try too, so that one router that can is enough.
+bool is_chosen_watcher(const router_state& state) {
     std::vector<std::string> names{state.settings.name};
     for (const auto& [link, p] : state.members.peers) {
         const bool near = p.greeted && p.identity.role == process_role::router &&
@@ -262,6 +297,13 @@
     return std::ranges::find(chosen, state.settings.name) != chosen.end();
 }
 
+bool is_watcher(const router_state& state) {
+    // A share of the spread that is fixed for each name keeps a fleet from calling a failing store at once.
+    const auto share = static_cast<std::int64_t>(stable_hash(state.settings.name) %
+                                                 static_cast<std::uint64_t>(lone_watch_spread.count()));
+    return state.now - state.confirmed_at > lone_watch_age + duration{share} || is_chosen_watcher(state);
+}
+
 // Whether most of the processes that should be heard often have been heard within the silence limit: the
 // sidecars that this router dials, and its neighbours by the platform's list.
 bool hears_most_peers(const router_state& state) {
@@ -299,7 +341,9 @@
 void on_config_watched(router_state& state, const config_watched& watched, effects& out) {
     state.watching = false;
     if (watched.result != failure_kind::none) {
-        state.next_watch = state.now + watch_retry;
+        const auto jitter = duration{static_cast<std::int64_t>(
+            static_cast<double>(lone_watch_spread.count()) * state.random.next_unit())};
+        state.next_watch = state.now + (is_chosen_watcher(state) ? watch_retry : watch_retry + jitter);
         out.emplace_back(count{"store_failures_total", std::string{to_string(watched.result)}, 1});
         return;
     }
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -113,6 +113,7 @@
 
     sidecar_settings settings;
     random_source random;
+    time_point started{};
     time_point now{};
     configuration config;
     membership members;
@@ -128,6 +129,7 @@
     version_load load;
     target_status target;
     bool target_known{};
+    bool served{}; // it took new work at the last event
     time_point confirmed_at{};
     struct held_work {
         link_id link{};
