Ignore SIGPIPE in every process with an event loop

Its links had been closed meanwhile, and SIGPIPE had its default action. The cause is inferred, not reproduced; the test checks the disposition.

--- a/backends/damaskhill_impl_asio.cpp
+++ b/backends/damaskhill_impl_asio.cpp
@@ -26,7 +26,10 @@
     std::vector<std::shared_ptr<asio::steady_timer>> timers;
 };
 
-event_loop::event_loop() : impl_(std::make_unique<implementation>()) {}
+event_loop::event_loop() : impl_(std::make_unique<implementation>()) {
+    // A write to a connection that the peer has closed must fail in its call and not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
 event_loop::~event_loop() = default;
 void event_loop::run() {
     impl_->context.restart(); // a context that was stopped returns at once
--- a/tests/test_event_loop.cpp
+++ b/tests/test_event_loop.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+
 using namespace damaskhill;
 
 BOOST_AUTO_TEST_SUITE(event_loop_backend)
@@ -22,4 +24,12 @@
     BOOST_TEST(runs == 2);
 }
 
+// Guards against a process that ends without a word when it writes to a connection that its peer has closed.
+BOOST_AUTO_TEST_CASE(broken_pipe_does_not_end_the_process) {
+    std::signal(SIGPIPE, SIG_DFL);
+    const event_loop loop;
+    BOOST_TEST((std::signal(SIGPIPE, SIG_DFL) == SIG_IGN));
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
