Count a request as cut by a planned stop only if nothing else had touched it

The recordings show a reservation whose first attempt had reached a service that was silent by another fault; its repeat waited for that claim, 12 s, while the sidecar drained. The window now compares the time of the first attempt, not that of the repeat.

--- a/programs/damaskhill_load.cpp
+++ b/programs/damaskhill_load.cpp
@@ -581,7 +581,7 @@
         }
         for (const cut& c : totals.cuts) {
             ledger_ << dump_json({{"cut", to_us(c.at)},
-                                  {"sent", to_us(c.sent)},
+                                  {"asked", to_us(c.asked)},
                                   {"router", c.router},
                                   {"kind", name_of(c.kind)},
                                   {"begun", c.stream_begun}})
@@ -680,13 +680,13 @@
 
 void judge_cut(verdict& v, const json& line, const std::vector<planned_stop>& stops) {
     const auto at = line.value("cut", std::int64_t{0});
-    const auto sent = line.value("sent", std::int64_t{0});
+    const auto asked = line.value("asked", std::int64_t{0});
     constexpr std::int64_t settling = 3'000'000; // us, until links and heartbeats are back after a fault
     const std::string router = line.value("router", "");
     for (const auto& s : stops) {
         // "any" stands for a sidecar, whose work may come through every router.
         if ((s.router != router && s.router != "any") || at < s.begin || at > s.end) continue;
-        if (sent < s.quiet_since + settling) continue;
+        if (asked < s.quiet_since + settling) continue;
         ++v.cut_by_stop;
         std::printf("broken promise: %s through %s was cut by a planned stop\n",
                     line.value("kind", "").c_str(), router.c_str());
--- a/programs/damaskhill_load_caller.hpp
+++ b/programs/damaskhill_load_caller.hpp
@@ -103,7 +103,7 @@
 /// A request that broke after its router had taken it.
 struct cut {
     time_point at{};
-    time_point sent{};
+    time_point asked{}; // when the caller first sent it, perhaps through another router
     std::string router;
     work_kind kind{};
     bool stream_begun{};
@@ -237,7 +237,7 @@
     }
 
     void note_cut(const task& t) {
-        tally_.cuts.push_back({wall_clock(), t.sent, router_of(t), t.asked.kind, t.status == 200});
+        tally_.cuts.push_back({wall_clock(), t.started, router_of(t), t.asked.kind, t.status == 200});
     }
 
     void on_problem(const task_ptr& t) {
