--- a/core/damaskhill_placement.hpp
+++ b/core/damaskhill_placement.hpp
@@ -2,12 +2,16 @@
 //
 // Index of this file:
 // [SECTION] Rendezvous hashing
+// [SECTION] Prefix hints
 // [SECTION] Choice of sidecars
 
 #pragma once
 
 #include "damaskhill_types.hpp"
 
+#include <deque>
+#include <unordered_set>
+
 namespace damaskhill {
 
 //-----------------------------------------------------------------------------
@@ -18,6 +22,22 @@
 [[nodiscard]] std::vector<std::string> rendezvous(std::span<const std::string> names, std::string_view key,
                                                   std::size_t wanted);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Prefix hints
+//-----------------------------------------------------------------------------
+
+/// Prefix hashes that one target is said to hold. Events are late and some are missing, so this is a hint
+/// only; the oldest hashes are dropped beyond the limit.
+struct prefix_memory {
+    std::size_t limit{2048};
+    std::unordered_set<std::uint64_t> held;
+    std::deque<std::uint64_t> by_age; // may name hashes that are no longer held
+};
+
+void remember_prefix(prefix_memory& memory, std::uint64_t hash);
+void forget_prefix(prefix_memory& memory, std::uint64_t hash);
+[[nodiscard]] bool holds_prefix(const prefix_memory& memory, std::uint64_t hash);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Choice of sidecars
 //-----------------------------------------------------------------------------
@@ -31,11 +51,20 @@
 
 struct placement_settings {
     std::size_t first_hearers{2}; // sidecars that hear of a new request at once
+    duration prefix_time{10ms};   // for which only sidecars with the prefix and room hear of it
 };
 
-/// Links that hear of a new request at once: those with the prefix and room first, then by free room; ties
+/// Links that hear of a new request at once: only those with the prefix and room, or by free room; ties
 /// are broken at random so that routers that return together do not choose the same sidecar.
 [[nodiscard]] std::vector<link_id> choose_first(std::span<const placement_candidate> candidates,
                                                 const placement_settings& settings, random_source& random);
 
+/// What a router needs of a placement; benches swap in other policies.
+template <class F>
+concept placement_policy = requires(F choose, std::span<const placement_candidate> candidates,
+                                    const placement_settings& settings, random_source& random) {
+    { choose(candidates, settings, random) } -> std::same_as<std::vector<link_id>>;
+};
+static_assert(placement_policy<decltype(choose_first)>);
+
 } // namespace damaskhill
--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -172,6 +172,8 @@
     std::set<queue_key> dirty; // queues whose rows have to be sent
 
     std::map<std::string, std::vector<link_id>, std::less<>> sidecars; // greeted links by pool
+    std::unordered_map<link_id, prefix_memory> prefixes;               // of the sidecars, as last heard
+    std::deque<std::pair<time_point, queue_key>> second_announcements; // after prefix_time
     std::unordered_map<link_id, std::int64_t> reserved_room;           // rows sent since the last heartbeat
     std::map<incarnation_id, seen_sidecar> seen_sidecars;
     std::vector<vm_entry> vms;
--- a/core/damaskhill_router_peers.cpp
+++ b/core/damaskhill_router_peers.cpp
@@ -40,6 +40,7 @@
     const peer closed = *p;
     state.members.peers.erase(link);
     state.reserved_room.erase(link);
+    state.prefixes.erase(link);
     const auto target = state.members.targets.find(closed.identity.name);
     const bool replaced = find_peer_named(state.members, closed.identity.name) != nullptr;
     if (target != state.members.targets.end() && !replaced) {
@@ -120,6 +121,10 @@
     p->last = beat;
     if (!beat.version.empty()) p->identity.version = beat.version;
     state.reserved_room.erase(link);
+    for (const std::uint64_t hash : beat.evicted_prefixes)
+        forget_prefix(state.prefixes[link], hash);
+    for (const std::uint64_t hash : beat.stored_prefixes)
+        remember_prefix(state.prefixes[link], hash);
     state.confirmed_at =
         std::max(state.confirmed_at,
                  state.now - std::chrono::milliseconds{static_cast<std::int64_t>(beat.confirmed_ms)});
--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -54,23 +54,30 @@
 // [SECTION] Announcements
 //-----------------------------------------------------------------------------
 
-void announce_first(router_state& state, const queue_key& key, std::uint64_t /*prefix_hash*/, effects& out) {
+void announce_first(router_state& state, const queue_key& key, std::uint64_t prefix_hash, effects& out) {
     const auto links = state.sidecars.find(key.pool);
     if (links == state.sidecars.end()) return;
     std::vector<placement_candidate> candidates;
+    bool preferred = false;
     for (const link_id link : links->second) {
         const peer* sidecar = find_peer(state.members, link);
         if (sidecar == nullptr || !is_eligible(state, *sidecar) || !may_run(*sidecar, key)) continue;
         const auto reserved = state.reserved_room.find(link);
         const std::int64_t taken = reserved == state.reserved_room.end() ? 0 : reserved->second;
-        candidates.push_back(
-            {link, static_cast<double>(std::int64_t{sidecar->last.free_room} - taken), false});
+        const auto prefixes = state.prefixes.find(link);
+        const bool holds = prefixes != state.prefixes.end() && holds_prefix(prefixes->second, prefix_hash);
+        const auto room = static_cast<double>(std::int64_t{sidecar->last.free_room} - taken);
+        preferred = preferred || (holds && room > 0.0);
+        candidates.push_back({link, room, holds});
     }
     const reserve_row row = row_of(state, key);
     for (const link_id link : choose_first(candidates, state.settings.placement, state.random)) {
         ++state.reserved_room[link];
         out.emplace_back(send_message{link, reserve{{row}}});
     }
+    // The hint may be wrong: the others hear soon after if the request still waits.
+    if (preferred)
+        state.second_announcements.emplace_back(state.now + state.settings.placement.prefix_time, key);
 }
 
 void announce_all(router_state& state, link_id link, effects& out) {
@@ -187,6 +194,11 @@
 } // namespace
 
 void on_fairness_tick(router_state& state, effects& out) {
+    while (!state.second_announcements.empty() && state.second_announcements.front().first <= state.now) {
+        const queue_key key = state.second_announcements.front().second;
+        state.second_announcements.pop_front();
+        if (state.queues.contains(key)) announce_first(state, key, 0, out);
+    }
     if (state.now >= state.next_service_report) {
         state.next_service_report = state.now + state.settings.ledger.report_period;
         send_service_reports(state, out);
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -480,6 +480,13 @@
     pull_more(state, out);
 }
 
+// Only a hint: what does not fit into a heartbeat is dropped.
+void on_cache_event(sidecar_state& state, const cache_event& event) {
+    constexpr std::size_t prefixes_per_heartbeat = 64;
+    auto& list = event.stored ? state.stored_prefixes : state.evicted_prefixes;
+    if (list.size() < prefixes_per_heartbeat) list.push_back(event.prefix_hash);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Links
 //-----------------------------------------------------------------------------
@@ -539,6 +546,8 @@
     beat.revisions = revisions_of(state.config);
     beat.confirmed_ms = static_cast<std::uint64_t>(to_milliseconds(state.now - state.confirmed_at));
     beat.version = state.target.version;
+    beat.stored_prefixes.swap(state.stored_prefixes);
+    beat.evicted_prefixes.swap(state.evicted_prefixes);
     for (const auto& [link, p] : state.members.peers) {
         if (p.greeted) out.emplace_back(send_message{link, beat});
     }
@@ -753,7 +762,7 @@
     void operator()(const call_chunk& e) const { on_call_chunk(state, e, out); }
     void operator()(const call_finished& e) const { on_call_finished(state, e, out); }
     void operator()(const target_status& e) const { on_target_status(state, e, out); }
-    void operator()(const cache_event& /*unused*/) const {}
+    void operator()(const cache_event& e) const { on_cache_event(state, e); }
     void operator()(const stop_requested& /*unused*/) const {
         if (state.stopping) return;
         state.stopping = true;
--- a/core/damaskhill_sidecar.hpp
+++ b/core/damaskhill_sidecar.hpp
@@ -103,10 +103,12 @@
     std::map<account_id, std::array<std::vector<waiting_row>, 2>> rows;
     std::map<attempt_id, running_call> running;
     std::map<std::uint64_t, open_pull> pulls;
-    std::array<std::uint32_t, 2> used{}; // running calls and open pulls, by request_class
-    std::uint32_t suspects{};            // running calls that must run alone
-    std::uint64_t window_tokens{};       // generated since window_start
-    double window_seconds{};             // that streams took for them, summed over the streams
+    std::vector<std::uint64_t> stored_prefixes;  // since the last heartbeat
+    std::vector<std::uint64_t> evicted_prefixes; // since the last heartbeat
+    std::array<std::uint32_t, 2> used{};         // running calls and open pulls, by request_class
+    std::uint32_t suspects{};                    // running calls that must run alone
+    std::uint64_t window_tokens{};               // generated since window_start
+    double window_seconds{};                     // that streams took for them, summed over the streams
     time_point window_start{};
     std::uint64_t next_pull{1};
     order_memory orders;
