--- a/core/damaskhill_messages.hpp
+++ b/core/damaskhill_messages.hpp
@@ -30,9 +30,10 @@
     process_role role{process_role::tool};
     std::string name; // unique name of the VM
     std::string data_centre;
-    std::string pool;      // sidecars: pool of the target
-    std::string version;   // sidecars: version that the target serves
-    bool checks_fencing{}; // sidecars: the target refuses old fencing numbers
+    std::string pool;          // sidecars: pool of the target
+    std::string version;       // sidecars: version that the target serves
+    bool checks_fencing{};     // sidecars: the target refuses old fencing numbers
+    std::uint64_t uptime_us{}; // time since the process started, microseconds
     static constexpr auto fields() {
         using t = hello;
         return std::tuple{field{1, "protocol", &t::protocol},
@@ -42,7 +43,8 @@
                           field{5, "data_centre", &t::data_centre},
                           field{6, "pool", &t::pool},
                           field{7, "version", &t::version},
-                          field{8, "checks_fencing", &t::checks_fencing}};
+                          field{8, "checks_fencing", &t::checks_fencing},
+                          field{20, "uptime_us", &t::uptime_us}};
     }
 };
 
@@ -200,8 +202,9 @@
     bool ran_alone{};                     // nothing else ran on the target
     bool preempted{};                     // cancelled to make room; resumes at end_offset
     std::optional<seal_id> sealed_by;     // the order was sealed here: it needs a new claim
-    std::uint64_t seal_age_us{};          // age of that seal when this was sent, microseconds
+    std::uint64_t seal_age_us{};          // age of the latest seal for a refusal, microseconds
     std::vector<team_revision> revisions; // newer configuration, when the attempt was refused for its age
+    std::uint32_t load_level{};           // of the target when the attempt started, as in evidence_row
     static constexpr auto fields() {
         using t = finish;
         return std::tuple{field{1, "attempt", &t::attempt},
@@ -220,7 +223,8 @@
                           field{14, "sealed_by", &t::sealed_by},
                           field{15, "revisions", &t::revisions},
                           field{16, "seal_age_us", &t::seal_age_us},
-                          field{17, "ran_alone", &t::ran_alone}};
+                          field{17, "ran_alone", &t::ran_alone},
+                          field{30, "load_level", &t::load_level}};
     }
 };
 
@@ -238,8 +242,10 @@
 struct seal {
     std::uint64_t call{};
     order_key key;
+    bool handover{}; // asked in order to claim it again; otherwise a caller may be told that it has not run
     static constexpr auto fields() {
-        return std::tuple{field{1, "call", &seal::call}, field{2, "key", &seal::key}};
+        return std::tuple{field{1, "call", &seal::call}, field{2, "key", &seal::key},
+                          field{3, "handover", &seal::handover}};
     }
 };
 
@@ -254,16 +260,18 @@
     order_key key;
     seal_state state{seal_state::sealed};
     seal_id id;
-    std::uint64_t age_us{};   // sealed: age of the seal when this was sent, microseconds
+    std::uint64_t age_us{};   // sealed: age of the latest seal for a refusal when this was sent, microseconds
     std::uint32_t status{};   // finished: HTTP status, 0 if the outcome is unknown
     std::string content_type; // finished
     std::string body;         // finished: the whole answer if it is short
+    bool body_kept{};         // finished: body holds the whole answer
     static constexpr auto fields() {
         using t = seal_reply;
-        return std::tuple{field{1, "call", &t::call},     field{2, "key", &t::key},
-                          field{3, "state", &t::state},   field{4, "id", &t::id},
-                          field{5, "status", &t::status}, field{6, "content_type", &t::content_type},
-                          field{7, "body", &t::body},     field{8, "age_us", &t::age_us}};
+        return std::tuple{field{1, "call", &t::call},          field{2, "key", &t::key},
+                          field{3, "state", &t::state},        field{4, "id", &t::id},
+                          field{5, "status", &t::status},      field{6, "content_type", &t::content_type},
+                          field{7, "body", &t::body},          field{8, "age_us", &t::age_us},
+                          field{9, "body_kept", &t::body_kept}};
     }
 };
 
@@ -321,10 +329,12 @@
     bool known{};                     // false: the record could not be read or written
     bool may_be_written{};            // not known, and the write may have taken effect
     std::vector<order_entry> entries; // all entries of the key, in order
+    std::uint64_t void_age_us{}; // for how long at least the sender has known the void claim that is valid
     static constexpr auto fields() {
         using t = claim_reply;
         return std::tuple{field{1, "call", &t::call}, field{2, "known", &t::known},
-                          field{3, "may_be_written", &t::may_be_written}, field{4, "entries", &t::entries}};
+                          field{3, "may_be_written", &t::may_be_written}, field{4, "entries", &t::entries},
+                          field{5, "void_age_us", &t::void_age_us}};
     }
 };
 
@@ -367,16 +377,16 @@
     std::string pool;
     std::string version;
     std::string route;
-    std::uint32_t load_level{}; // 0: low, 1: medium, 2: high
+    std::uint32_t load_level{}; // 0: low, 1: medium, 2: high, 3: the target was warming up
     std::uint64_t attempts{};
     std::uint64_t failures{};
-    std::uint64_t slow{};
+    std::vector<std::uint64_t> latency; // completed attempts by latency bucket, without trailing zeros
     static constexpr auto fields() {
         using t = evidence_row;
         return std::tuple{field{1, "pool", &t::pool},         field{2, "version", &t::version},
                           field{3, "route", &t::route},       field{4, "load_level", &t::load_level},
                           field{5, "attempts", &t::attempts}, field{6, "failures", &t::failures},
-                          field{7, "slow", &t::slow}};
+                          field{8, "latency", &t::latency}};
     }
 };
 
@@ -398,6 +408,15 @@
     }
 };
 
+/// Tells a sidecar that it is its target's turn to load a version.
+struct load_order {
+    std::string pool;
+    std::string version;
+    static constexpr auto fields() {
+        return std::tuple{field{1, "pool", &load_order::pool}, field{2, "version", &load_order::version}};
+    }
+};
+
 /// Crashes of targets while requests with this hash of account and body were in flight.
 struct crash_record {
     std::uint64_t crash_hash{};
@@ -484,6 +503,6 @@
 using peer_message =
     std::variant<hello, heartbeat, reserve, pull, pull_empty, assign, chunk, finish, cancel, seal, seal_reply,
                  claim, claim_reply, service_report, service_total, evidence, facts, config_push, config_pull,
-                 answer_put, answer_get, answer_value>;
+                 answer_put, answer_get, answer_value, load_order>;
 
 } // namespace damaskhill
--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -49,6 +49,9 @@
     duration refill_hard_limit{10s}; // and this long for peers that do not answer
     duration watch_limit{5s};        // after which a watch without a reply is taken as lost
     duration drain_limit{30s};       // after which a stop abandons what still runs
+    duration drain_reserve{4s}; // before drain_limit: what still waits is refused, which takes store calls
+    duration pause_limit{50ms}; // a longer gap between events is a pause; ticks come every 10 ms
+    duration catch_up{1s};      // after a pause, in which requests may have been sent long before
     duration claim_timeout{1500ms};  // of one claim on an order
     duration seal_period{300ms};     // between two questions about a running order
     std::size_t links_per_pool{16};  // sidecars of one pool that this router links to
@@ -80,6 +83,11 @@
     order_entry other;      // sealing: the claim of another router
     std::uint64_t ticket{}; // open append or look
     time_point next_seal{};
+    std::uint64_t first_seal_call{}; // replies to earlier questions do not count
+    time_point next_look{};          // sealing: the record is read again, when the sidecar is not linked
+    time_point sent_after{};         // its caller sent it no earlier than this
+    std::uint32_t void_writes{};
+    time_point poll_started{}; // refusing
     failure_kind refusal{failure_kind::none};
     bool polling{};                      // refusing: every sidecar of the pool is being asked to seal
     std::vector<incarnation_id> to_seal; // refusing: sidecars that have not answered
@@ -94,7 +102,9 @@
     account_id account;
     request_class cls{request_class::interactive};
     request_phase phase{request_phase::waiting};
-    std::string version; // version stamp, empty: any
+    std::string version;        // that the latest attempt ran on
+    std::string exposed_to;     // new version that it may run on before the move is complete
+    bool counted_for_version{}; // its start has earned the new version its share
     std::uint64_t crash_hash{};
     double cost_hint{}; // service units
     time_point arrived{};
@@ -137,7 +147,8 @@
     std::string pool;
     std::string name;
     bool linked{};
-    time_point lost{}; // when its link closed
+    time_point lost{};    // when its link closed
+    time_point started{}; // no later than this the process ran
 };
 
 struct router_state {
@@ -155,14 +166,24 @@
     quarantine crashes;
     version_evidence evidence;
     std::set<condemned_version> condemned;
-    std::map<std::string, version_verdict, std::less<>> verdicts; // by move name
-    std::map<std::string, retry_budget, std::less<>> budgets;     // by pool
+    std::map<std::string, move_test, std::less<>> tests;          // by move name
+    std::map<std::string, exposure_credit, std::less<>> exposure; // by move name
+    std::map<std::string, move_phase, std::less<>> move_phases;   // by move name, as of the last look
+    std::set<evidence_key> evidence_dirty;                        // own rows that routers have not heard
+    std::map<link_id, time_point> crash_noted;                    // lost attempt that counted, by link
+    bool facts_heard{}; // from a router or the store, since the start
+    bool facts_asked{};
+    time_point next_judge{};
+    std::map<std::string, retry_budget, std::less<>> budgets; // by pool
 
     // Requests are owned by `requests`; queues and indexes refer to them and are destroyed first.
     std::unordered_map<request_id, request_ptr> requests;
     std::unordered_map<caller_id, request_id> by_caller;
     std::unordered_map<attempt_id, request_id> by_attempt;
     std::map<std::uint64_t, request_id> by_ticket;
+    std::set<std::pair<order_key, request_id>> by_order;
+    std::set<std::pair<time_point, request_id>> seal_timers; // orders to look at again
+    std::size_t refusing{};                                  // orders whose refusal is being settled
     std::set<std::pair<time_point, request_id>> deadlines;
     std::set<std::pair<time_point, request_id>> delayed; // waiting out a retry delay
     std::map<queue_key, request_queue> queues;
@@ -226,8 +247,11 @@
     time_point next_flush{};
     time_point next_report{};
     time_point next_vm_list{};
+    time_point paused_from{}; // last event before the latest gap in time
+    time_point resumed_at{};
     bool stopping{};
     time_point stop_at{};
+    bool waiting_refused{}; // stopping: what still waited has been refused
     bool exited{};
     bool isolated{};
     bool ready{};
--- a/core/damaskhill_sidecar.cpp
+++ b/core/damaskhill_sidecar.cpp
@@ -48,6 +48,7 @@
 serving_state serving(const sidecar_state& state) {
     if (state.stopping) return serving_state::draining;
     if (!state.target_known || !state.target.reachable || !state.target.ready) return serving_state::warming;
+    if (!state.load.wanted.empty()) return serving_state::warming;
     if (!data_centre_in_service(state.config, state.settings.data_centre)) return serving_state::draining;
     if (state.condemned.contains({state.settings.pool, state.target.version})) return serving_state::draining;
     if (is_cut_off(state)) return serving_state::warming;
@@ -127,7 +128,16 @@
     return true;
 }
 
+// A target that was out of service may have been restarted or may have lost its cache: it begins at the cold
+// limit.
+void note_return(sidecar_state& state) {
+    const bool serves = serving(state) == serving_state::serving;
+    if (serves && !state.served) reset_to_cold(state.limit);
+    state.served = serves;
+}
+
 void pull_more(sidecar_state& state, effects& out) {
+    note_return(state);
     for (const request_class cls : both_classes) {
         while (room_for(state, cls) > 0 && pull_one(state, cls, out)) {
         }
@@ -199,7 +209,7 @@
         end.reason = failure_kind::stale_revision;
         const sent_order& order = state.orders.orders[work.order->key];
         end.sealed_by = order.sealed_by;
-        end.seal_age_us = static_cast<std::uint64_t>((state.now - order.sealed_at).count());
+        end.seal_age_us = refusal_age_us(order, state.now);
         out.emplace_back(count{"orders_sealed_total", {}, 1});
         out.emplace_back(send_message{link, std::move(end)});
         return false;
@@ -298,6 +308,7 @@
     call.started = state.now;
     call.last_byte = state.now;
     call.ran_alone = state.running.empty();
+    call.load_level = detail::present_load_level(state);
     call.traceparent = child_traceparent(work.traceparent, state.random);
     if (!state.running.empty()) {
         for (auto& [attempt, other] : state.running)
@@ -338,6 +349,7 @@
     if (call.first_byte != time_point{}) {
         end.first_us = static_cast<std::uint64_t>((call.first_byte - call.started).count());
     }
+    end.load_level = call.load_level;
     end.total_us = static_cast<std::uint64_t>((state.now - call.started).count());
     charge_account(state, call.work.account, end.units - call.work.cost_hint);
     const bool ok = end.outcome == attempt_outcome::completed;
@@ -345,8 +357,13 @@
                           ok, state.settings.pool + " " + state.settings.name});
     out.emplace_back(count{"calls_total", std::string{to_string(end.outcome)}, 1});
     if (call.work.order) {
+        const order_key key = call.work.order->key;
         const bool known = end.outcome == attempt_outcome::completed;
-        note_outcome(state.orders, call.work.order->key, known ? end.status : 0, end.content_type, call.kept);
+        if (end.outcome == attempt_outcome::not_sent) {
+            forget_send(state.orders, key);
+        } else {
+            note_outcome(state.orders, key, known ? end.status : 0, end.content_type, call.kept);
+        }
     }
     const link_id link = call.link;
     state.running.erase(call.work.attempt);
@@ -409,6 +426,7 @@
         out.emplace_back(observe{"target_first_byte_seconds", std::string{to_string(call.work.cls)},
                                  to_seconds(state.now - call.started)});
         if (on_latency(state.limit, call.work.cls, state.now - call.started)) {
+            detail::note_cold_turn(state);
             out.emplace_back(
                 log_change{"target has turned cold: limit is " + std::to_string(present_limit(state.limit))});
         }
@@ -475,6 +493,10 @@
         out.emplace_back(log_change{status.reachable ? "target is reachable" : "target is not reachable"});
         if (status.reachable) reset_to_cold(state.limit);
     }
+    if (!was_up || restarted || state.target.version != status.version) {
+        detail::note_target_start(state);
+        if (state.target_known && state.target.version != status.version) reset_to_cold(state.limit);
+    }
     state.target = status;
     state.target_known = true;
     pull_more(state, out);
@@ -497,6 +519,7 @@
     greeting.pool = state.settings.pool;
     greeting.version = state.target.version.empty() ? state.settings.version : state.target.version;
     greeting.checks_fencing = state.settings.checks_fencing;
+    greeting.uptime_us = static_cast<std::uint64_t>((state.now - state.started).count());
     out.emplace_back(send_message{opened.link, greeting});
 }
 
@@ -605,6 +628,10 @@
     p->identity = greeting;
     out.emplace_back(
         log_change{"link from " + std::string{to_string(greeting.role)} + " " + greeting.name + " opened"});
+    // A router that has restarted while it is cut off from the others learns of condemned versions here.
+    if (greeting.role == process_role::router && !state.condemned.empty()) {
+        out.emplace_back(send_message{link, facts{{state.condemned.begin(), state.condemned.end()}, {}}});
+    }
 }
 
 void on_heartbeat(sidecar_state& state, link_id link, const heartbeat& beat, effects& out) {
@@ -635,6 +662,7 @@
     void operator()(const config_push& m) const { on_config_push(state, m, out); }
     void operator()(const config_pull& /*unused*/) const {}
     void operator()(const facts& m) const { on_facts(state, m, out); }
+    void operator()(const load_order& m) const { detail::take_load_order(state, m); }
     template <class Other>
     void operator()(const Other& /*unused*/) const {
         out.emplace_back(count{"unexpected_messages_total", "sidecar", 1});
@@ -701,6 +729,7 @@
     expire_orders(state.orders, state.now);
     for (service_order& order : state.order)
         order.expire(state.now);
+    detail::on_load_tick(state, out);
     announce_changes(state, out);
     if (state.now >= state.members.next_heartbeat) {
         state.members.next_heartbeat = state.now + state.settings.membership.heartbeat_period;
@@ -708,7 +737,9 @@
     }
     pull_more(state, out);
     if (!state.stopping || state.exited) return;
-    if (state.running.empty() || state.now - state.stop_at > state.settings.drain_limit) {
+    // A router may have claimed an order for a pull that is still open.
+    const bool idle = state.running.empty() && state.pulls.empty();
+    if (idle || state.now - state.stop_at > state.settings.drain_limit) {
         state.exited = true;
         out.emplace_back(log_change{"stopped; calls left: " + std::to_string(state.running.size())});
         out.emplace_back(exit_process{});
@@ -744,7 +775,10 @@
 } // namespace
 
 void reduce(sidecar_state& state, const sidecar_event& event, effects& out) {
-    if (state.now == time_point{}) state.confirmed_at = event.now;
+    if (state.now == time_point{}) {
+        state.started = event.now;
+        state.confirmed_at = event.now;
+    }
     state.now = std::max(state.now, event.now);
     std::visit(event_handler{state, out}, event.input);
 }
