--- a/core/damaskhill_router_reservations.cpp
+++ b/core/damaskhill_router_reservations.cpp
@@ -113,11 +113,11 @@
             const reserve_row row = row_for(state, *sidecar, key);
             // A withdrawal goes to those that hold a row; waiting requests only to those that may take them.
             if (row.waiting > 0 && !is_eligible(state, *sidecar)) continue;
-            if (row.waiting == 0 && !state.told[key].contains(link)) continue;
-            if (row.waiting > 0) state.told[key].insert(link);
-            messages[link].rows.push_back(row);
+            auto& told = state.told[key];
+            const bool changes = row.waiting > 0 ? (told.insert(link), true) : told.erase(link) > 0;
+            if (changes) messages[link].rows.push_back(row);
         }
-        if (!state.queues.contains(key)) state.told.erase(key);
+        if (state.told[key].empty()) state.told.erase(key);
     }
     state.dirty.clear();
     for (auto& [link, message] : messages)
--- a/programs/damaskhillctl.cpp
+++ b/programs/damaskhillctl.cpp
@@ -105,6 +105,13 @@
     return 0;
 }
 
+// Checks name a file below the team's folder; people look for it from where they are.
+void name_file(const checkout& local, failure& why) {
+    for (const char* folder : {"accounts/", "pools/", "services/", "moves/", "data_centres/"}) {
+        if (why.where.starts_with(folder)) why.where = local.folder + "/" + why.where;
+    }
+}
+
 // Without --store, the files are checked alone; with it, against the names of other teams too.
 int validate(const options& o) {
     failure why;
@@ -113,7 +120,7 @@
     const bool ok = o.store_url.empty() ? declarations_of(local->record, why).has_value()
                                         : check_record(store_of(o), local->record, why).has_value();
     if (!ok) {
-        if (!why.where.starts_with(local->folder)) why.where = local->folder + "/" + why.where;
+        name_file(*local, why);
         return report(why);
     }
     std::printf("team %s: ok\n", o.team.c_str());
@@ -161,6 +168,7 @@
     if (!local) return report(why);
     const auto revision = apply_checkout(store_of(o), *local, new_nonce(), why);
     if (revision) return accepted(o, *revision);
+    name_file(*local, why);
     return report(why);
 }
 
