--- a/programs/damaskhill_router.cpp
+++ b/programs/damaskhill_router.cpp
@@ -82,8 +82,9 @@
     caller_frontend frontend{submit};
     router.set_transport(&links);
     http_server server{loop, {}};
-    router.set_handler(
-        [&](effect&& item) { std::visit(effect_performer{loop, frontend, platform, server}, item); });
+    router.set_handler([&](effect&& item) {
+        std::visit(effect_performer{loop, frontend, platform, server}, item);
+    });
     failure why;
     const auto on_request = [&](http_request&& request, http_reply_ptr reply) {
         if (!answer_operations(request, reply, state, metrics)) {
