--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -188,7 +188,8 @@
     };
     // An order may have run through a router that knew the account or the pool; its record is not read here.
     const run_state unread = input.idempotency_key.empty() ? run_state::not_run : run_state::unknown;
-    if (state.config.teams.empty()) return refuse_with(failure_kind::isolated, unread, "no declarations are known yet");
+    if (state.config.teams.empty())
+        return refuse_with(failure_kind::isolated, unread, "no declarations are known yet");
     result.account = find_account(state.config, input.key_hash);
     if (result.account == nullptr) {
         return refuse_with(failure_kind::unauthorized, unread, "Authorization: Bearer <key>");
@@ -276,7 +277,8 @@
         return;
     }
     if (state.exited && r->order) {
-        // A definite refusal takes a write to the order record, for which the process does not live long enough.
+        // A definite refusal takes a write to the order record, for which the process does not live long
+        // enough.
         refuse_caller(input.caller, r->id, failure_kind::draining, run_state::unknown, {}, out);
         return;
     }
