--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -53,10 +53,11 @@
     duration drain_reserve{4s}; // before drain_limit: what still waits is refused, which takes store calls
     duration pause_limit{50ms}; // a longer gap between events is a pause; ticks come every 10 ms
     duration catch_up{1s};      // after a pause, in which requests may have been sent long before
-    duration claim_timeout{1500ms};  // of one claim on an order
-    duration seal_period{300ms};     // between two questions about a running order
-    std::size_t links_per_pool{16};  // sidecars of one pool that this router links to
-    std::size_t refusal_limit{1024}; // orders whose refusal is being settled
+    duration claim_timeout{1500ms};           // of one claim on an order
+    duration seal_period{300ms};              // between two questions about a running order
+    std::size_t body_bytes_limit{64U << 20U}; // of all requests in progress, half of a daemon's memory
+    std::size_t links_per_pool{16};           // sidecars of one pool that this router links to
+    std::size_t refusal_limit{1024};          // orders whose refusal is being settled
 };
 
 //-----------------------------------------------------------------------------
@@ -190,6 +191,7 @@
 
     // Requests are owned by `requests`; queues and indexes refer to them and are destroyed first.
     std::unordered_map<request_id, request_ptr> requests;
+    std::size_t body_bytes{}; // of the bodies of all requests
     std::unordered_map<caller_id, request_id> by_caller;
     std::unordered_map<attempt_id, request_id> by_attempt;
     std::map<std::uint64_t, request_id> by_ticket;
--- a/core/damaskhill_router_answers.cpp
+++ b/core/damaskhill_router_answers.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t answer_copies = 2; // beside the one of the router that produced the answer
 constexpr duration fetch_timeout = 1s;
+constexpr std::size_t copied_answer_limit = 4U << 20U; // bytes
 
 // Links of the routers that keep copies of the answer.
 std::vector<link_id> copy_links(const router_state& state, request_id request) {
@@ -32,6 +33,8 @@
                    std::string_view body, effects& out) {
     const finished_answer answer{r.id, r.account, status, std::string{content_type}, std::string{body}};
     keep_answer(state.answers, answer, state.now);
+    // A longer answer would not fit a frame, and the link that carries it also carries work.
+    if (body.size() > copied_answer_limit) return;
     for (const link_id link : copy_links(state, r.id))
         out.emplace_back(send_message{link, answer_put{answer}});
 }
--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -92,6 +92,7 @@
         state.seal_timers.erase({r.order->next_seal, r.id});
         if (r.phase == request_phase::refusing) --state.refusing;
     }
+    state.body_bytes -= r.input.body.size();
     state.requests.erase(r.id);
 }
 
@@ -247,6 +248,8 @@
     if (waiting != state.waiting_by_account.end() && waiting->second >= max_waiting) {
         return failure_kind::queue_full;
     }
+    if (state.body_bytes + r.input.body.size() > state.settings.body_bytes_limit)
+        return failure_kind::queue_full;
     return failure_kind::none;
 }
 
@@ -283,6 +286,7 @@
         return;
     }
     state.requests.emplace(r->id, r);
+    state.body_bytes += input.body.size();
     state.by_caller.emplace(input.caller, r->id);
     state.deadlines.emplace(r->deadline, r->id);
     ++state.waiting_by_account[{r->account, input.pool}];
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -85,6 +85,26 @@
     BOOST_TEST(f.result(stream).text == expected_text("s tokens=300 ", 300));
 }
 
+// Guards against many large bodies exhausting the memory of a router: the sum is bounded, and the room comes
+// back.
+BOOST_AUTO_TEST_CASE(sum_of_bodies_is_bounded) {
+    fleet_settings settings = sample_fleet();
+    settings.tune_router = [](router_settings& s) { s.body_bytes_limit = 1000; };
+    fleet f{settings};
+    f.declare(sample_team());
+    f.run_for(3s);
+    const std::string large(600, 'x');
+    const caller_id first = f.ask(0, question(large + " tokens=400 "));
+    const caller_id second = f.ask(0, question(large + " tokens=40 "));
+    f.run_for(30s);
+    const caller_id third = f.ask(0, question(large + " tokens=41 "));
+    f.run_for(30s);
+    BOOST_TEST(f.result(first).answered);
+    BOOST_TEST((f.result(second).refusal == failure_kind::queue_full));
+    BOOST_TEST((f.result(second).state == run_state::not_run));
+    BOOST_TEST(f.result(third).answered);
+}
+
 // Guards against an order that runs again when its caller repeats it through other routers.
 BOOST_AUTO_TEST_CASE(repeated_order_runs_once) {
     fleet f{sample_fleet()};
