Look at every turn of the weight store

Cause: routers named the target whose turn it is to load a version every 500 ms, while the examples' 240 loads a minute make turns of 250 ms. A router then saw every second turn only, and with an even number of targets never named half of them. Ruled out: the store, the sidecars (no load was refused), the ramp (complete at 90% of the period). The turn is now looked at on every tick and ordered when it changes, or again after 500 ms.

--- a/core/damaskhill_router.hpp
+++ b/core/damaskhill_router.hpp
@@ -230,6 +230,11 @@
         std::uint32_t asked{};
         time_point deadline{};
     };
+    struct load_turn {
+        std::int64_t number{};
+        time_point ordered{};
+    };
+    std::map<std::string, load_turn, std::less<>> load_turns; // by pool
     std::uint64_t next_ticket{1};
     std::map<std::uint64_t, remote_claim> remote_claims; // by ticket
     std::map<std::uint64_t, served_claim> served_claims; // by ticket
--- a/core/damaskhill_router_versions.cpp
+++ b/core/damaskhill_router_versions.cpp
@@ -447,6 +447,22 @@
     out.emplace_back(send_message{target->link, load_order{move.pool, version}});
 }
 
+// Looks at every turn: turns may be shorter than the period of the other decisions, and a look at every other
+// turn would never name half of the targets when their number is even. A repeated order does no harm.
+void order_loads(router_state& state, effects& out) {
+    constexpr duration repeat_period = 500ms;
+    for (const move_declaration& move : state.config.moves) {
+        const pool_declaration* pool = find_pool(state.config, move.pool);
+        if (pool == nullptr || pool->loads_per_minute == 0) continue;
+        if (current_move(state.config, move.pool, state.now) != &move) continue;
+        const std::int64_t turn = state.now.time_since_epoch() / (duration{1min} / pool->loads_per_minute);
+        router_state::load_turn& last = state.load_turns[move.pool];
+        if (last.number == turn && state.now - last.ordered < repeat_period) continue;
+        last = {turn, state.now};
+        order_load(state, move, out);
+    }
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -461,10 +477,8 @@
         forget_ended_moves(state);
         send_new_evidence(state, out);
         judge_moves(state, out);
-        for (const move_declaration& move : state.config.moves) {
-            if (current_move(state.config, move.pool, state.now) == &move) order_load(state, move, out);
-        }
     }
+    order_loads(state, out);
     note_phases(state, out);
     if (!state.facts_asked && !state.facts_in_flight && state.now >= state.next_facts) {
         state.next_facts = state.now + facts_period;
--- a/tests/test_versions.cpp
+++ b/tests/test_versions.cpp
@@ -68,9 +68,12 @@
 }
 
 struct move_fleet {
-    explicit move_fleet(std::uint64_t seed, duration period = 40s) : f{settings(seed)} {
+    explicit move_fleet(std::uint64_t seed, duration period = 40s, std::uint32_t loads_per_minute = 30,
+                        std::size_t routers = 3)
+        : f{settings(seed, routers)} {
         start = f.now() + 4s;
         team = sample_team(start, period);
+        team.pools.front().loads_per_minute = loads_per_minute;
         f.declare(team);
         f.run_for(2s);
         fresh = f.sidecars("lm").back();
@@ -87,9 +90,10 @@
         };
         ask();
     }
-    static fleet_settings settings(std::uint64_t seed) {
+    static fleet_settings settings(std::uint64_t seed, std::size_t routers) {
         fleet_settings s;
         s.seed = seed;
+        s.routers = routers;
         s.pools.push_back({"lm", 4, {}});
         return s;
     }
@@ -323,4 +327,14 @@
     BOOST_TEST(!m.any_condemned());
 }
 
+// Guards against turns shorter than the period of decisions: a router that looks at every second turn would
+// never name half of the targets, and the move would not complete.
+BOOST_AUTO_TEST_CASE(short_turns_name_every_target) {
+    move_fleet m{15, 40s, 240, 1};
+    m.f.run_until(m.start + 42s);
+    BOOST_TEST(m.f.loads.size() == 3U);
+    for (const std::size_t i : m.f.sidecars("lm"))
+        BOOST_TEST(m.f.nodes()[i].target.version == "v2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
