Answer a retried service call from the beginning

Cause: the router kept the text of a service call that broke midway and asked the next attempt to continue at its end, as it does for streams of engines.

Test broken_lookup_is_answered_from_the_beginning: "done 7done 7" before, "done 7" after.

--- a/core/damaskhill_router_requests.cpp
+++ b/core/damaskhill_router_requests.cpp
@@ -473,6 +473,8 @@
 
 // Puts an idempotent request back into its queue, or refuses it when retries are used up.
 void retry_request(router_state& state, request& r, effects& out) {
+    // Only engines resume: a service answers again from the beginning.
+    if (r.input.route == caller_route::service) r.answer.text.clear();
     const auto& retry = state.settings.retry;
     if (r.attempts >= retry.max_attempts) {
         refuse_request(state, r, failure_kind::target_failed, run_state::unknown, out);
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -105,6 +105,33 @@
     BOOST_TEST(f.result(third).answered);
 }
 
+// Guards against a service's partial answer becoming the beginning of the answer to its retry.
+BOOST_AUTO_TEST_CASE(broken_lookup_is_answered_from_the_beginning) {
+    fleet f{sample_fleet()};
+    f.declare(sample_team());
+    f.run_for(3s);
+    bool broken = false;
+    f.rewrite = [&](std::size_t node, effects& out) {
+        if (node < f.router_count()) return;
+        for (effect& item : out) {
+            auto* message = std::get_if<send_message>(&item);
+            auto* end = message == nullptr ? nullptr : std::get_if<finish>(&message->message);
+            if (end == nullptr || broken) continue;
+            end->outcome = attempt_outcome::connection_lost;
+            broken = true;
+        }
+    };
+    caller_request lookup = order(f.now(), 7);
+    lookup.method = "GET";
+    lookup.path = "/stock/7";
+    lookup.idempotency_key.clear();
+    const caller_id caller = f.ask(0, lookup);
+    f.run_for(5s);
+    BOOST_TEST(broken);
+    BOOST_TEST(f.result(caller).answered);
+    BOOST_TEST(f.result(caller).text == "done 7");
+}
+
 // Guards against an order that runs again when its caller repeats it through other routers.
 BOOST_AUTO_TEST_CASE(repeated_order_runs_once) {
     fleet f{sample_fleet()};
