--- /dev/null
+++ b/backends/damaskhill_impl_datagram.cpp
@@ -0,0 +1,103 @@
+// Index of this file:
+// [SECTION] Transport
+
+#include "damaskhill_impl_datagram.hpp"
+
+#include <asio.hpp>
+
+#include <unordered_map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Transport
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t datagram_limit = 60'000; // bytes; the largest that UDP carries is 65,507
+constexpr frame_position unordered{false, 0, "datagram"}; // reports carry their own order
+
+} // namespace
+
+struct datagram_transport::implementation : std::enable_shared_from_this<implementation> {
+    implementation(asio::io_context& context, std::vector<link_key> k, report_handler h)
+        : socket(context), keys(std::move(k)), on_report(std::move(h)), buffer(datagram_limit, '\0') {}
+
+    void receive();
+    void take(std::string_view bytes);
+
+    asio::ip::udp::socket socket;
+    std::vector<link_key> keys;
+    report_handler on_report;
+    std::string buffer;
+    asio::ip::udp::endpoint sender;
+    std::unordered_map<std::string, asio::ip::udp::endpoint> endpoints;
+    std::uint64_t rejected{};
+};
+
+void datagram_transport::implementation::receive() {
+    socket.async_receive_from(asio::buffer(buffer), sender,
+                              [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+                                  if (error == asio::error::operation_aborted) return;
+                                  if (!error) self->take({self->buffer.data(), size});
+                                  self->receive();
+                              });
+}
+
+void datagram_transport::implementation::take(std::string_view bytes) {
+    failure why;
+    const auto message = bytes.size() > frame_length_size
+                             ? open_frame(bytes.substr(frame_length_size), keys, unordered, why)
+                             : std::nullopt;
+    auto report = message ? decode_report(*message, why) : std::nullopt;
+    if (!report) {
+        ++rejected;
+        return;
+    }
+    on_report(std::move(*report));
+}
+
+datagram_transport::datagram_transport(event_loop& loop, std::vector<link_key> keys, report_handler on_report)
+    : impl_(std::make_shared<implementation>(*static_cast<asio::io_context*>(loop.native()), std::move(keys),
+                                             std::move(on_report))) {}
+
+datagram_transport::~datagram_transport() {
+    asio::error_code ignored;
+    impl_->socket.close(ignored);
+}
+
+std::optional<bool> datagram_transport::bind(std::string_view address, failure& why) {
+    const auto parts = split_address(address, why);
+    if (!parts) return std::nullopt;
+    asio::error_code error;
+    const asio::ip::udp::endpoint endpoint{asio::ip::make_address(parts->first, error), parts->second};
+    if (!error) impl_->socket.open(endpoint.protocol(), error);
+    if (!error) impl_->socket.bind(endpoint, error);
+    if (!error) impl_->socket.non_blocking(true, error);
+    if (error) {
+        why = {failure_kind::network, std::string{address}, error.message(), "a free address of this VM"};
+        return std::nullopt;
+    }
+    impl_->receive();
+    return true;
+}
+
+void datagram_transport::send(const std::string& address, const router_report& report) {
+    auto found = impl_->endpoints.find(address);
+    if (found == impl_->endpoints.end()) {
+        failure why;
+        const auto parts = split_address(address, why);
+        if (!parts) return;
+        const asio::ip::udp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
+        found = impl_->endpoints.emplace(address, endpoint).first;
+    }
+    const std::string frame = seal_frame(encode_report(report), impl_->keys, unordered);
+    if (frame.size() > datagram_limit) return;
+    asio::error_code ignored; // as good as a datagram that is lost on the way
+    impl_->socket.send_to(asio::buffer(frame), found->second, 0, ignored);
+}
+
+std::uint64_t datagram_transport::rejected() const { return impl_->rejected; }
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_direct.cpp
@@ -0,0 +1,112 @@
+// Index of this file:
+// [SECTION] Settings
+// [SECTION] Structured log
+// [SECTION] Clock
+
+#include "damaskhill_impl_direct.hpp"
+
+#include <ctime>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+std::optional<direct_daemon_settings> load_direct_settings(const std::string& file, failure& why) {
+    const auto text = read_file(file, why);
+    if (!text) return std::nullopt;
+    auto s = parse_as<direct_daemon_settings>(*text, file, unknown_keys::reject, why);
+    if (!s) return std::nullopt;
+    const bool ok = check_text(s->name, "name", file, why) &&
+                    check_text(s->data_centre, "data_centre", file, why) &&
+                    check_address(s->http_address, "http_address", file, why) &&
+                    check_address(s->ready_address, "ready_address", file, why) &&
+                    check_address(s->control_address, "control_address", file, why) &&
+                    check_address(s->report_address, "report_address", file, why) &&
+                    check_address(s->store_address, "store_address", file, why) &&
+                    check_keys(s->link_keys, file, why);
+    if (!ok) return std::nullopt;
+    for (const std::string& seed : s->seeds) {
+        if (!check_address(seed, "seeds", file, why)) return std::nullopt;
+    }
+    constexpr double least_key_limit_ms = 1000;
+    if (s->key_limit_ms < least_key_limit_ms) {
+        why = {failure_kind::out_of_range, file + ": $.key_limit_ms", std::to_string(s->key_limit_ms),
+               "at least 1000"};
+        return std::nullopt;
+    }
+    return s;
+}
+
+direct::router_settings core_settings(const direct_daemon_settings& settings, std::uint64_t incarnation) {
+    direct::router_settings core;
+    core.name = settings.name;
+    core.data_centre = settings.data_centre;
+    core.report_address = settings.report_address;
+    core.snapshot_address = settings.control_address;
+    core.incarnation = incarnation;
+    // Every router uses the same ports, so a seed's IP number is enough.
+    const std::string port = settings.report_address.substr(settings.report_address.rfind(':'));
+    for (const std::string& seed : settings.seeds)
+        core.seeds.push_back(seed.substr(0, seed.rfind(':')) + port);
+    // A second covers changes that the store tells late, the rest the way to the target.
+    constexpr duration key_margin = 1100ms;
+    const duration key_limit{static_cast<std::int64_t>(settings.key_limit_ms * 1e3)};
+    core.belief.key_limit = key_limit - std::min(key_margin, key_limit / 2);
+    core.belief.ready_limit = core.belief.key_limit * 2 / 3;
+    core.repeats.ratio = settings.repeat_ratio;
+    core.repeats.slack = settings.repeat_slack;
+    core.repeats.window = duration{static_cast<std::int64_t>(settings.repeat_window_s * 1e6)};
+    constexpr duration stop_margin = 400ms; // for the last answers to leave
+    core.stop_limit = duration{static_cast<std::int64_t>(settings.stop_limit_s * 1e6)} - stop_margin;
+    return core;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Structured log
+//-----------------------------------------------------------------------------
+
+structured_log::structured_log(structured_log_settings settings)
+    : settings_(settings), tokens_(settings.lines_per_s) {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void structured_log::write(std::string_view name, std::string_view fields, bool essential, time_point now) {
+    tokens_ = std::min(settings_.lines_per_s, tokens_ + to_seconds(now - filled_) * settings_.lines_per_s);
+    filled_ = now;
+    if ((!essential && tokens_ < 1.0) || buffer_.size() > settings_.buffer_limit) {
+        ++dropped_;
+        return;
+    }
+    if (!essential) tokens_ -= 1.0;
+    buffer_.append("{\"t_ms\":").append(std::to_string(now.time_since_epoch() / 1ms));
+    buffer_.append(",\"event\":\"").append(name).append("\"");
+    if (!fields.empty()) buffer_.append(",").append(fields);
+    if (dropped_ > told_) buffer_.append(",\"dropped\":").append(std::to_string(dropped_));
+    told_ = dropped_;
+    buffer_.append("}\n");
+}
+
+void structured_log::flush() {
+    if (buffer_.empty()) return;
+    const ssize_t sent = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+    if (sent > 0) buffer_.erase(0, static_cast<std::size_t>(sent));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Clock
+//-----------------------------------------------------------------------------
+
+time_point boot_clock() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{std::chrono::seconds{now.tv_sec} +
+                      std::chrono::floor<duration>(std::chrono::nanoseconds{now.tv_nsec})};
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -0,0 +1,406 @@
+// Index of this file:
+// [SECTION] Connection
+// [SECTION] Parser callbacks
+// [SECTION] Calls
+// [SECTION] Reading and writing
+// [SECTION] Client
+
+#include "damaskhill_impl_edge_client.hpp"
+
+#include <asio.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <http_parser.h>
+
+#include <charconv>
+#include <unordered_map>
+
+#include <netinet/tcp.h>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Connection
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t read_size = 8U << 10U; // bytes of one read
+using clock = std::chrono::steady_clock;
+
+struct client_connection : boost::intrusive_ref_counter<client_connection, boost::thread_unsafe_counter> {
+    explicit client_connection(asio::io_context& context) : socket(context), connect_timer(context) {}
+    std::string address;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer connect_timer;
+    std::array<char, read_size> buffer{};
+    http_parser parser{};
+    // The call that has the connection, 0: it is idle.
+    std::uint64_t call{};
+    edge_handlers handlers;
+    std::string unsent;
+    bool head_only{};
+    edge_answer_head head;
+    bool value_begun{};
+    bool skipping{};
+    bool answer_complete{};
+    bool reusable{true};
+    bool connected{};
+    bool sent_bytes{};
+    bool writing{};
+    bool closed{};
+    clock::time_point usable_until;
+    clock::time_point idle_since;
+};
+using connection_ptr = boost::intrusive_ptr<client_connection>;
+
+client_connection& connection_of(http_parser* parser) {
+    return *static_cast<client_connection*>(parser->data);
+}
+
+bool has_no_body(std::uint32_t status) { return status < 200 || status == 204 || status == 304; }
+
+//-----------------------------------------------------------------------------
+// [SECTION] Parser callbacks
+//-----------------------------------------------------------------------------
+
+int on_headers(http_parser* parser) {
+    client_connection& c = connection_of(parser);
+    c.value_begun = true;
+    c.head.status = parser->status_code;
+    constexpr std::uint32_t first_final = 200;
+    c.skipping = c.head.status < first_final;
+    if (!c.skipping) {
+        const bool chunked = (parser->flags & F_CHUNKED) != 0;
+        const bool no_length = parser->content_length == ULLONG_MAX;
+        c.head.unframed = !chunked && no_length && !has_no_body(c.head.status) && !c.head_only;
+        c.skipping = c.handlers.on_head(std::move(c.head)) == edge_verdict::skip;
+        if (c.skipping) c.reusable = false;
+    }
+    c.head = {};
+    return c.head_only ? 1 : 0; // 1: the answer has no body
+}
+
+http_parser_settings make_parser_settings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = [](http_parser* parser) {
+        client_connection& c = connection_of(parser);
+        c.head = {};
+        c.value_begun = true;
+        return 0;
+    };
+    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+        client_connection& c = connection_of(parser);
+        if (c.value_begun) c.head.headers.emplace_back();
+        c.value_begun = false;
+        c.head.headers.back().first.append(at, size);
+        return 0;
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+        client_connection& c = connection_of(parser);
+        if (c.head.headers.empty()) return 1;
+        c.value_begun = true;
+        c.head.headers.back().second.append(at, size);
+        return 0;
+    };
+    settings.on_headers_complete = on_headers;
+    settings.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+        client_connection& c = connection_of(parser);
+        if (!c.skipping && c.call != 0 && c.handlers.on_data) c.handlers.on_data({at, size});
+        return 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+        client_connection& c = connection_of(parser);
+        if (c.skipping) return 0;
+        c.answer_complete = true;
+        c.reusable = c.reusable && http_should_keep_alive(parser) != 0;
+        http_parser_pause(parser, 1);
+        return 0;
+    };
+    return settings;
+}
+
+const http_parser_settings parser_settings = make_parser_settings();
+
+/// Whole seconds of "timeout=N" in a Keep-Alive header.
+std::optional<std::chrono::seconds> keep_alive_of(const http_headers& headers) {
+    const std::string_view value = find_header(headers, "Keep-Alive");
+    const auto at = value.find("timeout=");
+    if (at == std::string_view::npos) return std::nullopt;
+    int seconds = 0;
+    const std::string_view digits = value.substr(at + 8);
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (error != std::errc{} || seconds < 0) return std::nullopt;
+    return std::chrono::seconds{seconds};
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Calls
+//-----------------------------------------------------------------------------
+
+struct edge_client::implementation : std::enable_shared_from_this<implementation> {
+    implementation(asio::io_context& c, edge_client_settings s) : context(c), settings(s) {}
+
+    connection_ptr take_idle(const edge_call& call);
+    void begin(const connection_ptr& connection, std::uint64_t number, edge_call&& call,
+               edge_handlers&& handlers);
+    void connect(const connection_ptr& connection);
+    void set_options(client_connection& connection) const;
+    void read(const connection_ptr& connection);
+    void on_bytes(const connection_ptr& connection, std::string_view bytes);
+    void on_eof(const connection_ptr& connection, bool clean);
+    void write(const connection_ptr& connection);
+    void finish(const connection_ptr& connection, edge_result result);
+    void keep(const connection_ptr& connection);
+    void close(const connection_ptr& connection);
+
+    asio::io_context& context;
+    edge_client_settings settings;
+    std::unordered_map<std::uint64_t, connection_ptr> calls;
+    std::unordered_map<std::string, std::vector<connection_ptr>> idle;
+    std::uint64_t next_call{1};
+    std::uint64_t opened{};
+};
+
+connection_ptr edge_client::implementation::take_idle(const edge_call& call) {
+    const auto found = idle.find(call.address);
+    if (found == idle.end()) return {};
+    const auto now = clock::now();
+    auto& list = found->second;
+    while (!list.empty()) {
+        connection_ptr connection = list.back();
+        const bool recent = now - connection->idle_since < settings.recent_limit;
+        if (call.recent_connection_only && !recent) return {};
+        list.pop_back();
+        if (now < connection->usable_until) return connection;
+        close(connection);
+    }
+    return {};
+}
+
+void edge_client::implementation::begin(const connection_ptr& connection, std::uint64_t number,
+                                        edge_call&& call, edge_handlers&& handlers) {
+    calls[number] = connection;
+    connection->call = number;
+    connection->handlers = std::move(handlers);
+    connection->head_only = call.head_only;
+    connection->answer_complete = false;
+    connection->sent_bytes = false;
+    connection->unsent = std::move(call.head);
+    connection->unsent += call.body;
+    http_parser_init(&connection->parser, HTTP_RESPONSE);
+    connection->parser.data = connection.get();
+    if (connection->connected) {
+        write(connection);
+    } else {
+        connect(connection);
+    }
+}
+
+void edge_client::implementation::set_options(client_connection& connection) const {
+    asio::error_code ignored;
+    connection.socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    connection.socket.non_blocking(true, ignored);
+    // A connection may go silent for good without a reset; the kernel notices it by these.
+    using integer = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    const auto silent_ms = static_cast<int>(to_milliseconds(settings.silent_limit));
+    connection.socket.set_option(integer{silent_ms}, ignored);
+    connection.socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+    connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>{1}, ignored);
+    connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>{1}, ignored);
+    connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{2}, ignored);
+}
+
+void edge_client::implementation::connect(const connection_ptr& connection) {
+    failure why;
+    const auto parts = split_address(connection->address, why);
+    if (!parts) {
+        asio::post(context, [self = shared_from_this(), connection] {
+            self->finish(connection, edge_result::not_sent);
+        });
+        return;
+    }
+    ++opened;
+    asio::error_code ignored;
+    connection->socket.open(asio::ip::tcp::v4(), ignored);
+    set_options(*connection);
+    connection->connect_timer.expires_after(settings.connect_limit);
+    connection->connect_timer.async_wait([self = shared_from_this(), connection](const asio::error_code& error) {
+        if (!error && !connection->connected && !connection->closed)
+            self->finish(connection, edge_result::not_sent);
+    });
+    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
+    connection->socket.async_connect(
+        endpoint, [self = shared_from_this(), connection](const asio::error_code& error) {
+            if (connection->closed) return;
+            connection->connect_timer.cancel();
+            if (error) {
+                self->finish(connection, edge_result::not_sent);
+                return;
+            }
+            connection->connected = true;
+            self->read(connection);
+            self->write(connection);
+        });
+}
+
+void edge_client::implementation::finish(const connection_ptr& connection, edge_result result) {
+    const auto on_end = std::move(connection->handlers.on_end);
+    connection->handlers = {};
+    calls.erase(connection->call);
+    connection->call = 0;
+    if (result == edge_result::complete && connection->reusable && connection->unsent.empty()) {
+        keep(connection);
+    } else {
+        close(connection);
+    }
+    if (on_end) on_end(result);
+}
+
+void edge_client::implementation::keep(const connection_ptr& connection) {
+    auto& list = idle[connection->address];
+    if (list.size() >= settings.idle_connections) {
+        close(connection);
+        return;
+    }
+    connection->idle_since = clock::now();
+    list.push_back(connection);
+}
+
+void edge_client::implementation::close(const connection_ptr& connection) {
+    if (connection->closed) return;
+    connection->closed = true;
+    connection->connect_timer.cancel();
+    asio::error_code ignored;
+    connection->socket.close(ignored);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading and writing
+//-----------------------------------------------------------------------------
+
+void edge_client::implementation::read(const connection_ptr& connection) {
+    connection->socket.async_read_some(
+        asio::buffer(connection->buffer),
+        [self = shared_from_this(), connection](const asio::error_code& error, std::size_t size) {
+            if (connection->closed) return;
+            if (error) {
+                self->on_eof(connection, error == asio::error::eof);
+            } else {
+                self->on_bytes(connection, {connection->buffer.data(), size});
+            }
+            if (!connection->closed) self->read(connection);
+        });
+}
+
+void edge_client::implementation::on_bytes(const connection_ptr& connection, std::string_view bytes) {
+    if (connection->call == 0) { // bytes that belong to no request
+        std::erase(idle[connection->address], connection);
+        close(connection);
+        return;
+    }
+    const std::uint64_t number = connection->call;
+    const std::size_t used =
+        http_parser_execute(&connection->parser, &parser_settings, bytes.data(), bytes.size());
+    if (connection->closed || connection->call != number) return; // a handler has cancelled the call
+    if (connection->answer_complete) {
+        if (used < bytes.size()) connection->reusable = false;
+        finish(connection, edge_result::complete);
+    } else if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
+        finish(connection, edge_result::garbled);
+    }
+}
+
+void edge_client::implementation::on_eof(const connection_ptr& connection, bool clean) {
+    connection->reusable = false;
+    if (connection->call == 0) {
+        std::erase(idle[connection->address], connection);
+        close(connection);
+        return;
+    }
+    // Only a connection that was closed in order ends an answer without a length.
+    const std::uint64_t number = connection->call;
+    if (clean) http_parser_execute(&connection->parser, &parser_settings, nullptr, 0);
+    if (connection->closed || connection->call != number) return;
+    finish(connection, connection->answer_complete ? edge_result::complete : edge_result::broken);
+}
+
+void edge_client::implementation::write(const connection_ptr& connection) {
+    if (connection->closed || connection->writing || connection->unsent.empty()) return;
+    asio::error_code error;
+    const std::size_t sent = connection->socket.write_some(asio::buffer(connection->unsent), error);
+    if (sent > 0) connection->sent_bytes = true;
+    if (error && error != asio::error::would_block) {
+        // The answer may have come before the rest of the request was wanted: the read decides.
+        connection->unsent.clear();
+        connection->reusable = false;
+        if (connection->sent_bytes) return;
+        asio::post(context, [self = shared_from_this(), connection, number = connection->call] {
+            if (!connection->closed && connection->call == number)
+                self->finish(connection, edge_result::broken);
+        });
+        return;
+    }
+    connection->unsent.erase(0, sent);
+    if (connection->unsent.empty()) return;
+    connection->writing = true;
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_write,
+                                  [self = shared_from_this(), connection](const asio::error_code& failed) {
+                                      connection->writing = false;
+                                      if (!failed) self->write(connection);
+                                  });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Client
+//-----------------------------------------------------------------------------
+
+edge_client::edge_client(event_loop& loop, edge_client_settings settings)
+    : impl_(std::make_shared<implementation>(*static_cast<asio::io_context*>(loop.native()), settings)) {}
+
+edge_client::~edge_client() {
+    for (auto& [address, list] : impl_->idle) {
+        for (const connection_ptr& connection : list)
+            impl_->close(connection);
+    }
+    for (auto& [number, connection] : impl_->calls)
+        impl_->close(connection);
+    impl_->idle.clear();
+    impl_->calls.clear();
+}
+
+std::uint64_t edge_client::start(edge_call call, edge_handlers handlers) {
+    const std::uint64_t number = impl_->next_call++;
+    // Wraps on_head so that the time for which the other side keeps the connection is known.
+    connection_ptr connection = impl_->take_idle(call);
+    if (!connection) {
+        connection = connection_ptr{new client_connection{impl_->context}};
+        connection->address = call.address;
+    }
+    handlers.on_head = [on_head = std::move(handlers.on_head), raw = connection.get(),
+                        settings = impl_->settings](edge_answer_head&& head) {
+        const auto kept = keep_alive_of(head.headers);
+        const duration limit =
+            kept ? std::max<duration>(0s, *kept - settings.idle_margin) : settings.idle_limit;
+        raw->usable_until = clock::now() + std::min<duration>(limit, settings.idle_limit);
+        return on_head(std::move(head));
+    };
+    impl_->begin(connection, number, std::move(call), std::move(handlers));
+    return number;
+}
+
+void edge_client::cancel(std::uint64_t number) {
+    const auto found = impl_->calls.find(number);
+    if (found == impl_->calls.end()) return;
+    const connection_ptr connection = found->second;
+    impl_->calls.erase(found);
+    connection->call = 0;
+    impl_->close(connection);
+}
+
+std::uint64_t edge_client::connections_opened() const { return impl_->opened; }
+
+} // namespace damaskhill
--- /dev/null
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -0,0 +1,405 @@
+// Index of this file:
+// [SECTION] Connection
+// [SECTION] Server
+// [SECTION] Parser callbacks
+// [SECTION] Answers
+
+#include "damaskhill_impl_edge_server.hpp"
+
+#include <asio.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <http_parser.h>
+
+#include <set>
+#include <unordered_map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Connection
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t read_size = 8U << 10U; // bytes of one read
+
+enum class reply_state : std::uint8_t { none, awaited, chunked };
+
+struct edge_connection : boost::intrusive_ref_counter<edge_connection, boost::thread_unsafe_counter> {
+    explicit edge_connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
+    asio::ip::tcp::socket socket;
+    std::array<char, read_size> buffer{};
+    http_parser parser{};
+    http_request request;
+    std::size_t head_bytes{};
+    bool value_begun{};
+    bool request_complete{};
+    bool keep_alive{};
+    bool head_only{}; // the request was HEAD
+    std::string early; // bytes of the next request, which came before the answer to this one
+    std::uint64_t exchange{};
+    reply_state reply{reply_state::none};
+    std::string unsent;
+    std::string writing;
+    bool write_pending{};
+    bool flush_posted{};
+    bool close_after_write{};
+    bool closed{};
+};
+using connection_ptr = boost::intrusive_ptr<edge_connection>;
+
+const char* reason_of(std::uint32_t status) { return http_status_str(static_cast<http_status>(status)); }
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Server
+//-----------------------------------------------------------------------------
+
+struct edge_server::implementation : std::enable_shared_from_this<implementation> {
+    implementation(asio::io_context& c, edge_server_settings s, handlers h)
+        : context(c), settings(s), on(std::move(h)), acceptor(c) {}
+
+    void accept();
+    void read(const connection_ptr& connection);
+    void parse(const connection_ptr& connection, std::string_view bytes);
+    void on_complete(const connection_ptr& connection);
+    void reject(const connection_ptr& connection, std::uint32_t status);
+    void write(const connection_ptr& connection);
+    void schedule_flush(const connection_ptr& connection);
+    void close(const connection_ptr& connection, bool reset);
+    void finish_reply(const connection_ptr& connection);
+    connection_ptr find(std::uint64_t exchange) const;
+    void append_head(edge_connection& connection, std::uint32_t status, const http_headers& headers,
+                     std::optional<std::size_t> length) const;
+
+    asio::io_context& context;
+    edge_server_settings settings;
+    handlers on;
+    asio::ip::tcp::acceptor acceptor;
+    std::unordered_map<std::uint64_t, connection_ptr> exchanges;
+    std::set<connection_ptr> connections;
+    std::uint64_t next_exchange{1};
+    bool closing{};
+};
+
+void edge_server::implementation::accept() {
+    acceptor.async_accept([self = shared_from_this()](const asio::error_code& error,
+                                                      asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (!error && self->connections.size() < self->settings.connection_limit) {
+            asio::error_code ignored;
+            socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+            socket.non_blocking(true, ignored);
+            const connection_ptr connection{new edge_connection{std::move(socket)}};
+            http_parser_init(&connection->parser, HTTP_REQUEST);
+            connection->parser.data = connection.get();
+            self->connections.insert(connection);
+            self->read(connection);
+        }
+        self->accept();
+    });
+}
+
+void edge_server::implementation::read(const connection_ptr& connection) {
+    connection->socket.async_read_some(
+        asio::buffer(connection->buffer),
+        [self = shared_from_this(), connection](const asio::error_code& error, std::size_t size) {
+            if (connection->closed) return;
+            if (error) {
+                self->close(connection, false);
+                return;
+            }
+            const std::string_view bytes{connection->buffer.data(), size};
+            if (connection->reply != reply_state::none) {
+                // The next request on this connection is kept until the present one is answered.
+                connection->early.append(bytes);
+                if (connection->early.size() > self->settings.header_limit) return;
+            } else {
+                self->parse(connection, bytes);
+            }
+            if (!connection->closed) self->read(connection);
+        });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Parser callbacks
+//-----------------------------------------------------------------------------
+
+namespace {
+
+edge_connection& connection_of(http_parser* parser) { return *static_cast<edge_connection*>(parser->data); }
+
+http_parser_settings make_parser_settings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = [](http_parser* parser) {
+        edge_connection& c = connection_of(parser);
+        c.request = {};
+        c.head_bytes = 0;
+        c.value_begun = true;
+        return 0;
+    };
+    settings.on_url = [](http_parser* parser, const char* at, std::size_t size) {
+        connection_of(parser).request.target.append(at, size);
+        return 0;
+    };
+    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+        edge_connection& c = connection_of(parser);
+        if (c.value_begun) c.request.headers.emplace_back();
+        c.value_begun = false;
+        c.request.headers.back().first.append(at, size);
+        c.head_bytes += size;
+        return 0;
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+        edge_connection& c = connection_of(parser);
+        if (c.request.headers.empty()) return 1;
+        c.value_begun = true;
+        c.request.headers.back().second.append(at, size);
+        c.head_bytes += size;
+        return 0;
+    };
+    settings.on_headers_complete = [](http_parser* parser) {
+        edge_connection& c = connection_of(parser);
+        c.value_begun = true;
+        c.request.method = http_method_str(static_cast<http_method>(parser->method));
+        return 0;
+    };
+    settings.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+        connection_of(parser).request.body.append(at, size);
+        return 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+        edge_connection& c = connection_of(parser);
+        c.request_complete = true;
+        c.keep_alive = http_should_keep_alive(parser) != 0;
+        // The next request must not be parsed before this one is answered.
+        http_parser_pause(parser, 1);
+        return 0;
+    };
+    return settings;
+}
+
+const http_parser_settings parser_settings = make_parser_settings();
+
+} // namespace
+
+void edge_server::implementation::parse(const connection_ptr& connection, std::string_view bytes) {
+    const std::size_t used =
+        http_parser_execute(&connection->parser, &parser_settings, bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&connection->parser);
+    if (connection->request_complete) {
+        http_parser_pause(&connection->parser, 0);
+        connection->early.assign(bytes.substr(std::min(used, bytes.size())));
+        on_complete(connection);
+        return;
+    }
+    constexpr std::uint32_t bad_request = 400;
+    constexpr std::uint32_t body_too_large = 413;
+    constexpr std::uint32_t head_too_large = 431;
+    if (error != HPE_OK) {
+        reject(connection, bad_request);
+    } else if (connection->head_bytes > settings.header_limit) {
+        reject(connection, head_too_large);
+    } else if (connection->request.body.size() > settings.body_limit) {
+        reject(connection, body_too_large);
+    }
+}
+
+void edge_server::implementation::on_complete(const connection_ptr& connection) {
+    connection->request_complete = false;
+    connection->exchange = next_exchange++;
+    connection->reply = reply_state::awaited;
+    connection->head_only = connection->request.method == "HEAD";
+    exchanges[connection->exchange] = connection;
+    http_request request = std::move(connection->request);
+    connection->request = {};
+    on.on_request(connection->exchange, std::move(request));
+}
+
+void edge_server::implementation::reject(const connection_ptr& connection, std::uint32_t status) {
+    connection->keep_alive = false;
+    append_head(*connection, status, {}, 0);
+    connection->close_after_write = true;
+    write(connection);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+connection_ptr edge_server::implementation::find(std::uint64_t exchange) const {
+    const auto found = exchanges.find(exchange);
+    return found == exchanges.end() ? connection_ptr{} : found->second;
+}
+
+void edge_server::implementation::append_head(edge_connection& connection, std::uint32_t status,
+                                              const http_headers& headers,
+                                              std::optional<std::size_t> length) const {
+    std::string& out = connection.unsent;
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason_of(status)).append("\r\n");
+    for (const auto& [name, value] : headers)
+        out.append(name).append(": ").append(value).append("\r\n");
+    if (length) {
+        out.append("Content-Length: ").append(std::to_string(*length)).append("\r\n");
+    } else {
+        out.append("Transfer-Encoding: chunked\r\n");
+    }
+    if (!connection.keep_alive || closing) out.append("Connection: close\r\n");
+    out.append("\r\n");
+}
+
+void edge_server::implementation::write(const connection_ptr& connection) {
+    if (connection->closed || connection->write_pending) return;
+    if (connection->unsent.empty()) {
+        if (connection->close_after_write) close(connection, false);
+        return;
+    }
+    asio::error_code error;
+    const std::size_t sent = connection->socket.write_some(asio::buffer(connection->unsent), error);
+    if (error && error != asio::error::would_block) {
+        close(connection, false);
+        return;
+    }
+    if (sent == connection->unsent.size()) {
+        connection->unsent.clear();
+        if (connection->close_after_write) close(connection, false);
+        return;
+    }
+    connection->unsent.erase(0, sent);
+    if (connection->unsent.size() > settings.unsent_limit) {
+        close(connection, true);
+        return;
+    }
+    connection->write_pending = true;
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_write,
+                                  [self = shared_from_this(), connection](const asio::error_code& failed) {
+                                      connection->write_pending = false;
+                                      if (!failed) self->write(connection);
+                                  });
+}
+
+// Pieces that are ready in the same turn of the loop leave in one write.
+void edge_server::implementation::schedule_flush(const connection_ptr& connection) {
+    if (connection->flush_posted || connection->write_pending) return;
+    connection->flush_posted = true;
+    asio::post(context, [self = shared_from_this(), connection] {
+        connection->flush_posted = false;
+        self->write(connection);
+    });
+}
+
+void edge_server::implementation::close(const connection_ptr& connection, bool reset) {
+    if (connection->closed) return;
+    connection->closed = true;
+    asio::error_code ignored;
+    if (reset) connection->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    connection->socket.close(ignored);
+    connections.erase(connection);
+    if (connection->reply == reply_state::none) return;
+    connection->reply = reply_state::none;
+    exchanges.erase(connection->exchange);
+    on.on_closed(connection->exchange);
+}
+
+void edge_server::implementation::finish_reply(const connection_ptr& connection) {
+    exchanges.erase(connection->exchange);
+    connection->reply = reply_state::none;
+    if (!connection->keep_alive || closing) connection->close_after_write = true;
+    write(connection);
+    if (connection->closed || connection->close_after_write) return;
+    if (connection->early.empty()) return;
+    asio::post(context, [self = shared_from_this(), connection] {
+        if (connection->closed || connection->reply != reply_state::none) return;
+        const std::string bytes = std::move(connection->early);
+        connection->early.clear();
+        self->parse(connection, bytes);
+    });
+}
+
+edge_server::edge_server(event_loop& loop, edge_server_settings settings, handlers on)
+    : impl_(std::make_shared<implementation>(*static_cast<asio::io_context*>(loop.native()), settings,
+                                             std::move(on))) {}
+
+edge_server::~edge_server() {
+    asio::error_code ignored;
+    impl_->acceptor.close(ignored);
+}
+
+std::optional<bool> edge_server::listen(std::string_view address, failure& why) {
+    const auto parts = split_address(address, why);
+    if (!parts) return std::nullopt;
+    asio::error_code error;
+    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(parts->first, error), parts->second};
+    auto& acceptor = impl_->acceptor;
+    if (!error) acceptor.open(endpoint.protocol(), error);
+    if (!error) acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+    if (!error) acceptor.bind(endpoint, error);
+    constexpr int backlog = 1024; // connections that wait to be accepted; a dropped one costs its caller seconds
+    if (!error) acceptor.listen(backlog, error);
+    if (error) {
+        why = {failure_kind::network, std::string{address}, error.message(), "a free address of this VM"};
+        return std::nullopt;
+    }
+    impl_->accept();
+    return true;
+}
+
+void edge_server::whole(std::uint64_t exchange, std::uint32_t status, const http_headers& headers,
+                        std::string_view body) {
+    const connection_ptr connection = impl_->find(exchange);
+    if (!connection || connection->reply != reply_state::awaited) return;
+    impl_->append_head(*connection, status, headers, body.size());
+    if (!connection->head_only) connection->unsent.append(body);
+    impl_->finish_reply(connection);
+}
+
+void edge_server::begin(std::uint64_t exchange, std::uint32_t status, const http_headers& headers) {
+    const connection_ptr connection = impl_->find(exchange);
+    if (!connection || connection->reply != reply_state::awaited) return;
+    connection->reply = reply_state::chunked;
+    impl_->append_head(*connection, status, headers, std::nullopt);
+    impl_->schedule_flush(connection);
+}
+
+void edge_server::data(std::uint64_t exchange, std::string_view data) {
+    const connection_ptr connection = impl_->find(exchange);
+    if (!connection || connection->reply != reply_state::chunked || data.empty()) return;
+    std::array<char, 16> size{};
+    const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    connection->unsent.append(size.data(), static_cast<std::size_t>(digits)).append(data).append("\r\n");
+    impl_->schedule_flush(connection);
+}
+
+void edge_server::end(std::uint64_t exchange) {
+    const connection_ptr connection = impl_->find(exchange);
+    if (!connection || connection->reply != reply_state::chunked) return;
+    connection->unsent.append("0\r\n\r\n");
+    impl_->finish_reply(connection);
+}
+
+void edge_server::abort(std::uint64_t exchange) {
+    const connection_ptr connection = impl_->find(exchange);
+    if (!connection) return;
+    impl_->exchanges.erase(exchange);
+    connection->reply = reply_state::none;
+    connection->close_after_write = true;
+    impl_->write(connection);
+}
+
+void edge_server::begin_closing(duration idle_close_delay) {
+    impl_->closing = true;
+    const auto timer = std::make_shared<asio::steady_timer>(impl_->context, idle_close_delay);
+    timer->async_wait([self = impl_, timer](const asio::error_code& error) {
+        if (error) return;
+        const auto open = self->connections;
+        for (const connection_ptr& connection : open) {
+            if (connection->reply == reply_state::none && connection->request.target.empty())
+                self->close(connection, false);
+        }
+    });
+}
+
+} // namespace damaskhill
--- a/backends/damaskhill_impl_program.cpp
+++ b/backends/damaskhill_impl_program.cpp
@@ -8,6 +8,7 @@
 #include "damaskhill_trace.hpp"
 
 #include <cstdio>
+#include <cstdlib>
 #include <random>
 
 #include <getopt.h>
@@ -28,7 +29,7 @@
 void print_usage(const char* program, std::string_view about) {
     std::printf(
         "Usage: %s --settings FILE [--record FILE] [--check-config]\n%.*s\n\n"
-        "  -s, --settings FILE   settings in JSON\n"
+        "  -s, --settings FILE   settings in JSON; without it, the file that DAMASKHILL_CONFIG names\n"
         "  -r, --record FILE     write every event to FILE, one JSON object a line, for damaskhill_replay\n"
         "  -c, --check-config    check the settings and exit\n"
         "  -h, --help            print this text and exit\n"
@@ -72,8 +73,10 @@
             return std::nullopt;
         }
     }
+    if (const char* file = std::getenv("DAMASKHILL_CONFIG"); file != nullptr && options.settings_file.empty())
+        options.settings_file = file;
     if (options.settings_file.empty() || optind != static_cast<int>(arguments.size())) {
-        std::fprintf(stderr, "%s: --settings FILE is required; see --help\n", arguments[0]);
+        std::fprintf(stderr, "%s: --settings FILE or DAMASKHILL_CONFIG is required; see --help\n", arguments[0]);
         code = exit_code::usage;
         return std::nullopt;
     }
@@ -96,8 +99,6 @@
 // [SECTION] Settings of the daemons
 //-----------------------------------------------------------------------------
 
-namespace {
-
 bool check_text(const std::string& value, const char* name, const std::string& file, failure& why) {
     if (!value.empty()) return true;
     why = {failure_kind::missing_field, file + ": $." + name, "nothing", "a text that is not empty"};
@@ -125,8 +126,6 @@
     return true;
 }
 
-} // namespace
-
 std::optional<router_daemon_settings> load_router_settings(const std::string& file, failure& why) {
     const auto text = read_file(file, why);
     if (!text) return std::nullopt;
--- a/backends/damaskhill_impl_restinio.cpp
+++ b/backends/damaskhill_impl_restinio.cpp
@@ -4,23 +4,10 @@
 
 #include "damaskhill_impl_restinio.hpp"
 
-#include <algorithm>
-#include <cctype>
-
 #include <restinio/all.hpp>
 
 namespace damaskhill {
 
-std::string_view find_header(const http_headers& headers, std::string_view name) {
-    const auto same = [&](const auto& header) {
-        return std::ranges::equal(header.first, name, [](unsigned char a, unsigned char b) {
-            return std::tolower(a) == std::tolower(b);
-        });
-    };
-    const auto found = std::ranges::find_if(headers, same);
-    return found == headers.end() ? std::string_view{} : std::string_view{found->second};
-}
-
 namespace {
 
 //-----------------------------------------------------------------------------
--- a/backends/damaskhill_impl_restinio.hpp
+++ b/backends/damaskhill_impl_restinio.hpp
@@ -1,32 +1,20 @@
 // HTTP/1.1 server over RESTinio, for callers and for the stand-ins.
 //
 // Index of this file:
-// [SECTION] Requests and replies
+// [SECTION] Replies
 // [SECTION] Server
 
 #pragma once
 
 #include "damaskhill_impl_asio.hpp"
+#include "damaskhill_impl_http.hpp"
 
 namespace damaskhill {
 
 //-----------------------------------------------------------------------------
-// [SECTION] Requests and replies
+// [SECTION] Replies
 //-----------------------------------------------------------------------------
 
-using http_headers = std::vector<std::pair<std::string, std::string>>;
-
-struct http_request {
-    std::uint64_t connection{};
-    std::string method;
-    std::string target; // path with query
-    http_headers headers;
-    std::string body;
-};
-
-/// Value of a header, compared without regard to case; empty if it is missing.
-[[nodiscard]] std::string_view find_header(const http_headers& headers, std::string_view name);
-
 /// The reply to one request: either whole, or begun, continued and ended. Calls after the end are ignored.
 class http_reply {
 public:
--- a/backends/damaskhill_impl_thrift.cpp
+++ b/backends/damaskhill_impl_thrift.cpp
@@ -217,15 +217,42 @@
     return buffer->getBufferAsString();
 }
 
+namespace {
+
+protocol reader_of(std::string_view bytes) {
+    // The buffer only observes the bytes; Thrift's interface has no const for that.
+    auto buffer =
+        std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
+                                        static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+    const auto limit = static_cast<std::int32_t>(bytes.size());
+    return protocol{buffer, limit, limit};
+}
+
+} // namespace
+
+std::string encode_report(const router_report& report) {
+    auto buffer = std::make_shared<TMemoryBuffer>();
+    protocol out{buffer};
+    write_value(out, report);
+    return buffer->getBufferAsString();
+}
+
+std::optional<router_report> decode_report(std::string_view bytes, failure& why) {
+    try {
+        router_report report;
+        protocol in = reader_of(bytes);
+        read_value(in, report);
+        return report;
+    } catch (const std::exception& error) {
+        why = {failure_kind::malformed_frame, "report", error.what(), "a report"};
+        return std::nullopt;
+    }
+}
+
 std::optional<peer_message> decode_message(std::string_view bytes, failure& why) {
     std::optional<peer_message> message;
     try {
-        // The buffer only observes the bytes; Thrift's interface has no const for that.
-        auto buffer =
-            std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
-                                            static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-        const auto limit = static_cast<std::int32_t>(bytes.size());
-        protocol in{buffer, limit, limit};
+        protocol in = reader_of(bytes);
         std::string name;
         TType type{};
         std::int16_t number = 0;
--- a/backends/damaskhill_impl_thrift.hpp
+++ b/backends/damaskhill_impl_thrift.hpp
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "damaskhill_direct_messages.hpp"
 #include "damaskhill_messages.hpp"
 
 namespace damaskhill {
@@ -19,6 +20,10 @@
 /// Decodes a message; unknown fields are skipped. Writes malformed_frame.
 [[nodiscard]] std::optional<peer_message> decode_message(std::string_view bytes, failure& why);
 
+/// The same for the reports of direct routers, which travel as datagrams.
+[[nodiscard]] std::string encode_report(const router_report& report);
+[[nodiscard]] std::optional<router_report> decode_report(std::string_view bytes, failure& why);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Frames
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/core/damaskhill_account_share.cpp
@@ -0,0 +1,119 @@
+// Index of this file:
+// [SECTION] Windows
+// [SECTION] Usage of accounts
+// [SECTION] Shares
+
+#include "damaskhill_account_share.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Windows
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr auto window_slices = static_cast<std::int64_t>(share_slices);
+
+std::int64_t slice_of(time_point now, duration slice) { return now.time_since_epoch() / slice; }
+
+} // namespace
+
+void add_to(windowed_sum& sum, double tokens, time_point now, duration slice) {
+    const std::int64_t number = slice_of(now, slice);
+    const std::int64_t passed = std::min(number - sum.newest, window_slices);
+    for (std::int64_t i = 1; i <= passed; ++i)
+        sum.slices[static_cast<std::size_t>((sum.newest + i) % window_slices)] = 0;
+    if (passed == window_slices) sum.slices = {};
+    sum.newest = std::max(sum.newest, number);
+    sum.slices[static_cast<std::size_t>(sum.newest % window_slices)] += tokens;
+}
+
+double sum_at(const windowed_sum& sum, time_point now, duration slice) {
+    const std::int64_t number = slice_of(now, slice);
+    double total = 0;
+    for (std::int64_t i = std::max(number - window_slices + 1, std::int64_t{0}); i <= sum.newest; ++i) {
+        if (sum.newest - i < window_slices) total += sum.slices[static_cast<std::size_t>(i % window_slices)];
+    }
+    return total;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Usage of accounts
+//-----------------------------------------------------------------------------
+
+void account_shares::on_asked(std::uint64_t account, double tokens, time_point now) {
+    add_to(own_[account].asked, tokens, now, settings_.slice);
+}
+
+void account_shares::on_served(std::uint64_t account, double tokens, time_point now) {
+    add_to(own_[account].served, tokens, now, settings_.slice);
+}
+
+void account_shares::set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
+                              time_point now) {
+    peers_[router] = {std::move(rows), now};
+}
+
+std::unordered_map<std::uint64_t, account_usage> account_shares::own_usage(time_point now) const {
+    std::unordered_map<std::uint64_t, account_usage> rows;
+    for (const auto& [account, sums] : own_) {
+        const account_usage usage{sum_at(sums.asked, now, settings_.slice),
+                                  sum_at(sums.served, now, settings_.slice)};
+        if (usage.asked > 0 || usage.served > 0) rows[account] = usage;
+    }
+    return rows;
+}
+
+void account_shares::update(double tokens_per_second, time_point now) {
+    if (tokens_per_second <= 0) tokens_per_second = settings_.default_tokens_per_second;
+    std::unordered_map<std::uint64_t, double> asked;
+    for (const auto& [account, usage] : own_usage(now))
+        asked[account] += usage.asked;
+    peers_served_.clear();
+    std::erase_if(peers_, [&](const auto& peer) { return now - peer.second.heard > settings_.peer_lifetime; });
+    for (const auto& [router, peer] : peers_) {
+        for (const auto& [account, usage] : peer.rows) {
+            asked[account] += usage.asked;
+            peers_served_[account] += usage.served;
+        }
+    }
+    std::vector<double> demands;
+    for (const auto& [account, tokens] : asked)
+        demands.push_back(tokens);
+    const double window_s = to_seconds(settings_.slice) * static_cast<double>(share_slices);
+    level_ = max_min_level(std::move(demands), tokens_per_second * window_s);
+}
+
+double account_shares::used_share(std::uint64_t account, time_point now) const {
+    const auto own = own_.find(account);
+    const auto peers = peers_served_.find(account);
+    const double served = (own == own_.end() ? 0.0 : sum_at(own->second.served, now, settings_.slice)) +
+                          (peers == peers_served_.end() ? 0.0 : peers->second);
+    return level_ > 0 ? served / level_ : 0.0;
+}
+
+bool account_shares::within_share(std::uint64_t account, time_point now) const {
+    return used_share(account, now) < 1.0;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Shares
+//-----------------------------------------------------------------------------
+
+double max_min_level(std::vector<double> demands, double capacity) {
+    std::ranges::sort(demands);
+    double left = capacity;
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        const double even = left / static_cast<double>(demands.size() - i);
+        if (demands[i] > even) return even;
+        left -= demands[i];
+    }
+    // Everything asked fits: no account is held back.
+    return std::max(capacity, demands.empty() ? 0.0 : demands.back() * 2);
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_account_share.hpp
@@ -0,0 +1,85 @@
+// Max-min shares of client accounts in what the engines produce together.
+//
+// Load pattern: one account sends many times its usual. What it asks beyond an even share must wait behind the
+// requests of every account that is within its share, on all routers, from the first seconds of the surge on.
+//
+// Index of this file:
+// [SECTION] Usage of accounts
+// [SECTION] Shares
+
+#pragma once
+
+#include "damaskhill_types.hpp"
+
+#include <array>
+#include <unordered_map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Usage of accounts
+//-----------------------------------------------------------------------------
+
+struct share_settings {
+    duration slice{500ms};           // grain of the window
+    duration peer_lifetime{1500ms};  // after which a silent router's rows no longer count
+    double default_tokens_per_second{290'000}; // where the operator declares none
+};
+
+inline constexpr std::size_t share_slices = 8; // of settings.slice: a window of 4 s
+
+/// Tokens in a sliding window.
+struct windowed_sum {
+    std::array<double, share_slices> slices{};
+    std::int64_t newest{}; // number of the slice that is being filled
+};
+
+void add_to(windowed_sum& sum, double tokens, time_point now, duration slice);
+[[nodiscard]] double sum_at(const windowed_sum& sum, time_point now, duration slice);
+
+struct account_usage {
+    double asked{};  // tokens in the window
+    double served{}; // of these, tokens of requests that a target has been given
+};
+
+/// Usage of all accounts by this router and, as last heard, by the others.
+class account_shares {
+public:
+    explicit account_shares(share_settings settings = {}) : settings_(settings) {}
+
+    void on_asked(std::uint64_t account, double tokens, time_point now);
+    void on_served(std::uint64_t account, double tokens, time_point now);
+    void set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows, time_point now);
+    [[nodiscard]] std::unordered_map<std::uint64_t, account_usage> own_usage(time_point now) const;
+
+    /// Recomputes the level up to which every account may be served; costs a sort of the accounts.
+    void update(double tokens_per_second, time_point now);
+    /// Whether the account has been given less than its share.
+    [[nodiscard]] bool within_share(std::uint64_t account, time_point now) const;
+    /// Served tokens as a part of the account's share, 0 for an unknown account.
+    [[nodiscard]] double used_share(std::uint64_t account, time_point now) const;
+
+private:
+    struct own_sums {
+        windowed_sum asked;
+        windowed_sum served;
+    };
+    struct peer_rows {
+        std::unordered_map<std::uint64_t, account_usage> rows;
+        time_point heard{};
+    };
+    share_settings settings_;
+    std::unordered_map<std::uint64_t, own_sums> own_;
+    std::unordered_map<std::uint64_t, peer_rows> peers_;
+    std::unordered_map<std::uint64_t, double> peers_served_; // at the last update
+    double level_{1e18};                                     // tokens in a window
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Shares
+//-----------------------------------------------------------------------------
+
+/// Level at which the sum of min(demand, level) reaches the capacity; the largest demand if all fit.
+[[nodiscard]] double max_min_level(std::vector<double> demands, double capacity);
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_catalog.cpp
@@ -0,0 +1,78 @@
+// Index of this file:
+// [SECTION] Catalog
+// [SECTION] Age of belief
+
+#include "damaskhill_catalog.hpp"
+
+#include <algorithm>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Catalog
+//-----------------------------------------------------------------------------
+
+const route_declaration* find_route(const catalog& known, std::string_view host, std::string_view path) {
+    const auto found = known.routes.find(host);
+    if (found == known.routes.end()) return nullptr;
+    const auto matches = [&](const route_declaration& route) { return path.starts_with(route.path_prefix); };
+    const auto route = std::ranges::find_if(found->second, matches);
+    return route == found->second.end() ? nullptr : &*route;
+}
+
+void index_routes(catalog& known) {
+    for (auto& [host, routes] : known.routes) {
+        std::ranges::sort(routes, [](const route_declaration& a, const route_declaration& b) {
+            return a.path_prefix.size() > b.path_prefix.size();
+        });
+    }
+}
+
+std::string_view choose_service(const route_declaration& route, std::uint64_t hash) {
+    double sum = 0;
+    for (const auto& choice : route.services)
+        sum += choice.weight;
+    constexpr double hash_range = 18446744073709551616.0; // 2^64
+    double position = static_cast<double>(hash) / hash_range * sum;
+    for (const auto& choice : route.services) {
+        position -= choice.weight;
+        if (position < 0) return choice.service;
+    }
+    return route.services.empty() ? std::string_view{} : std::string_view{route.services.back().service};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Age of belief
+//-----------------------------------------------------------------------------
+
+void confirm(belief& held, time_point as_of) {
+    if (!held.as_of || *held.as_of < as_of) held.as_of = as_of;
+}
+
+std::optional<duration> age_of(const belief& held, time_point now) {
+    if (!held.as_of) return std::nullopt;
+    return now - *held.as_of;
+}
+
+namespace {
+
+bool no_older_than(const belief& held, duration limit, time_point now) {
+    const auto age = age_of(held, now);
+    return age && *age <= limit;
+}
+
+} // namespace
+
+bool may_use_key(const belief& held, const belief_settings& settings, time_point now) {
+    return no_older_than(held, settings.key_limit, now);
+}
+
+bool may_deny(const belief& held, const belief_settings& settings, time_point now) {
+    return no_older_than(held, settings.refusal_limit, now);
+}
+
+bool fresh_enough_for_traffic(const belief& held, const belief_settings& settings, time_point now) {
+    return no_older_than(held, settings.ready_limit, now);
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_direct.cpp
@@ -0,0 +1,298 @@
+// Index of this file:
+// [SECTION] Log lines
+// [SECTION] Targets
+// [SECTION] Catalog
+// [SECTION] Timers
+// [SECTION] Reducer
+
+#include "damaskhill_direct_internal.hpp"
+
+#include <algorithm>
+
+namespace damaskhill::direct {
+
+router_state::router_state(router_settings s)
+    : settings(std::move(s)), random{settings.incarnation}, shares(settings.shares) {}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Log lines
+//-----------------------------------------------------------------------------
+
+std::string quoted(std::string_view text) {
+    std::string out{"\""};
+    for (const char c : text) {
+        if (c == '"' || c == '\\') out.push_back('\\');
+        out.push_back(static_cast<unsigned char>(c) < 0x20 || static_cast<unsigned char>(c) > 0x7e ? '?' : c);
+    }
+    out.push_back('"');
+    return out;
+}
+
+std::string in_ms(duration d) {
+    const auto tenths = d.count() / 100;
+    return std::to_string(tenths / 10) + "." + std::to_string(std::abs(tenths % 10));
+}
+
+std::string belief_age(const router_state& state) {
+    const auto age = age_of(state.held, state.now);
+    return age ? in_ms(*age) : "null";
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Targets
+//-----------------------------------------------------------------------------
+
+target_state* find_target(router_state& state, std::string_view id) {
+    const auto found = state.targets.find(id);
+    return found == state.targets.end() ? nullptr : &found->second;
+}
+
+bool is_cold(const router_state& state, const target_state& target) { return state.now < target.cold_until; }
+
+bool may_send(const router_state& state, const target_state& target) {
+    if (target.entry.draining || target.missing || state.now < target.lost_until) return false;
+    return !state.known || !state.known->evacuated.contains(target.entry.data_centre);
+}
+
+namespace {
+
+void treat_as_cold(const router_state& state, target_state& target) {
+    if (!state.known) return;
+    const auto service = state.known->services.find(target.entry.service);
+    if (service == state.known->services.end() || service->second.cold_per_s <= 0) return;
+    target.cold_until = std::max(target.cold_until, state.now + service->second.cold_start);
+}
+
+} // namespace
+
+void on_target_lost(router_state& state, target_state& target, effects& out) {
+    constexpr std::uint32_t most_doublings = 3;
+    const duration pause =
+        std::min(state.settings.lost_limit,
+                 state.settings.lost_base * (1U << std::min(target.losses, most_doublings)));
+    ++target.losses;
+    target.lost_until = state.now + pause;
+    // A target that was away may come back cold under its old id, before the store says so.
+    if (target.losses >= 2) {
+        treat_as_cold(state, target);
+        target.load.parts.clear();
+    }
+    out.emplace_back(count{"targets_lost_total", target.entry.service, 1});
+    out.emplace_back(log_event{"target_lost",
+                               "\"target\":" + quoted(target.entry.id) + ",\"in_a_row\":" +
+                                   std::to_string(target.losses) + ",\"left_out_ms\":" + in_ms(pause),
+                               true});
+}
+
+void on_target_answered(target_state& target, bool failed) {
+    constexpr double weight = 0.1; // of the newest answer
+    target.failure_share += weight * ((failed ? 1.0 : 0.0) - target.failure_share);
+    if (!failed) target.losses = 0;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Catalog
+//-----------------------------------------------------------------------------
+
+namespace {
+
+void take_entry(router_state& state, const target_entry& entry, effects& out) {
+    const auto [found, fresh] = state.targets.try_emplace(entry.id);
+    target_state& target = found->second;
+    target.missing = false;
+    if (!fresh && target.entry.revision == entry.revision) return;
+    const bool moved = !fresh && target.entry.address != entry.address;
+    if (moved) {
+        target.load.parts.clear();
+        target.lost_until = {};
+    }
+    if (fresh || entry.draining != target.entry.draining) {
+        out.emplace_back(log_event{"target",
+                                   "\"target\":" + quoted(entry.id) + ",\"service\":" + quoted(entry.service) +
+                                       ",\"state\":" + (entry.draining ? "\"draining\"" : "\"ready\"") +
+                                       ",\"cold_ms\":" + in_ms(entry.cold_remaining) +
+                                       ",\"revision\":" + std::to_string(entry.revision),
+                                   true});
+    }
+    target.entry = entry;
+    target.entry_seen = state.now;
+    target.hash = stable_hash(entry.id);
+    target.load.slots = std::max(1U, entry.slots);
+    if (entry.cold_remaining > 0s) {
+        target.cold_until = std::max(target.cold_until, state.now + entry.cold_remaining);
+        target.load.parts.clear();
+    }
+    state.target_by_hash[target.hash] = entry.id;
+}
+
+void index_targets(router_state& state) {
+    state.by_service.clear();
+    for (auto& [id, target] : state.targets) {
+        state.by_service[target.entry.service].push_back(id);
+        const auto service = state.known->services.find(target.entry.service);
+        const bool engine = service != state.known->services.end() && service->second.engine;
+        target.load.kv_limit = engine ? std::max<std::uint64_t>(1, service->second.engine->kv_tokens) : 0;
+    }
+}
+
+// Cold targets of a data centre that comes back may not have said so yet.
+constexpr duration return_caution = 1500ms;
+
+void note_returned_data_centres(router_state& state, const catalog& before, const catalog& after) {
+    for (const std::string& name : before.evacuated) {
+        if (after.evacuated.contains(name)) continue;
+        for (auto& [id, target] : state.targets) {
+            if (target.entry.data_centre == name)
+                target.cold_until = std::max(target.cold_until, state.now + return_caution);
+        }
+    }
+}
+
+} // namespace
+
+void apply_catalog(router_state& state, const catalog_read& event, effects& out) {
+    if (event.store_revision < state.store_revision) return;
+    const auto before = state.known;
+    state.known = event.known;
+    state.store_revision = event.store_revision;
+    if (!before || before->version != event.known->version) {
+        out.emplace_back(log_event{"declarations",
+                                   "\"version\":" + std::to_string(event.known->version) +
+                                       ",\"revision\":" + std::to_string(event.known->revision) +
+                                       ",\"accounts_keys\":" +
+                                       std::to_string(event.known->account_by_key.size()),
+                                   true});
+    }
+    if (before) note_returned_data_centres(state, *before, *event.known);
+    for (const auto& [id, entry] : event.known->targets)
+        take_entry(state, entry, out);
+    // After an outage entries may be missing that will come back; otherwise a missing one has left.
+    for (auto& [id, target] : state.targets) {
+        if (event.known->targets.contains(id)) continue;
+        if (target.missing_since == time_point{}) target.missing_since = state.now;
+        const bool after_outage =
+            state.store_regained != time_point{} &&
+            state.now - state.store_regained < state.settings.missing_grace;
+        if (!after_outage) target.missing = true;
+    }
+    for (const auto& [id, entry] : event.known->targets)
+        state.targets.find(id)->second.missing_since = {};
+    index_targets(state);
+    out.emplace_back(count{"catalogs_applied_total", "", 1});
+}
+
+void forget_missing_targets(router_state& state) {
+    constexpr duration forget_after = 30s; // longer than any request runs
+    bool changed = false;
+    for (auto i = state.targets.begin(); i != state.targets.end();) {
+        target_state& target = i->second;
+        const bool gone = target.missing_since != time_point{};
+        if (gone && state.now - target.missing_since > state.settings.missing_grace) target.missing = true;
+        if (gone && state.now - target.missing_since > forget_after && target.load.running == 0) {
+            state.target_by_hash.erase(target.hash);
+            i = state.targets.erase(i);
+            changed = true;
+        } else {
+            ++i;
+        }
+    }
+    if (changed) index_targets(state);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Timers
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr duration waiting_period = 15ms; // between two looks at requests that wait
+
+void ask_for_wake(router_state& state, effects& out) {
+    time_point next = std::min(state.next_report, state.next_share_update);
+    if (!state.deadlines.empty()) next = std::min(next, state.deadlines.begin()->first);
+    if (!state.attempt_limits.empty()) next = std::min(next, state.attempt_limits.begin()->first);
+    if (!state.waiting.empty()) next = std::min(next, state.now + waiting_period);
+    if (next >= state.next_wake && state.next_wake > state.now) return;
+    state.next_wake = next;
+    out.emplace_back(wake_at{next});
+}
+
+void check_stop(router_state& state, effects& out) {
+    if (!state.stopping || state.exited) return;
+    const duration since = state.now - state.stop_at;
+    const bool idle = state.requests.empty() && since >= state.settings.stop_accept_limit;
+    if (!idle && since < state.settings.stop_limit) return;
+    cut_all(state, out);
+    state.exited = true;
+    out.emplace_back(exit_process{});
+}
+
+void on_timer(router_state& state, effects& out) {
+    expire_requests(state, out);
+    expire_attempts(state, out);
+    if (state.now >= state.next_share_update) {
+        state.next_share_update = state.now + state.settings.share_period;
+        if (state.known) state.shares.update(static_cast<double>(state.known->tokens_per_second), state.now);
+        forget_missing_targets(state);
+        drive_rollouts(state, out);
+    }
+    if (state.now >= state.next_report) send_reports(state, out);
+    serve_waiting(state, out);
+    check_stop(state, out);
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reducer
+//-----------------------------------------------------------------------------
+
+namespace {
+
+struct event_handler {
+    router_state& state;
+    effects& out;
+
+    void operator()(const timer_fired& /*unused*/) const { on_timer(state, out); }
+    void operator()(const request_arrived& event) const { on_request(state, event, out); }
+    void operator()(const caller_closed& event) const { on_caller_closed(state, event.caller, out); }
+    void operator()(const answer_head& event) const { on_answer_head(state, event, out); }
+    void operator()(const answer_data& event) const { on_answer_data(state, event, out); }
+    void operator()(const answer_end& event) const { on_answer_end(state, event, out); }
+    void operator()(const catalog_read& event) const {
+        apply_catalog(state, event, out);
+        serve_waiting(state, out);
+    }
+    void operator()(const belief_confirmed& event) const { confirm(state.held, event.as_of); }
+    void operator()(const store_reachable& event) const {
+        if (event.reachable == state.store_up) return;
+        state.store_up = event.reachable;
+        (event.reachable ? state.store_regained : state.store_lost) = state.now;
+        out.emplace_back(log_event{event.reachable ? "store_regained" : "store_lost",
+                                   "\"belief_age_ms\":" + belief_age(state), true});
+    }
+    void operator()(const report_received& event) const { on_report(state, event.report, out); }
+    void operator()(const stop_requested& /*unused*/) const {
+        if (state.stopping) return;
+        state.stopping = true;
+        state.stop_at = state.now;
+        out.emplace_back(
+            log_event{"stopping", "\"requests\":" + std::to_string(state.requests.size()), true});
+    }
+};
+
+} // namespace
+
+void reduce(router_state& state, time_point now, const input& event, effects& out) {
+    if (state.started == time_point{}) state.started = now;
+    state.now = std::max(state.now, now);
+    std::visit(event_handler{state, out}, event);
+    ask_for_wake(state, out);
+}
+
+bool is_ready(const router_state& state, time_point now) {
+    return !state.stopping && state.known && state.known->version > 0 &&
+           fresh_enough_for_traffic(state.held, state.settings.belief, now);
+}
+
+} // namespace damaskhill::direct
--- /dev/null
+++ b/core/damaskhill_direct.hpp
@@ -0,0 +1,369 @@
+// The direct router: sends requests to targets that have no sidecar, under limits that routers share.
+//
+// It is for platforms on which anyone may call a target, whose clients name each attempt and never send the
+// same attempt twice. Where sidecars stand in front of the targets, damaskhill_router.hpp is used instead.
+//
+// Index of this file:
+// [SECTION] Settings
+// [SECTION] Events
+// [SECTION] Effects
+// [SECTION] Requests
+// [SECTION] Targets
+// [SECTION] State
+// [SECTION] Reducer
+
+#pragma once
+
+#include "damaskhill_account_share.hpp"
+#include "damaskhill_catalog.hpp"
+#include "damaskhill_direct_messages.hpp"
+#include "damaskhill_engine_load.hpp"
+#include "damaskhill_events.hpp"
+#include "damaskhill_rate_gate.hpp"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <memory>
+
+namespace damaskhill::direct {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+struct request;
+
+struct router_settings {
+    std::string name;
+    std::string data_centre;
+    std::string report_address;   // of this router's datagrams
+    std::string snapshot_address; // at which peers fetch the copy of the store
+    std::vector<std::string> seeds; // report addresses of routers to begin with; may be out of date
+    std::uint64_t incarnation{1};
+    belief_settings belief;
+    engine_settings engine;
+    share_settings shares;
+    cold_settings cold;
+    repeat_settings repeats;
+    duration report_period{100ms};      // between two reports to the other routers
+    duration report_per_router{8ms};    // added to the period for each of them, so that the cost stays bounded
+    duration peer_limit{1500ms};        // a router that is silent for so long no longer counts for placement
+    duration budget_memory{20s};        // but for shared limits it counts for so long
+    duration share_period{200ms};       // between two computations of the accounts' shares
+    double hold_share{0.25};            // part of the target latency for which a request may wait in the router
+    double timely_share{0.9};           // part of the target latency within which a first token must be predicted
+    duration answer_margin{30ms};       // before a deadline, so that the last answer reaches the caller in time
+    duration connect_limit{400ms};      // after which a target that accepts no connection counts as lost
+    duration service_attempt_limit{600ms}; // an idempotent call that is silent for so long may be repeated
+    duration lost_base{400ms};          // a target that was lost is left out for so long, doubling up to lost_limit
+    duration lost_limit{3s};
+    duration missing_grace{2500ms}; // an entry that is missing after an outage of the store may come back
+    duration stop_accept_limit{3500ms}; // after a stop was requested, new requests are still taken for so long
+    duration stop_limit{7600ms};        // after which what still runs is cut; below the platform's limit of 8 s
+    duration least_retry_after{80ms};   // below, a caller would return before anything has changed
+    std::uint32_t poison_limit{2};      // targets lost while running a request after which it is not sent again
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+/// A request whose head and body have arrived.
+struct request_arrived {
+    caller_id caller{};
+    std::string attempt; // identifier that the caller gave this attempt
+    std::string method;
+    std::string host;
+    std::string path; // with query, as sent
+    std::string api_key;
+    std::vector<std::pair<std::string, std::string>> headers; // to be passed on
+    std::string body;
+    std::optional<duration> remaining; // for which the caller will wait
+    std::string resume_after;          // id of the last stream event that the caller has
+    prompt_shape prompt;               // no tokens: not a generation
+};
+
+struct caller_closed {
+    caller_id caller{};
+};
+
+/// How a target's answer is to be understood.
+struct answer_head {
+    std::uint64_t send{};
+    std::uint32_t status{};
+    std::vector<std::pair<std::string, std::string>> headers; // to be passed on
+    bool not_executed{};  // the target says that it did not run the request
+    bool other_target{};  // another target has the address
+    bool sealed{};        // the target has proved that the answer is its own
+    bool event_stream{};
+    bool unframed{}; // no length: the end of the connection ends the answer
+};
+
+struct answer_data {
+    std::uint64_t send{};
+    std::string_view data; // valid during the event only
+};
+
+enum class send_result : std::uint8_t {
+    complete,
+    not_sent, // no connection: no byte left this process
+    broken,   // the connection ended or was reset after bytes had been sent
+    garbled   // bytes that are no answer to this request
+};
+
+struct answer_end {
+    std::uint64_t send{};
+    send_result result{send_result::complete};
+};
+
+/// A new copy of what the store holds.
+struct catalog_read {
+    std::shared_ptr<const catalog> known;
+    std::uint64_t store_revision{};
+};
+
+/// The catalog was complete at this time, as far as the store or a peer says.
+struct belief_confirmed {
+    time_point as_of{};
+};
+
+struct store_reachable {
+    bool reachable{};
+};
+
+struct report_received {
+    router_report report;
+};
+
+struct timer_fired {};
+
+using input = std::variant<timer_fired, request_arrived, caller_closed, answer_head, answer_data, answer_end,
+                           catalog_read, belief_confirmed, store_reachable, report_received, stop_requested>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Effects
+//-----------------------------------------------------------------------------
+
+/// Sends a request to a target.
+struct send_request {
+    std::uint64_t send{};
+    std::string address;
+    std::string target;  // id that the target must have
+    std::string account; // name, empty on public routes
+    boost::intrusive_ptr<request> content;
+    std::string resume_after;
+    duration remaining{};
+    bool fresh_connection{}; // not on a connection that has been idle
+};
+
+struct cancel_send {
+    std::uint64_t send{};
+};
+
+struct reply_begin {
+    caller_id caller{};
+    std::uint32_t status{};
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+struct reply_data {
+    caller_id caller{};
+    std::string_view data; // valid until the reducer is called again
+};
+
+struct reply_end {
+    caller_id caller{};
+};
+
+/// Breaks a reply off so that it cannot look complete.
+struct reply_abort {
+    caller_id caller{};
+};
+
+struct reply_whole {
+    caller_id caller{};
+    std::uint32_t status{};
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+/// An answer of the router's own.
+struct reply_refused {
+    caller_id caller{};
+    std::string attempt;
+    std::uint32_t status{};
+    std::optional<duration> retry_after;
+    std::string_view reason;
+};
+
+struct send_report {
+    std::string address;
+    router_report report;
+};
+
+/// Asks a peer for its copy of the store.
+struct fetch_snapshot {
+    std::string address;
+};
+
+struct write_rollout_status {
+    std::string service;
+    rollout_status status;
+    std::uint64_t expected_revision{}; // of the status, 0: none
+};
+
+/// One structured log line; fields are already JSON.
+struct log_event {
+    std::string_view name;
+    std::string fields;
+    bool essential{}; // state change: not dropped under load
+};
+
+struct wake_at {
+    time_point at{};
+};
+
+using effect = std::variant<send_request, cancel_send, reply_begin, reply_data, reply_end, reply_abort,
+                            reply_whole, reply_refused, send_report, fetch_snapshot, write_rollout_status,
+                            log_event, count, observe, wake_at, exit_process>;
+using effects = std::vector<effect>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Requests
+//-----------------------------------------------------------------------------
+
+/// One caller's attempt, from its arrival until its answer.
+struct request : boost::intrusive_ref_counter<request, boost::thread_unsafe_counter> {
+    request_arrived input;
+    route_declaration route; // as declared when it arrived
+    std::string service;
+    std::string account; // name, empty on public routes
+    std::uint64_t account_hash{};
+    std::uint64_t poison_hash{};
+    double tokens{}; // cost in the accounts' shares
+    time_point arrived{};
+    time_point deadline{}; // for the final answer
+    time_point timely{};   // for the first byte of a timely answer
+    time_point hold_until{};
+    // The present attempt; no send: it waits.
+    std::uint64_t send{};
+    std::string target;
+    time_point sent_at{};
+    bool head_seen{};
+    bool first_byte_seen{};
+    answer_head head;
+    std::string body; // of a whole answer, or the part of a stream that is no whole event yet
+    std::uint64_t charged_kv{};
+    // All attempts.
+    std::uint32_t sends{};     // that reached a target, or may have
+    std::uint32_t refusals{};  // by targets that did not run it
+    bool may_have_run{};
+    bool reply_begun{};
+    std::vector<std::string> tried; // targets
+    std::string last_event_id;      // that the caller has been sent
+    std::string pending_reply;      // bytes of the newest reply_data
+};
+using request_ptr = boost::intrusive_ptr<request>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Targets
+//-----------------------------------------------------------------------------
+
+/// What this router knows of one target beside its entry.
+struct target_state {
+    target_entry entry;
+    std::uint64_t hash{}; // of its id
+    time_point entry_seen{};
+    bool missing{};             // not in the store's list at present
+    time_point missing_since{};
+    target_load load;
+    cold_gate cold;
+    time_point cold_until{};
+    time_point lost_until{}; // left out of the choice
+    std::uint32_t losses{};  // in a row
+    double failure_share{};  // smoothed
+    double latency_ms{};     // smoothed time to the first byte, plain services
+};
+
+struct peer_router {
+    std::uint64_t incarnation{};
+    std::string snapshot_address;
+    time_point heard{};
+    std::uint64_t last_sent_us{}; // of its last report, to be echoed
+    std::uint64_t store_revision{};
+    bool stopping{};
+    std::vector<version_row> versions;
+    std::vector<crash_row> crashes;
+};
+
+struct version_counts {
+    std::uint32_t answers{};
+    std::uint32_t failures{};
+    std::uint64_t latency_ms_total{};
+};
+
+struct rollout_progress {
+    time_point seen{};
+    version_counts on_new; // of this router
+    version_counts on_old;
+    time_point next_write{};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] State
+//-----------------------------------------------------------------------------
+
+struct router_state {
+    explicit router_state(router_settings s);
+
+    router_settings settings;
+    random_source random;
+    time_point now{};
+    time_point started{};
+    std::shared_ptr<const catalog> known;
+    std::uint64_t store_revision{};
+    belief held;
+    bool store_up{};
+    time_point store_lost{};
+    time_point store_regained{};
+
+    std::unordered_map<caller_id, request_ptr> requests;
+    std::unordered_map<std::uint64_t, caller_id> by_send;
+    std::vector<request_ptr> waiting; // in no order
+    std::set<std::pair<time_point, caller_id>> deadlines;
+    std::set<std::pair<time_point, caller_id>> attempt_limits;
+    std::uint64_t next_send{1};
+
+    std::map<std::string, target_state, std::less<>> targets;           // by id
+    std::map<std::string, std::vector<std::string>, std::less<>> by_service; // ids
+    std::unordered_map<std::uint64_t, std::string> target_by_hash;
+    std::map<std::string, repeat_window, std::less<>> repeats; // by service
+    account_shares shares;
+    std::map<std::string, peer_router, std::less<>> peers; // by report address
+    std::unordered_map<std::uint64_t, std::uint32_t> crashes; // own, by poison hash
+    std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
+
+    time_point next_report{};
+    time_point next_share_update{};
+    time_point next_wake{};
+    time_point snapshot_asked{};
+    bool stopping{};
+    time_point stop_at{};
+    bool exited{};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reducer
+//-----------------------------------------------------------------------------
+
+/// Takes one event into the state and appends the effects that the program has to perform.
+/// Time is a clock that never jumps and counts suspensions.
+void reduce(router_state& state, time_point now, const input& event, effects& out);
+
+/// Text as a JSON string, for log lines.
+[[nodiscard]] std::string quoted(std::string_view text);
+/// Whether the balancer may send new connections.
+[[nodiscard]] bool is_ready(const router_state& state, time_point now);
+
+} // namespace damaskhill::direct
--- /dev/null
+++ b/core/damaskhill_direct_messages.hpp
@@ -0,0 +1,107 @@
+// What direct routers tell each other: load of targets, usage of accounts, age of belief, crash records.
+//
+// Index of this file:
+// [SECTION] Rows
+// [SECTION] Report
+
+#pragma once
+
+#include "damaskhill_fields.hpp"
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Rows
+//-----------------------------------------------------------------------------
+
+/// Load that the sender has put on a target.
+struct target_load_row {
+    std::uint64_t target{};          // hash of its id
+    std::uint32_t running{};         // requests
+    std::uint64_t kv_tokens{};       // expected memory of these, tokens
+    std::uint64_t prompt_ms_total{}; // prompt reading started since the sender's start, ms; grows only
+    static constexpr auto fields() {
+        using t = target_load_row;
+        return std::tuple{field{1, "target", &t::target}, field{2, "running", &t::running},
+                          field{3, "kv_tokens", &t::kv_tokens},
+                          field{4, "prompt_ms_total", &t::prompt_ms_total}};
+    }
+};
+
+/// Tokens of an account at the sender in the window of the shares.
+struct account_usage_row {
+    std::uint64_t account{}; // hash of its name
+    std::uint32_t asked{};
+    std::uint32_t served{};
+    static constexpr auto fields() {
+        using t = account_usage_row;
+        return std::tuple{field{1, "account", &t::account}, field{2, "asked", &t::asked},
+                          field{3, "served", &t::served}};
+    }
+};
+
+/// Targets that were lost while they ran this request, as counted by the sender.
+struct crash_row {
+    std::uint64_t request{}; // hash of account, path and body
+    std::uint32_t crashes{};
+    static constexpr auto fields() {
+        using t = crash_row;
+        return std::tuple{field{1, "request", &t::request}, field{2, "crashes", &t::crashes}};
+    }
+};
+
+/// Outcomes of a service's version since the order to move to it, as counted by the sender.
+struct version_row {
+    std::uint64_t order{}; // revision of the order
+    bool is_new{};         // the version that is moved to, else the others
+    std::uint32_t answers{};
+    std::uint32_t failures{};
+    std::uint64_t latency_ms_total{}; // of the successful answers
+    static constexpr auto fields() {
+        using t = version_row;
+        return std::tuple{field{1, "order", &t::order}, field{2, "is_new", &t::is_new},
+                          field{3, "answers", &t::answers}, field{4, "failures", &t::failures},
+                          field{5, "latency_ms_total", &t::latency_ms_total}};
+    }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Report
+//-----------------------------------------------------------------------------
+
+/// One datagram from router to router.
+struct router_report {
+    std::uint64_t router{};      // incarnation of the sender
+    std::string address;         // "IP:port" of the sender's datagrams
+    std::string snapshot_address; // "IP:port" at which it hands out its copy of the store
+    std::uint64_t sent_us{};     // clock of the sender
+    std::uint64_t echo_us{};     // sent_us of the last report that the sender has from the receiver, 0: none
+    std::uint64_t store_revision{};
+    std::uint64_t belief_age_us{}; // of the sender's catalog when it sent this
+    bool believes{};               // false: the sender knows no catalog
+    bool stopping{};
+    std::vector<std::string> routers; // addresses of routers that the sender hears
+    std::vector<target_load_row> targets;
+    std::vector<account_usage_row> accounts;
+    std::vector<crash_row> crashes;
+    std::vector<version_row> versions;
+    static constexpr auto fields() {
+        using t = router_report;
+        return std::tuple{field{1, "router", &t::router},
+                          field{2, "address", &t::address},
+                          field{3, "snapshot_address", &t::snapshot_address},
+                          field{4, "sent_us", &t::sent_us},
+                          field{5, "echo_us", &t::echo_us},
+                          field{6, "store_revision", &t::store_revision},
+                          field{7, "belief_age_us", &t::belief_age_us},
+                          field{8, "believes", &t::believes},
+                          field{9, "stopping", &t::stopping},
+                          field{10, "routers", &t::routers},
+                          field{11, "targets", &t::targets},
+                          field{12, "accounts", &t::accounts},
+                          field{13, "crashes", &t::crashes},
+                          field{14, "versions", &t::versions}};
+    }
+};
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_direct_requests.cpp
@@ -0,0 +1,669 @@
+// Index of this file:
+// [SECTION] Answers of the router's own
+// [SECTION] End of an attempt
+// [SECTION] Choice of a target
+// [SECTION] Start of an attempt
+// [SECTION] Arrival
+// [SECTION] Answers
+// [SECTION] Failures
+// [SECTION] Waiting
+// [SECTION] Deadlines
+
+#include "damaskhill_direct_internal.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskhill::direct {
+
+namespace {
+
+constexpr std::uint32_t status_unauthorized = 401;
+constexpr std::uint32_t status_not_found = 404;
+constexpr std::uint32_t status_bad_gateway = 502;
+constexpr std::uint32_t status_unavailable = 503;
+constexpr std::uint32_t status_gateway_timeout = 504;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers of the router's own
+//-----------------------------------------------------------------------------
+
+void log_outcome(router_state& state, const request& item, std::string_view outcome, std::uint32_t status,
+                 effects& out) {
+    std::string fields = "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
+                         ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
+                         ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
+                         ",\"sends\":" + std::to_string(item.sends) +
+                         ",\"ms\":" + in_ms(state.now - item.arrived) +
+                         ",\"belief_age_ms\":" + belief_age(state) +
+                         ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
+    out.emplace_back(log_event{"request", std::move(fields), false});
+    out.emplace_back(count{"requests_total", std::string{outcome}, 1});
+}
+
+void forget(router_state& state, const request_ptr& item) {
+    state.deadlines.erase({item->deadline, item->input.caller});
+    state.attempt_limits.erase({item->sent_at + state.settings.service_attempt_limit, item->input.caller});
+    std::erase(state.waiting, item);
+    state.requests.erase(item->input.caller);
+}
+
+void refuse(router_state& state, const request_ptr& item, std::uint32_t status,
+            std::optional<duration> retry_after, std::string_view reason, effects& out) {
+    log_outcome(state, *item, reason, status, out);
+    out.emplace_back(reply_refused{item->input.caller, item->input.attempt, status, retry_after, reason});
+    forget(state, item);
+}
+
+/// Refusal of a request that never became one: no route, no account or no declarations.
+void refuse_arrival(router_state& state, const request_arrived& event, std::uint32_t status,
+                    std::optional<duration> retry_after, std::string_view reason, effects& out) {
+    out.emplace_back(log_event{"refused",
+                               "\"id\":" + quoted(event.attempt) + ",\"host\":" + quoted(event.host) +
+                                   ",\"status\":" + std::to_string(status) + ",\"reason\":" + quoted(reason) +
+                                   ",\"belief_age_ms\":" + belief_age(state) + ",\"declarations\":" +
+                                   std::to_string(state.known ? state.known->version : 0),
+                               false});
+    out.emplace_back(count{"requests_total", std::string{reason}, 1});
+    out.emplace_back(reply_refused{event.caller, event.attempt, status, retry_after, reason});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] End of an attempt
+//-----------------------------------------------------------------------------
+
+void release_attempt(router_state& state, request& item) {
+    if (item.send == 0) return;
+    state.by_send.erase(item.send);
+    state.attempt_limits.erase({item.sent_at + state.settings.service_attempt_limit, item.input.caller});
+    if (target_state* target = find_target(state, item.target)) {
+        target->load.running -= std::min(target->load.running, 1U);
+        target->load.kv_tokens -= std::min(target->load.kv_tokens, item.charged_kv);
+    }
+    item.send = 0;
+    item.charged_kv = 0;
+    item.head_seen = false;
+    item.first_byte_seen = false;
+}
+
+void cancel_attempt(router_state& state, request& item, effects& out) {
+    if (item.send == 0) return;
+    out.emplace_back(cancel_send{item.send});
+    release_attempt(state, item);
+}
+
+/// The final failure of a request: an answer if none has begun, else the reply is broken off.
+void fail(router_state& state, const request_ptr& item, std::uint32_t status, std::string_view reason,
+          effects& out) {
+    if (item->reply_begun) {
+        log_outcome(state, *item, reason, 0, out);
+        out.emplace_back(reply_abort{item->input.caller});
+        forget(state, item);
+        return;
+    }
+    // "Not run" may only be said of a request that no target can have begun.
+    const bool not_run = !item->may_have_run;
+    const auto retry_after = not_run && status == status_unavailable
+                                 ? std::optional{state.settings.least_retry_after}
+                                 : std::nullopt;
+    const std::uint32_t said = status == status_unavailable && !not_run ? status_bad_gateway : status;
+    refuse(state, item, said, retry_after, reason, out);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice of a target
+//-----------------------------------------------------------------------------
+
+bool may_repeat_rule(const request& item) {
+    return item.route.rule == repeat_rule::idempotent ||
+           (item.route.rule == repeat_rule::streaming && item.route.resumable);
+}
+
+std::uint64_t subject_of(const request& item) {
+    const auto& parts = item.input.prompt.parts;
+    if (parts.empty()) return 0;
+    return parts.size() >= 2 ? parts[parts.size() - 2].id : parts.front().id;
+}
+
+bool version_allowed(const router_state& state, const request& item, const target_state& target) {
+    if (!state.known->rollouts.contains(item.service)) return true;
+    constexpr double hash_range = 18446744073709551616.0; // 2^64
+    const double position = static_cast<double>(stable_hash(item.input.attempt, 1)) / hash_range;
+    const auto& order = state.known->rollouts.find(item.service)->second;
+    const double share = version_share(state, item.service, order.version);
+    const bool is_new = target.entry.version == order.version;
+    return is_new ? position < share : position >= share;
+}
+
+struct candidate_list {
+    std::vector<placement_option> options;
+    std::vector<target_state*> targets;
+};
+
+candidate_list candidates_for(router_state& state, const request& item) {
+    candidate_list list;
+    const auto ids = state.by_service.find(item.service);
+    if (ids == state.by_service.end()) return list;
+    const auto service = state.known->services.find(item.service);
+    const double cold_per_s = service == state.known->services.end() ? 0.0 : service->second.cold_per_s;
+    const std::uint64_t subject = subject_of(item);
+    std::uint64_t best_weight = 0;
+    std::size_t best = 0;
+    for (const std::string& id : ids->second) {
+        target_state& target = state.targets.find(id)->second;
+        if (!may_send(state, target) || !version_allowed(state, item, target)) continue;
+        if (std::ranges::find(item.tried, id) != item.tried.end()) continue;
+        if (is_cold(state, target) &&
+            !cold_gate_open(target.cold, state.settings.cold, cold_per_s, rank_for_target(state, target.hash),
+                            routers_for_limits(state), state.now)) {
+            continue;
+        }
+        const std::uint64_t weight = subject == 0 ? 0 : target.hash ^ (subject * 0x9E3779B97F4A7C15ULL);
+        const std::uint64_t mixed = weight * 0xBF58476D1CE4E5B9ULL;
+        if (mixed > best_weight) {
+            best_weight = mixed;
+            best = list.options.size();
+        }
+        placement_option option;
+        option.target = static_cast<std::uint32_t>(list.targets.size());
+        option.load = &target.load;
+        option.same_data_centre = target.entry.data_centre == state.settings.data_centre;
+        list.options.push_back(option);
+        list.targets.push_back(&target);
+    }
+    if (best_weight > 0) list.options[best].affinity = 1.0;
+    // Targets that fail most of what they are given are left out while others remain.
+    constexpr double failing = 0.5;
+    const auto healthy = [&](const placement_option& option) {
+        return list.targets[option.target]->failure_share < failing;
+    };
+    if (std::ranges::any_of(list.options, healthy)) {
+        // One request in 20 still goes to a failing target, so that its recovery is seen.
+        constexpr std::uint64_t probe_share = 20;
+        if (state.random.next() % probe_share != 0)
+            std::erase_if(list.options, [&](const placement_option& option) { return !healthy(option); });
+    }
+    return list;
+}
+
+bool is_generation(const router_state& state, const request& item) {
+    const auto service = state.known->services.find(item.service);
+    return service != state.known->services.end() && service->second.engine && item.input.prompt.tokens > 0;
+}
+
+/// Time left in which the first token is timely; accounts beyond their share only get room that is idle.
+duration timely_limit(const router_state& state, const request& item) {
+    constexpr double idle_share = 0.45; // of the target latency; above, others within their share would wait
+    const bool within = item.account.empty() || state.shares.within_share(item.account_hash, state.now);
+    const auto latency = static_cast<double>(item.route.target_latency.count());
+    const double share = within ? state.settings.timely_share : idle_share;
+    const duration limit{static_cast<std::int64_t>(latency * share)};
+    return limit - (state.now - item.arrived);
+}
+
+struct placement_outcome {
+    target_state* target{};
+    placement_choice choice;
+    duration room_in{};
+    bool any{}; // a target may take requests at all
+};
+
+placement_outcome place(router_state& state, const request& item) {
+    const candidate_list list = candidates_for(state, item);
+    placement_outcome outcome;
+    outcome.any = !list.options.empty();
+    const placement_result result =
+        is_generation(state, item)
+            ? place_prompt(list.options, item.input.prompt, timely_limit(state, item), state.settings.engine,
+                           state.now)
+            : place_call(list.options, state.settings.engine);
+    outcome.room_in = result.room_in;
+    if (!result.chosen) return outcome;
+    outcome.choice = *result.chosen;
+    outcome.target = list.targets[result.chosen->target];
+    return outcome;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Start of an attempt
+//-----------------------------------------------------------------------------
+
+void start_attempt(router_state& state, const request_ptr& item, target_state& target,
+                   const placement_choice& choice, effects& out) {
+    item->send = state.next_send++;
+    item->target = target.entry.id;
+    item->sent_at = state.now;
+    item->body.clear();
+    item->tried.push_back(target.entry.id);
+    state.by_send[item->send] = item->input.caller;
+    if (is_cold(state, target)) target.cold.last = state.now;
+    target_load& load = target.load;
+    ++load.running;
+    if (is_generation(state, *item)) {
+        item->charged_kv = expected_kv(item->input.prompt);
+        load.kv_tokens += item->charged_kv;
+        load.prompt_ms_total += static_cast<std::uint64_t>(std::ceil(choice.work_ms));
+        add_backlog(load, state.settings.engine, choice.work_ms, state.now);
+        for (const prompt_part& part : item->input.prompt.parts)
+            load.parts.use(part.id, state.now, state.settings.engine.parts_kept);
+    }
+    if (item->sends == 0) state.shares.on_served(item->account_hash, item->tokens, state.now);
+    ++item->sends;
+    if (item->route.rule == repeat_rule::idempotent)
+        state.attempt_limits.emplace(item->sent_at + state.settings.service_attempt_limit, item->input.caller);
+    send_request effect;
+    effect.send = item->send;
+    effect.address = target.entry.address;
+    effect.target = target.entry.id;
+    effect.account = item->account;
+    effect.content = item;
+    effect.resume_after = item->last_event_id;
+    effect.remaining = item->deadline - state.now;
+    effect.fresh_connection = !may_repeat_rule(*item);
+    out.emplace_back(std::move(effect));
+}
+
+/// Whether a request that has been sent may be sent once more, counting it if so.
+bool take_another_send(router_state& state, const request& item) {
+    if (item.sends == 0) return true;
+    if (item.sends >= item.route.max_attempts) return false;
+    if (item.may_have_run && !may_repeat_rule(item)) return false;
+    return take_repeat(state.repeats[item.service], state.settings.repeats, routers_for_limits(state), state.now);
+}
+
+bool try_start(router_state& state, const request_ptr& item, effects& out) {
+    const placement_outcome found = place(state, *item);
+    if (found.target == nullptr) return false;
+    start_attempt(state, item, *found.target, found.choice, out);
+    return true;
+}
+
+/// Sends a request once more, or ends it with the answer that says what is known of it.
+void repeat_or_fail(router_state& state, const request_ptr& item, std::uint32_t status,
+                    std::string_view reason, effects& out) {
+    const bool time_left = item->deadline - state.now > state.settings.answer_margin;
+    if (time_left) {
+        const placement_outcome found = place(state, *item);
+        if (found.target != nullptr && take_another_send(state, *item)) {
+            start_attempt(state, item, *found.target, found.choice, out);
+            return;
+        }
+    }
+    fail(state, item, status, reason, out);
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Arrival
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr duration retry_unready = 300ms; // a router that has just started, or has lost the store
+
+struct admission {
+    const route_declaration* route{};
+    std::string account;
+};
+
+std::optional<admission> admit(router_state& state, const request_arrived& event, effects& out) {
+    const auto refused = [&](std::uint32_t status, std::optional<duration> retry, std::string_view reason) {
+        refuse_arrival(state, event, status, retry, reason, out);
+        return std::nullopt;
+    };
+    if (state.stopping && state.now - state.stop_at >= state.settings.stop_accept_limit)
+        return refused(status_unavailable, state.settings.least_retry_after, "stopping");
+    if (!state.known || state.known->version == 0)
+        return refused(status_unavailable, retry_unready, "no_declarations");
+    const bool sure = may_deny(state.held, state.settings.belief, state.now);
+    const route_declaration* route = find_route(*state.known, event.host, event.path);
+    if (route == nullptr) {
+        if (sure) return refused(status_not_found, std::nullopt, "no_route");
+        return refused(status_unavailable, retry_unready, "route_uncertain");
+    }
+    if (route->is_public || state.known->account_by_key.empty()) return admission{route, {}};
+    const auto account = state.known->account_by_key.find(event.api_key);
+    if (account == state.known->account_by_key.end()) {
+        if (sure) return refused(status_unauthorized, std::nullopt, "unknown_key");
+        return refused(status_unavailable, retry_unready, "key_uncertain");
+    }
+    if (!may_use_key(state.held, state.settings.belief, state.now))
+        return refused(status_unavailable, retry_unready, "belief_too_old");
+    return admission{route, account->second};
+}
+
+double share_cost(const request_arrived& event) {
+    constexpr double output_weight = 2; // the operator counts a generated token twice
+    const prompt_shape& prompt = event.prompt;
+    const std::uint32_t output = prompt.output_hint > 0 ? prompt.output_hint : prompt.output_limit;
+    return prompt.tokens + output_weight * std::min(output, prompt.output_limit);
+}
+
+request_ptr make_request(router_state& state, const request_arrived& event, const admission& admitted) {
+    request_ptr item{new request};
+    item->input = event;
+    item->route = *admitted.route;
+    item->service = choose_service(*admitted.route, stable_hash(event.attempt));
+    item->account = admitted.account;
+    item->account_hash = stable_hash(admitted.account);
+    item->poison_hash = stable_hash(event.body, stable_hash(event.path, item->account_hash));
+    item->tokens = share_cost(event);
+    item->arrived = state.now;
+    item->last_event_id = event.resume_after;
+    const duration asked = event.remaining.value_or(item->route.timeout);
+    item->deadline = state.now + std::min(asked, item->route.timeout);
+    item->timely = state.now + item->route.target_latency;
+    const auto latency = static_cast<double>(item->route.target_latency.count());
+    item->hold_until = state.now + duration{static_cast<std::int64_t>(latency * state.settings.hold_share)};
+    return item;
+}
+
+} // namespace
+
+void on_request(router_state& state, const request_arrived& event, effects& out) {
+    const auto admitted = admit(state, event, out);
+    if (!admitted) return;
+    const request_ptr item = make_request(state, event, *admitted);
+    state.requests[event.caller] = item;
+    state.deadlines.emplace(item->deadline, event.caller);
+    note_first(state.repeats[item->service], state.settings.repeats, state.now);
+    state.shares.on_asked(item->account_hash, item->tokens, state.now);
+    if (crashes_everywhere(state, item->poison_hash) >= state.settings.poison_limit) {
+        refuse(state, item, status_bad_gateway, std::nullopt, "crashes_targets", out);
+        return;
+    }
+    if (state.waiting.empty() && try_start(state, item, out)) return;
+    state.waiting.push_back(item);
+    serve_waiting(state, out);
+}
+
+void on_caller_closed(router_state& state, caller_id caller, effects& out) {
+    const auto found = state.requests.find(caller);
+    if (found == state.requests.end()) return;
+    const request_ptr item = found->second;
+    log_outcome(state, *item, "caller_left", 0, out);
+    cancel_attempt(state, *item, out);
+    forget(state, item);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+namespace {
+
+request_ptr find_by_send(router_state& state, std::uint64_t send) {
+    const auto caller = state.by_send.find(send);
+    if (caller == state.by_send.end()) return {};
+    const auto found = state.requests.find(caller->second);
+    return found == state.requests.end() ? request_ptr{} : found->second;
+}
+
+constexpr std::uint32_t first_failure_status = 500;
+
+void on_not_run(router_state& state, const request_ptr& item, const answer_head& event, effects& out) {
+    target_state* target = find_target(state, item->target);
+    if (target != nullptr && event.other_target) on_target_lost(state, *target, out);
+    out.emplace_back(count{"target_refusals_total", item->service, 1});
+    cancel_attempt(state, *item, out);
+    ++item->refusals;
+    repeat_or_fail(state, item, status_unavailable, "target_refused", out);
+}
+
+/// Takes what may be a stream's last event apart: whole events are returned, the rest stays in `partial`.
+std::string take_whole_events(std::string& partial, std::string_view data, std::string& last_id) {
+    partial.append(data);
+    const auto end = partial.rfind("\n\n");
+    if (end == std::string::npos) return {};
+    std::string whole = partial.substr(0, end + 2);
+    partial.erase(0, end + 2);
+    const auto id = whole.rfind("id:");
+    if (id != std::string::npos && (id == 0 || whole[id - 1] == '\n')) {
+        const auto line_end = whole.find('\n', id);
+        std::string_view value = std::string_view{whole}.substr(id + 3, line_end - id - 3);
+        while (value.starts_with(' '))
+            value.remove_prefix(1);
+        last_id = value;
+    }
+    return whole;
+}
+
+void begin_stream(request& item, effects& out) {
+    if (item.reply_begun) return;
+    item.reply_begun = true;
+    out.emplace_back(reply_begin{item.input.caller, item.head.status, item.head.headers});
+}
+
+void note_first_byte(router_state& state, request& item, effects& out) {
+    item.first_byte_seen = true;
+    out.emplace_back(observe{"first_byte_seconds", item.service, to_seconds(state.now - item.arrived)});
+    target_state* target = find_target(state, item.target);
+    if (target == nullptr) return;
+    constexpr double weight = 0.1; // of the newest answer
+    target->latency_ms += weight * (to_milliseconds(state.now - item.sent_at) - target->latency_ms);
+}
+
+bool is_stream(const request& item) {
+    return item.route.rule == repeat_rule::streaming && item.head.status < 300;
+}
+
+} // namespace
+
+void on_answer_head(router_state& state, const answer_head& event, effects& out) {
+    const request_ptr item = find_by_send(state, event.send);
+    if (!item) return;
+    if (event.not_executed || event.other_target) {
+        on_not_run(state, item, event, out);
+        return;
+    }
+    item->may_have_run = true;
+    item->head_seen = true;
+    const bool failed = event.status >= first_failure_status;
+    if (target_state* target = find_target(state, item->target)) {
+        on_target_answered(*target, failed);
+        note_version_answer(state, *item, *target, failed);
+    }
+    if (!event.sealed && event.status < 300) {
+        out.emplace_back(count{"answers_without_seal_total", item->service, 1});
+        cancel_attempt(state, *item, out);
+        repeat_or_fail(state, item, status_bad_gateway, "answer_not_sealed", out);
+        return;
+    }
+    const bool another = failed && !item->reply_begun && may_repeat_rule(*item) &&
+                         item->sends < item->route.max_attempts;
+    if (another) {
+        const placement_outcome found = place(state, *item);
+        if (found.target != nullptr && take_another_send(state, *item)) {
+            cancel_attempt(state, *item, out);
+            start_attempt(state, item, *found.target, found.choice, out);
+            return;
+        }
+    }
+    if (item->reply_begun && event.status >= 300) {
+        cancel_attempt(state, *item, out);
+        fail(state, item, status_bad_gateway, "resume_failed", out);
+        return;
+    }
+    if (!item->reply_begun) item->head = event;
+}
+
+void on_answer_data(router_state& state, const answer_data& event, effects& out) {
+    const request_ptr item = find_by_send(state, event.send);
+    if (!item || !item->head_seen || event.data.empty()) return;
+    if (!item->first_byte_seen) note_first_byte(state, *item, out);
+    if (!is_stream(*item)) {
+        item->body.append(event.data);
+        return;
+    }
+    if (!item->route.resumable) {
+        begin_stream(*item, out);
+        out.emplace_back(reply_data{item->input.caller, event.data});
+        return;
+    }
+    // Only whole events are passed on, so that another target can go on after the last one.
+    const std::string whole = take_whole_events(item->body, event.data, item->last_event_id);
+    if (whole.empty()) return;
+    begin_stream(*item, out);
+    item->pending_reply = whole;
+    out.emplace_back(reply_data{item->input.caller, item->pending_reply});
+}
+
+namespace {
+
+void on_complete(router_state& state, const request_ptr& item, effects& out) {
+    if (is_stream(*item)) {
+        begin_stream(*item, out);
+        release_attempt(state, *item);
+        log_outcome(state, *item, "served", item->head.status, out);
+        out.emplace_back(reply_end{item->input.caller});
+    } else {
+        release_attempt(state, *item);
+        log_outcome(state, *item, item->head.status < 300 ? "served" : "target_failed", item->head.status, out);
+        out.emplace_back(
+            reply_whole{item->input.caller, item->head.status, item->head.headers, std::move(item->body)});
+    }
+    forget(state, item);
+    serve_waiting(state, out);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Failures
+//-----------------------------------------------------------------------------
+
+void on_not_sent(router_state& state, const request_ptr& item, effects& out) {
+    if (target_state* target = find_target(state, item->target)) on_target_lost(state, *target, out);
+    release_attempt(state, *item);
+    --item->sends;
+    repeat_or_fail(state, item, status_unavailable, "no_connection", out);
+}
+
+void on_broken(router_state& state, const request_ptr& item, send_result result, effects& out) {
+    item->may_have_run = true;
+    if (target_state* target = find_target(state, item->target)) {
+        if (!item->head_seen && result == send_result::broken) {
+            on_target_answered(*target, true);
+            ++state.crashes[item->poison_hash];
+        }
+        note_version_answer(state, *item, *target, true);
+    }
+    out.emplace_back(count{"answers_broken_total", item->service, 1});
+    release_attempt(state, *item);
+    item->body.clear();
+    repeat_or_fail(state, item, status_bad_gateway,
+                   result == send_result::garbled ? "answer_garbled" : "connection_lost", out);
+}
+
+} // namespace
+
+void on_answer_end(router_state& state, const answer_end& event, effects& out) {
+    const request_ptr item = find_by_send(state, event.send);
+    if (!item) return;
+    // A resumable stream that ends inside an event has not ended as its target meant it to.
+    const bool cut = event.result == send_result::complete && is_stream(*item) && item->route.resumable &&
+                     !item->body.empty();
+    if (event.result == send_result::complete && item->head_seen && !cut) {
+        on_complete(state, item, out);
+    } else if (event.result == send_result::not_sent) {
+        on_not_sent(state, item, out);
+    } else {
+        on_broken(state, item, cut ? send_result::broken : event.result, out);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Waiting
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Order of waiting: accounts within their share first, then by the time left for a timely answer, where long
+/// prompts count as having less need to be first.
+struct waiting_rank {
+    bool beyond_share{};
+    double due_ms{};
+    friend auto operator<=>(const waiting_rank&, const waiting_rank&) = default;
+};
+
+waiting_rank rank_of(const router_state& state, const request& item) {
+    constexpr double work_weight = 2.0; // ms of due time for each ms of reading
+    const double work_ms = item.input.prompt.tokens / state.settings.engine.prompt_tokens_per_ms;
+    return {!item.account.empty() && !state.shares.within_share(item.account_hash, state.now),
+            to_milliseconds(item.timely.time_since_epoch()) + work_weight * work_ms};
+}
+
+duration retry_after_of(router_state& state, const request& item, duration room_in) {
+    // Returns are spread, so that those refused together do not come back together.
+    constexpr double spread = 0.5;
+    const auto base = static_cast<double>(std::max(room_in, state.settings.least_retry_after).count());
+    const duration wanted{static_cast<std::int64_t>(base * (1.0 + spread * state.random.next_unit()))};
+    return std::min(wanted, std::max(state.settings.least_retry_after, (item.deadline - state.now) / 3));
+}
+
+} // namespace
+
+void serve_waiting(router_state& state, effects& out) {
+    if (state.waiting.empty() || !state.known) return;
+    constexpr std::size_t tries = 24; // at most in one call, so that its cost is bounded
+    std::vector<std::pair<waiting_rank, request_ptr>> order;
+    for (const request_ptr& item : state.waiting)
+        order.emplace_back(rank_of(state, *item), item);
+    std::ranges::sort(order, {}, [](const auto& entry) { return entry.first; });
+    std::size_t tried = 0;
+    for (const auto& [rank, item] : order) {
+        placement_outcome found;
+        if (tried++ < tries) found = place(state, *item);
+        if (found.target != nullptr) {
+            std::erase(state.waiting, item);
+            start_attempt(state, item, *found.target, found.choice, out);
+        } else if (state.now >= item->hold_until || (tried <= tries && found.room_in > item->timely - state.now)) {
+            refuse(state, item, status_unavailable, retry_after_of(state, *item, found.room_in),
+                   found.any ? "no_room" : "no_target", out);
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Deadlines
+//-----------------------------------------------------------------------------
+
+void expire_requests(router_state& state, effects& out) {
+    while (!state.deadlines.empty() && state.deadlines.begin()->first <= state.now) {
+        const auto found = state.requests.find(state.deadlines.begin()->second);
+        state.deadlines.erase(state.deadlines.begin());
+        if (found == state.requests.end()) continue;
+        const request_ptr item = found->second;
+        const bool was_sent = item->sends > 0;
+        if (was_sent) item->may_have_run = true;
+        cancel_attempt(state, *item, out);
+        fail(state, item, was_sent ? status_gateway_timeout : status_unavailable, "timeout", out);
+    }
+}
+
+void expire_attempts(router_state& state, effects& out) {
+    while (!state.attempt_limits.empty() && state.attempt_limits.begin()->first <= state.now) {
+        const auto found = state.requests.find(state.attempt_limits.begin()->second);
+        state.attempt_limits.erase(state.attempt_limits.begin());
+        if (found == state.requests.end() || found->second->head_seen) continue;
+        const request_ptr item = found->second;
+        const placement_outcome other = place(state, *item);
+        if (other.target == nullptr || !take_another_send(state, *item)) continue;
+        if (target_state* silent = find_target(state, item->target)) on_target_answered(*silent, true);
+        item->may_have_run = true;
+        cancel_attempt(state, *item, out);
+        start_attempt(state, item, *other.target, other.choice, out);
+    }
+}
+
+void cut_all(router_state& state, effects& out) {
+    std::vector<request_ptr> open;
+    for (const auto& [caller, item] : state.requests)
+        open.push_back(item);
+    for (const request_ptr& item : open) {
+        if (item->sends > 0) item->may_have_run = true;
+        cancel_attempt(state, *item, out);
+        fail(state, item, status_unavailable, "stopping", out);
+    }
+}
+
+} // namespace damaskhill::direct
--- /dev/null
+++ b/core/damaskhill_engine_load.cpp
@@ -0,0 +1,183 @@
+// Index of this file:
+// [SECTION] Kept parts
+// [SECTION] Load of a target
+// [SECTION] Prompts
+// [SECTION] Choice
+
+#include "damaskhill_engine_load.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Kept parts
+//-----------------------------------------------------------------------------
+
+void kept_parts::use(std::uint64_t part, time_point now, std::size_t limit) {
+    const auto found = index_.find(part);
+    if (found != index_.end()) {
+        found->second->used = now;
+        order_.splice(order_.begin(), order_, found->second);
+        return;
+    }
+    order_.push_front({part, now});
+    index_[part] = order_.begin();
+    if (order_.size() <= limit) return;
+    index_.erase(order_.back().part);
+    order_.pop_back();
+}
+
+bool kept_parts::holds(std::uint64_t part, time_point now, duration lifetime) const {
+    const auto found = index_.find(part);
+    return found != index_.end() && now - found->second->used <= lifetime;
+}
+
+void kept_parts::clear() {
+    order_.clear();
+    index_.clear();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load of a target
+//-----------------------------------------------------------------------------
+
+double backlog_ms(const target_load& load, const engine_settings& settings, time_point now) {
+    const double drained = to_milliseconds(now - load.backlog.at) * settings.prompt_share;
+    return std::max(0.0, load.backlog.ms - std::max(0.0, drained));
+}
+
+void add_backlog(target_load& load, const engine_settings& settings, double ms, time_point now) {
+    load.backlog = {backlog_ms(load, settings, now) + ms, now};
+}
+
+std::uint32_t running_everywhere(const target_load& load) {
+    std::uint32_t sum = load.running;
+    for (const auto& [router, row] : load.peers)
+        sum += row.running;
+    return sum;
+}
+
+std::uint64_t kv_everywhere(const target_load& load) {
+    std::uint64_t sum = load.kv_tokens;
+    for (const auto& [router, row] : load.peers)
+        sum += row.kv_tokens;
+    return sum;
+}
+
+void take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
+                    const peer_load& row, time_point now) {
+    const auto [found, fresh] = load.peers.try_emplace(router, row);
+    if (!fresh && row.prompt_ms_total > found->second.prompt_ms_total) {
+        add_backlog(load, settings, static_cast<double>(row.prompt_ms_total - found->second.prompt_ms_total),
+                    now);
+    }
+    found->second = row;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Prompts
+//-----------------------------------------------------------------------------
+
+std::uint32_t missing_tokens(const target_load& load, const prompt_shape& prompt,
+                             const engine_settings& settings, time_point now) {
+    std::uint32_t kept = 0;
+    for (const prompt_part& part : prompt.parts) {
+        if (!load.parts.holds(part.id, now, settings.part_lifetime)) break;
+        kept += part.tokens;
+    }
+    return prompt.tokens > kept ? prompt.tokens - kept : 1;
+}
+
+double reading_ms(std::uint32_t missing, const prompt_shape& prompt, const engine_settings& settings) {
+    const double read = missing;
+    const double before = prompt.tokens - std::min(prompt.tokens, missing);
+    const double million_pairs = read * (before + read / 2) / 1e6;
+    return read / settings.prompt_tokens_per_ms + million_pairs * settings.pairs_ms_per_million;
+}
+
+std::uint64_t expected_kv(const prompt_shape& prompt) {
+    const std::uint32_t output =
+        prompt.output_hint > 0 ? std::min(prompt.output_hint, prompt.output_limit) : prompt.output_limit;
+    return prompt.tokens + output;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr duration slot_wait = 60ms; // after which a full engine may have freed a slot
+
+duration from_ms(double ms) { return duration{static_cast<std::int64_t>(ms * 1000.0)}; }
+
+struct prompt_offer {
+    bool has_room{};
+    double wait_ms{};
+    double work_ms{};
+    double rank{}; // lower is better, ms
+};
+
+prompt_offer offer_of(const placement_option& option, const prompt_shape& prompt,
+                      const engine_settings& settings, time_point now) {
+    const target_load& load = *option.load;
+    const std::uint32_t running = running_everywhere(load);
+    const double used = static_cast<double>(running) / std::max(1U, load.slots);
+    const auto memory = static_cast<double>(kv_everywhere(load) + expected_kv(prompt));
+    prompt_offer offer;
+    offer.has_room = (running == 0 || used < settings.slot_share) &&
+                     (load.kv_limit == 0 || running == 0 ||
+                      memory <= settings.memory_share * static_cast<double>(load.kv_limit));
+    offer.work_ms = reading_ms(missing_tokens(load, prompt, settings, now), prompt, settings);
+    offer.wait_ms = backlog_ms(load, settings, now) + offer.work_ms + to_milliseconds(settings.first_token_base);
+    offer.rank = offer.wait_ms + settings.work_weight * offer.work_ms * (1.0 - 0.5 * option.affinity) +
+                 to_milliseconds(settings.full_batch_penalty) * used * used +
+                 (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty));
+    return offer;
+}
+
+} // namespace
+
+placement_result place_prompt(std::span<const placement_option> options, const prompt_shape& prompt,
+                              duration limit, const engine_settings& settings, time_point now) {
+    placement_result result;
+    result.room_in = slot_wait;
+    double best = 0;
+    double shortest = -1;
+    for (const placement_option& option : options) {
+        const prompt_offer offer = offer_of(option, prompt, settings, now);
+        if (!offer.has_room) continue;
+        if (shortest < 0 || offer.wait_ms < shortest) shortest = offer.wait_ms;
+        if (from_ms(offer.wait_ms) > limit) continue;
+        if (result.chosen && best <= offer.rank) continue;
+        best = offer.rank;
+        result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms};
+    }
+    if (!result.chosen && shortest >= 0) {
+        const double over = shortest - std::max(0.0, to_milliseconds(limit));
+        result.room_in = from_ms(std::max(1.0, over / settings.prompt_share));
+    }
+    return result;
+}
+
+placement_result place_call(std::span<const placement_option> options, const engine_settings& settings) {
+    placement_result result;
+    result.room_in = settings.service_time / 2;
+    double best = 0;
+    for (const placement_option& option : options) {
+        const target_load& load = *option.load;
+        const std::uint32_t running = running_everywhere(load);
+        if (running >= load.slots + settings.service_queue) continue;
+        const double rank = static_cast<double>(running) / std::max(1U, load.slots) +
+                            (option.same_data_centre ? 0.0 : 0.1);
+        if (result.chosen && best <= rank) continue;
+        best = rank;
+        const std::uint32_t ahead = running < load.slots ? 0 : running - load.slots + 1;
+        result.chosen = placement_choice{option.target, settings.service_time * (1 + ahead), 0};
+    }
+    return result;
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_engine_load.hpp
@@ -0,0 +1,150 @@
+// Load of the targets as one router estimates it, and the choice of a target.
+//
+// Load pattern: more prompt tokens arrive than the engines read, half of them shared between requests. Engines
+// admit in order of arrival, so work that is sent too early waits where nobody can reorder it. The model keeps
+// the time of the prompts that each engine still has to read, by all routers, and the parts that each one keeps.
+//
+// Index of this file:
+// [SECTION] Settings
+// [SECTION] Load of a target
+// [SECTION] Prompts
+// [SECTION] Choice
+
+#pragma once
+
+#include "damaskhill_types.hpp"
+
+#include <list>
+#include <unordered_map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+struct engine_settings {
+    double prompt_tokens_per_ms{60.0}; // read by one engine; both deployments' engines read 61 to 66
+    double pairs_ms_per_million{0.3};  // attention of the prompt to itself and what stands before it
+    double prompt_share{0.72};    // of an engine's time for prompts; the rest generates tokens of running streams
+    duration first_token_base{25ms}; // a step, its batch and the way to the engine
+    double slot_share{0.94};         // of an engine's slots; the rest covers what other routers start meanwhile
+    double memory_share{0.92};       // of an engine's memory, for the same reason
+    double work_weight{1.0};      // delay that one ms of an engine's work is worth avoiding, ms
+    duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
+    duration other_data_centre_penalty{4ms};
+    std::size_t parts_kept{4096}; // prompt parts remembered for each engine
+    duration part_lifetime{30s};  // after its last use a part is taken as evicted
+    std::uint32_t service_queue{3};  // requests beyond a plain service's slots that may wait there
+    duration service_time{60ms};     // of a plain service's request, until answers have been seen
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load of a target
+//-----------------------------------------------------------------------------
+
+/// Work in milliseconds of prompt reading that drains with time.
+struct prompt_backlog {
+    double ms{}; // at the time `at`
+    time_point at{};
+};
+
+/// What one other router has said of a target.
+struct peer_load {
+    std::uint32_t running{};
+    std::uint64_t kv_tokens{};
+    std::uint64_t prompt_ms_total{}; // grows with each start; the increase joins the backlog
+};
+
+/// Parts of prompts that a target is thought to keep, the least recently used last.
+class kept_parts {
+public:
+    void use(std::uint64_t part, time_point now, std::size_t limit);
+    [[nodiscard]] bool holds(std::uint64_t part, time_point now, duration lifetime) const;
+    void clear();
+
+private:
+    struct entry {
+        std::uint64_t part{};
+        time_point used{};
+    };
+    std::list<entry> order_;
+    std::unordered_map<std::uint64_t, std::list<entry>::iterator> index_;
+};
+
+struct target_load {
+    std::uint32_t slots{1};
+    std::uint64_t kv_limit{}; // 0: a plain service
+    std::uint32_t running{};  // of this router
+    std::uint64_t kv_tokens{};
+    std::uint64_t prompt_ms_total{}; // of this router since its start
+    prompt_backlog backlog;          // of all routers
+    std::unordered_map<std::uint64_t, peer_load> peers; // by router
+    kept_parts parts;
+};
+
+[[nodiscard]] double backlog_ms(const target_load& load, const engine_settings& settings, time_point now);
+void add_backlog(target_load& load, const engine_settings& settings, double ms, time_point now);
+/// Requests of all routers that run or wait there.
+[[nodiscard]] std::uint32_t running_everywhere(const target_load& load);
+[[nodiscard]] std::uint64_t kv_everywhere(const target_load& load);
+/// Takes a row of another router's report.
+void take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
+                    const peer_load& row, time_point now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Prompts
+//-----------------------------------------------------------------------------
+
+struct prompt_part {
+    std::uint64_t id{};
+    std::uint32_t tokens{};
+};
+
+struct prompt_shape {
+    std::uint32_t tokens{};
+    std::uint32_t output_limit{};  // tokens
+    std::uint32_t output_hint{};   // tokens, 0: none; right at the median only
+    std::vector<prompt_part> parts; // in order; the last one is the request's own
+};
+
+/// Tokens of the prompt that the target has to read: a part counts as kept only if all before it are.
+[[nodiscard]] std::uint32_t missing_tokens(const target_load& load, const prompt_shape& prompt,
+                                           const engine_settings& settings, time_point now);
+/// Time that an engine needs to read them.
+[[nodiscard]] double reading_ms(std::uint32_t missing, const prompt_shape& prompt,
+                                const engine_settings& settings);
+/// Memory that a request is expected to take until its end, tokens.
+[[nodiscard]] std::uint64_t expected_kv(const prompt_shape& prompt);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice
+//-----------------------------------------------------------------------------
+
+struct placement_option {
+    std::uint32_t target{};       // position in the caller's list
+    const target_load* load{};
+    bool same_data_centre{};
+    double affinity{}; // 0 to 1: how much routers prefer this target for the prompt's subject
+};
+
+struct placement_choice {
+    std::uint32_t target{};
+    duration first_token{}; // predicted, from now
+    double work_ms{};
+};
+
+struct placement_result {
+    std::optional<placement_choice> chosen; // earliest first token at the least work, within the limit
+    duration room_in{};                     // if none: the earliest time at which one may have room
+};
+
+/// Chooses an engine whose first token is predicted within the limit.
+[[nodiscard]] placement_result place_prompt(std::span<const placement_option> options,
+                                            const prompt_shape& prompt, duration limit,
+                                            const engine_settings& settings, time_point now);
+/// Chooses the least loaded target of a plain service.
+[[nodiscard]] placement_result place_call(std::span<const placement_option> options,
+                                          const engine_settings& settings);
+
+} // namespace damaskhill
--- /dev/null
+++ b/programs/damaskhill_direct_router.cpp
@@ -0,0 +1,259 @@
+// The direct router daemon: wires the reducer to callers, targets, the platform's store and the other routers.
+//
+// Index of this file:
+// [SECTION] Host
+// [SECTION] Effects
+// [SECTION] Program
+
+#include "damaskhill_impl_datagram.hpp"
+#include "damaskhill_impl_direct.hpp"
+#include "damaskhill_impl_edge_server.hpp"
+#include "damaskhill_platform_store.hpp"
+
+#include <asio.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace damaskhill;
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Host
+//-----------------------------------------------------------------------------
+
+class direct_host {
+public:
+    direct_host(event_loop& loop, const direct_daemon_settings& settings)
+        : loop_(loop), state_(core_settings(settings, system_random())),
+          edge_(loop, {},
+                {[this](std::uint64_t exchange, http_request&& request) {
+                     submit(platform::decode_request(exchange, std::move(request)));
+                 },
+                 [this](std::uint64_t exchange) { submit(direct::caller_closed{exchange}); }}),
+          client_(loop, {}), reports_(loop, link_keys_of(settings.link_keys),
+                                      [this](router_report&& report) {
+                                          submit(direct::report_received{std::move(report)});
+                                      }),
+          store_(loop, client_, store_settings_of(settings),
+                 {[this](direct::input&& event) { submit(event); }, boot_clock,
+                  [this](const failure& why) {
+                      log_.write("unreadable_item", "\"reason\":" + direct::quoted(describe(why)), true,
+                                 boot_clock());
+                  }}),
+          wake_timer_(*static_cast<asio::io_context*>(loop.native())) {}
+
+    [[nodiscard]] std::optional<bool> start(const direct_daemon_settings& settings, failure& why);
+    void stop() { submit(stop_requested{}); }
+    void submit(const direct::input& event);
+    void flush_log() { log_.flush(); }
+    void log_start(const direct_daemon_settings& settings);
+
+private:
+    static platform::store_settings store_settings_of(const direct_daemon_settings& settings) {
+        platform::store_settings store;
+        store.address = settings.store_address;
+        return store;
+    }
+    void perform(direct::effect& item);
+    void send(const direct::send_request& effect);
+    void arm(time_point at);
+    void answer_control(std::uint64_t exchange, const http_request& request);
+
+    event_loop& loop_;
+    direct::router_state state_;
+    metrics_registry metrics_;
+    structured_log log_;
+    edge_server edge_;
+    edge_client client_;
+    datagram_transport reports_;
+    platform::store_mirror store_;
+    asio::steady_timer wake_timer_;
+    time_point armed_{};
+    std::unordered_map<std::uint64_t, std::uint64_t> calls_; // client's number by send
+    std::vector<direct::effects> spare_;                     // lists of effects, kept for their memory
+    std::unique_ptr<edge_server> ready_;
+    std::unique_ptr<edge_server> control_;
+};
+
+std::optional<bool> direct_host::start(const direct_daemon_settings& settings, failure& why) {
+    const auto make = [&](auto handler) {
+        return std::make_unique<edge_server>(
+            loop_, edge_server_settings{},
+            edge_server::handlers{std::move(handler), [](std::uint64_t /*unused*/) {}});
+    };
+    ready_ = make([this](std::uint64_t exchange, http_request&& /*unused*/) {
+        constexpr std::uint32_t yes = 200;
+        constexpr std::uint32_t no = 503;
+        ready_->whole(exchange, direct::is_ready(state_, boot_clock()) ? yes : no, {}, {});
+    });
+    control_ = make([this](std::uint64_t exchange, http_request&& request) { answer_control(exchange, request); });
+    if (!edge_.listen(settings.http_address, why) || !ready_->listen(settings.ready_address, why) ||
+        !control_->listen(settings.control_address, why) || !reports_.bind(settings.report_address, why)) {
+        return std::nullopt;
+    }
+    store_.start();
+    submit(direct::timer_fired{});
+    return true;
+}
+
+void direct_host::answer_control(std::uint64_t exchange, const http_request& request) {
+    if (request.target == "/snapshot") {
+        control_->whole(exchange, 200, {{"Content-Type", "application/json"}}, store_.snapshot());
+    } else if (request.target == "/metrics") {
+        metrics_.set(gauge{"log_lines_dropped", "", static_cast<double>(log_.dropped())});
+        metrics_.set(gauge{"connections_opened", "", static_cast<double>(client_.connections_opened())});
+        metrics_.set(gauge{"reports_rejected", "", static_cast<double>(reports_.rejected())});
+        control_->whole(exchange, 200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text());
+    } else if (request.target == "/healthz") {
+        control_->whole(exchange, 200, {{"Content-Type", "text/plain"}}, "ok\n");
+    } else {
+        control_->whole(exchange, 404, {}, {});
+    }
+}
+
+void direct_host::log_start(const direct_daemon_settings& settings) {
+    log_.write("start",
+               "\"name\":" + direct::quoted(settings.name) + ",\"callers\":" +
+                   direct::quoted(settings.http_address) + ",\"incarnation\":" +
+                   std::to_string(state_.settings.incarnation),
+               true, boot_clock());
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Effects
+//-----------------------------------------------------------------------------
+
+void direct_host::submit(const direct::input& event) {
+    direct::effects out;
+    if (!spare_.empty()) {
+        out = std::move(spare_.back());
+        spare_.pop_back();
+    }
+    direct::reduce(state_, boot_clock(), event, out);
+    for (direct::effect& item : out)
+        perform(item);
+    out.clear();
+    spare_.push_back(std::move(out));
+}
+
+void direct_host::arm(time_point at) {
+    armed_ = at;
+    wake_timer_.expires_after(std::max<duration>(0s, at - boot_clock()));
+    wake_timer_.async_wait([this](const asio::error_code& error) {
+        if (!error) submit(direct::timer_fired{});
+    });
+}
+
+void direct_host::send(const direct::send_request& effect) {
+    const std::uint64_t send = effect.send;
+    edge_handlers handlers;
+    handlers.on_head = [this, send, content = effect.content](edge_answer_head&& head) {
+        platform::decoded_answer answer =
+            platform::decode_answer(send, content->input.attempt, std::move(head));
+        if (answer.other_attempt) {
+            metrics_.add(count{"foreign_answers_total", "", 1});
+            return edge_verdict::skip;
+        }
+        const bool states_not_run = answer.head.not_executed || answer.head.other_target;
+        if ((!answer.same_attempt && !states_not_run) || answer.encoded) {
+            const auto number = calls_.find(send);
+            if (number != calls_.end()) client_.cancel(number->second);
+            calls_.erase(send);
+            submit(direct::answer_end{send, direct::send_result::garbled});
+            return edge_verdict::skip;
+        }
+        submit(answer.head);
+        return edge_verdict::take;
+    };
+    handlers.on_data = [this, send](std::string_view data) { submit(direct::answer_data{send, data}); };
+    handlers.on_end = [this, send](edge_result result) {
+        calls_.erase(send);
+        submit(direct::answer_end{send, static_cast<direct::send_result>(result)});
+    };
+    calls_[send] = client_.start(platform::encode_call(effect), std::move(handlers));
+}
+
+void direct_host::perform(direct::effect& item) {
+    if (auto* sending = std::get_if<direct::send_request>(&item)) {
+        send(*sending);
+    } else if (auto* cancelled = std::get_if<direct::cancel_send>(&item)) {
+        const auto number = calls_.find(cancelled->send);
+        if (number == calls_.end()) return;
+        client_.cancel(number->second);
+        calls_.erase(number);
+    } else if (auto* begun = std::get_if<direct::reply_begin>(&item)) {
+        edge_.begin(begun->caller, begun->status, begun->headers);
+    } else if (auto* piece = std::get_if<direct::reply_data>(&item)) {
+        edge_.data(piece->caller, piece->data);
+    } else if (auto* ended = std::get_if<direct::reply_end>(&item)) {
+        edge_.end(ended->caller);
+    } else if (auto* aborted = std::get_if<direct::reply_abort>(&item)) {
+        edge_.abort(aborted->caller);
+    } else if (auto* whole = std::get_if<direct::reply_whole>(&item)) {
+        edge_.whole(whole->caller, whole->status, whole->headers, whole->body);
+    } else if (auto* refused = std::get_if<direct::reply_refused>(&item)) {
+        edge_.whole(refused->caller, refused->status, platform::refusal_headers(*refused),
+                    std::string{refused->reason} + "\n");
+    } else if (auto* report = std::get_if<direct::send_report>(&item)) {
+        reports_.send(report->address, report->report);
+    } else if (auto* fetch = std::get_if<direct::fetch_snapshot>(&item)) {
+        store_.fetch_snapshot(fetch->address);
+    } else if (auto* status = std::get_if<direct::write_rollout_status>(&item)) {
+        store_.write_status(*status);
+    } else if (auto* line = std::get_if<direct::log_event>(&item)) {
+        log_.write(line->name, line->fields, line->essential, state_.now);
+    } else if (auto* counter = std::get_if<count>(&item)) {
+        metrics_.add(*counter);
+    } else if (auto* sample = std::get_if<observe>(&item)) {
+        metrics_.add(*sample);
+    } else if (auto* wake = std::get_if<direct::wake_at>(&item)) {
+        arm(wake->at);
+    } else if (std::holds_alternative<exit_process>(item)) {
+        constexpr duration last_bytes = 150ms; // lets the last answers leave
+        loop_.after(last_bytes, [this] { loop_.stop(); });
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Program
+//-----------------------------------------------------------------------------
+
+exit_code run(const direct_daemon_settings& settings) {
+    event_loop loop;
+    direct_host host{loop, settings};
+    failure why;
+    if (!host.start(settings, why)) {
+        std::fprintf(stderr, "damaskhill_direct_router: %s\n", describe(why).c_str());
+        return exit_code::network;
+    }
+    host.log_start(settings);
+    constexpr duration flush_period = 250ms; // one write for the lines of this time
+    loop.every(flush_period, [&] { host.flush_log(); });
+    loop.on_terminate([&] { host.stop(); });
+    loop.run();
+    host.flush_log();
+    return exit_code::ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    auto code = exit_code::ok;
+    const auto options =
+        parse_daemon_options({argv, static_cast<std::size_t>(argc)},
+                             "Sends callers' requests to targets that have no sidecar.", code);
+    if (!options) return static_cast<int>(code);
+    failure why;
+    const auto settings = load_direct_settings(options->settings_file, why);
+    if (!settings) {
+        std::fprintf(stderr, "damaskhill_direct_router: %s\n", describe(why).c_str());
+        return static_cast<int>(exit_code::settings);
+    }
+    if (options->check_only) {
+        std::printf("%s: ok\n", options->settings_file.c_str());
+        return 0;
+    }
+    return static_cast<int>(run(*settings));
+}
