Prefer the targets that hold a prompt's subject, on all routers in the same order

Now all routers rank targets by rendezvous hash of the subject and expect the parts there. New requests are taken for 2.8 s after SIGTERM, not 3.5 s: one was cut at the end of the grace time.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -59,7 +59,7 @@
     duration lost_base{400ms};          // a target that was lost is left out for so long, doubling up to lost_limit
     duration lost_limit{3s};
     duration missing_grace{2500ms}; // an entry that is missing after an outage of the store may come back
-    duration stop_accept_limit{3500ms}; // after a stop was requested, new requests are still taken for so long
+    duration stop_accept_limit{2800ms}; // after a stop was requested, new requests are still taken for so long
     duration stop_limit{7600ms};        // after which what still runs is cut; below the platform's limit of 8 s
     duration least_retry_after{80ms};   // below, a caller would return before anything has changed
     std::uint32_t poison_limit{2};      // targets lost while running a request after which it is not sent again
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -12,6 +12,7 @@
 #include "damaskhill_direct_internal.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace damaskhill::direct {
@@ -140,6 +141,23 @@
     std::vector<target_state*> targets;
 };
 
+// All routers send a subject to the same targets in the same order, so that each spill finds the parts that an
+// earlier spill of another router has left there.
+constexpr std::size_t preferred_targets = 3;
+constexpr std::array<double, preferred_targets> affinity_by_rank{0.9, 0.6, 0.3};
+
+std::uint64_t rendezvous_weight(std::uint64_t target, std::uint64_t subject) {
+    std::uint64_t mixed = (target ^ (subject * 0x9E3779B97F4A7C15ULL)) * 0xBF58476D1CE4E5B9ULL;
+    mixed = (mixed ^ (mixed >> 31U)) * 0x94D049BB133111EBULL;
+    return mixed ^ (mixed >> 29U);
+}
+
+void insert_best(std::span<std::pair<std::uint64_t, std::size_t>> best, std::pair<std::uint64_t, std::size_t> item) {
+    for (auto& place : best) {
+        if (item.first > place.first) std::swap(item, place);
+    }
+}
+
 candidate_list candidates_for(router_state& state, const request& item) {
     candidate_list list;
     const auto ids = state.by_service.find(item.service);
@@ -147,8 +165,7 @@
     const auto service = state.known->services.find(item.service);
     const double cold_per_s = service == state.known->services.end() ? 0.0 : service->second.cold_per_s;
     const std::uint64_t subject = subject_of(item);
-    std::uint64_t best_weight = 0;
-    std::size_t best = 0;
+    std::array<std::pair<std::uint64_t, std::size_t>, preferred_targets> best{};
     for (const std::string& id : ids->second) {
         target_state& target = state.targets.find(id)->second;
         if (!may_send(state, target) || !version_allowed(state, item, target)) continue;
@@ -158,12 +175,7 @@
                             routers_for_limits(state), state.now)) {
             continue;
         }
-        const std::uint64_t weight = subject == 0 ? 0 : target.hash ^ (subject * 0x9E3779B97F4A7C15ULL);
-        const std::uint64_t mixed = weight * 0xBF58476D1CE4E5B9ULL;
-        if (mixed > best_weight) {
-            best_weight = mixed;
-            best = list.options.size();
-        }
+        if (subject != 0) insert_best(best, {rendezvous_weight(target.hash, subject), list.options.size()});
         placement_option option;
         option.target = static_cast<std::uint32_t>(list.targets.size());
         option.load = &target.load;
@@ -171,7 +183,9 @@
         list.options.push_back(option);
         list.targets.push_back(&target);
     }
-    if (best_weight > 0) list.options[best].affinity = 1.0;
+    for (std::size_t i = 0; i < best.size(); ++i) {
+        if (best.at(i).first > 0) list.options[best.at(i).second].affinity = affinity_by_rank.at(i);
+    }
     // Targets that fail most of what they are given are left out while others remain.
     constexpr double failing = 0.5;
     const auto healthy = [&](const placement_option& option) {
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -132,7 +132,11 @@
                       memory <= settings.memory_share * static_cast<double>(load.kv_limit));
     offer.work_ms = reading_ms(missing_tokens(load, prompt, settings, now), prompt, settings);
     offer.wait_ms = backlog_ms(load, settings, now) + offer.work_ms + to_milliseconds(settings.first_token_base);
-    offer.rank = offer.wait_ms + settings.work_weight * offer.work_ms * (1.0 - 0.5 * option.affinity) +
+    // Shared parts that other routers have sent there need not be read; the last part is the request's own.
+    const std::uint32_t own = prompt.parts.empty() ? prompt.tokens : prompt.parts.back().tokens;
+    const double own_ms = std::min(offer.work_ms, reading_ms(own, prompt, settings));
+    const double expected_ms = offer.work_ms - option.affinity * (offer.work_ms - own_ms);
+    offer.rank = offer.wait_ms + settings.work_weight * expected_ms +
                  to_milliseconds(settings.full_batch_penalty) * used * used +
                  (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty));
     return offer;
@@ -150,7 +154,11 @@
         const prompt_offer offer = offer_of(option, prompt, settings, now);
         if (!offer.has_room) continue;
         if (shortest < 0 || offer.wait_ms < shortest) shortest = offer.wait_ms;
-        if (from_ms(offer.wait_ms) > limit) continue;
+        // Long prompts would starve behind short ones, which fit into any gap.
+        const double limit_ms = to_milliseconds(limit);
+        const bool is_long = offer.work_ms > settings.long_prompt_share * limit_ms;
+        const duration allowed = is_long ? from_ms(limit_ms * settings.long_prompt_allowance) : limit;
+        if (from_ms(offer.wait_ms) > allowed) continue;
         if (result.chosen && best <= offer.rank) continue;
         best = offer.rank;
         result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms};
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -30,7 +30,9 @@
     duration first_token_base{25ms}; // a step, its batch and the way to the engine
     double slot_share{0.94};         // of an engine's slots; the rest covers what other routers start meanwhile
     double memory_share{0.92};       // of an engine's memory, for the same reason
-    double work_weight{1.0};      // delay that one ms of an engine's work is worth avoiding, ms
+    double work_weight{8.0};      // delay that is worth taking to avoid one ms of reading, within the limit, ms
+    double long_prompt_share{0.4};     // part of the limit above which the reading of a prompt counts as long
+    double long_prompt_allowance{1.2}; // factor of the limit for these
     duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
     std::size_t parts_kept{4096}; // prompt parts remembered for each engine
@@ -125,7 +127,7 @@
     std::uint32_t target{};       // position in the caller's list
     const target_load* load{};
     bool same_data_centre{};
-    double affinity{}; // 0 to 1: how much routers prefer this target for the prompt's subject
+    double affinity{}; // 0 to 1: how likely the other routers have sent the prompt's subject there
 };
 
 struct placement_choice {
