--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -26,7 +26,7 @@
 struct engine_settings {
     double prompt_tokens_per_ms{60.0}; // read by one engine; both deployments' engines read 61 to 66
     double pairs_ms_per_million{0.3};  // attention of the prompt to itself and what stands before it
-    double prompt_share{0.72};    // of an engine's time for prompts; the rest generates tokens of running streams
+    double prompt_share{0.68};    // of an engine's time for prompts; the rest generates tokens of running streams
     duration first_token_base{25ms}; // a step, its batch and the way to the engine
     double slot_share{0.94};         // of an engine's slots; the rest covers what other routers start meanwhile
     double memory_share{0.92};       // of an engine's memory, for the same reason
