Give accounts beyond their share less room the more they have had

Ruled out: reports between routers (all saw the same totals). The limit now falls with what an account has had beyond its share.

--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -205,14 +205,20 @@
     return service != state.known->services.end() && service->second.engine && item.input.prompt.tokens > 0;
 }
 
-/// Time left in which the first token is timely; accounts beyond their share only get room that is idle.
-duration timely_limit(const router_state& state, const request& item) {
-    constexpr double idle_share = 0.45; // of the target latency; above, others within their share would wait
-    const bool within = item.account.empty() || state.shares.within_share(item.account_hash, state.now);
+/// Part of the limits that an account may use: all of it within its share, then less the more it has had beyond,
+/// so that accounts which ask for too much come out even whatever the length of their prompts.
+double share_factor(double used_share) {
+    constexpr double cut_off = 0.8; // beyond the share, at which only idle engines take the account's requests
+    return used_share <= 1.0 ? 1.0 : std::max(0.0, 1.0 - (used_share - 1.0) / cut_off);
+}
+
+first_token_limits limits_of(const router_state& state, const request& item) {
+    const double used = item.account.empty() ? 0.0 : state.shares.used_share(item.account_hash, state.now);
     const auto latency = static_cast<double>(item.route.target_latency.count());
-    const double share = within ? state.settings.timely_share : idle_share;
-    const duration limit{static_cast<std::int64_t>(latency * share)};
-    return limit - (state.now - item.arrived);
+    const duration timely{static_cast<std::int64_t>(latency * state.settings.timely_share)};
+    const duration granted{static_cast<std::int64_t>(static_cast<double>(timely.count()) * share_factor(used))};
+    const duration waited = state.now - item.arrived;
+    return {timely - waited, granted - waited};
 }
 
 struct placement_outcome {
@@ -228,7 +234,7 @@
     outcome.any = !list.options.empty();
     const placement_result result =
         is_generation(state, item)
-            ? place_prompt(list.options, item.input.prompt, timely_limit(state, item), state.settings.engine,
+            ? place_prompt(list.options, item.input.prompt, limits_of(state, item), state.settings.engine,
                            state.now)
             : place_call(list.options, state.settings.engine);
     outcome.room_in = result.room_in;
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -115,6 +115,7 @@
 
 struct prompt_offer {
     bool has_room{};
+    bool idle{};
     double wait_ms{};
     double work_ms{};
     double rank{}; // lower is better, ms
@@ -130,8 +131,10 @@
     offer.has_room = (running == 0 || used < settings.slot_share) &&
                      (load.kv_limit == 0 || running == 0 ||
                       memory <= settings.memory_share * static_cast<double>(load.kv_limit));
+    const double backlog = backlog_ms(load, settings, now);
+    offer.idle = used < settings.idle_slots && backlog < to_milliseconds(settings.idle_backlog);
     offer.work_ms = reading_ms(missing_tokens(load, prompt, settings, now), prompt, settings);
-    offer.wait_ms = backlog_ms(load, settings, now) + offer.work_ms + to_milliseconds(settings.first_token_base);
+    offer.wait_ms = backlog + offer.work_ms + to_milliseconds(settings.first_token_base);
     // Shared parts that other routers have sent there need not be read; the last part is the request's own.
     const std::uint32_t own = prompt.parts.empty() ? prompt.tokens : prompt.parts.back().tokens;
     const double own_ms = std::min(offer.work_ms, reading_ms(own, prompt, settings));
@@ -142,10 +145,18 @@
     return offer;
 }
 
+/// Long prompts would starve behind short ones, which fit into any gap: they may exceed the limit a little.
+duration allowed_for(const prompt_offer& offer, duration limit, const engine_settings& settings) {
+    const double limit_ms = to_milliseconds(limit);
+    const bool is_long = offer.work_ms > settings.long_prompt_share * limit_ms;
+    return is_long ? from_ms(limit_ms * settings.long_prompt_allowance) : limit;
+}
+
 } // namespace
 
 placement_result place_prompt(std::span<const placement_option> options, const prompt_shape& prompt,
-                              duration limit, const engine_settings& settings, time_point now) {
+                              const first_token_limits& limits, const engine_settings& settings,
+                              time_point now) {
     placement_result result;
     result.room_in = slot_wait;
     double best = 0;
@@ -154,17 +165,14 @@
         const prompt_offer offer = offer_of(option, prompt, settings, now);
         if (!offer.has_room) continue;
         if (shortest < 0 || offer.wait_ms < shortest) shortest = offer.wait_ms;
-        // Long prompts would starve behind short ones, which fit into any gap.
-        const double limit_ms = to_milliseconds(limit);
-        const bool is_long = offer.work_ms > settings.long_prompt_share * limit_ms;
-        const duration allowed = is_long ? from_ms(limit_ms * settings.long_prompt_allowance) : limit;
-        if (from_ms(offer.wait_ms) > allowed) continue;
+        const duration limit = offer.idle ? limits.timely : limits.granted;
+        if (from_ms(offer.wait_ms) > allowed_for(offer, limit, settings)) continue;
         if (result.chosen && best <= offer.rank) continue;
         best = offer.rank;
         result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms};
     }
     if (!result.chosen && shortest >= 0) {
-        const double over = shortest - std::max(0.0, to_milliseconds(limit));
+        const double over = shortest - std::max(0.0, to_milliseconds(limits.granted));
         result.room_in = from_ms(std::max(1.0, over / settings.prompt_share));
     }
     return result;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -35,6 +35,8 @@
     double long_prompt_allowance{1.2}; // factor of the limit for these
     duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
+    double idle_slots{0.4};         // an engine is idle below this share of its slots
+    duration idle_backlog{20ms};    // and below this backlog
     std::size_t parts_kept{4096}; // prompt parts remembered for each engine
     duration part_lifetime{30s};  // after its last use a part is taken as evicted
     std::uint32_t service_queue{3};  // requests beyond a plain service's slots that may wait there
@@ -141,9 +143,15 @@
     duration room_in{};                     // if none: the earliest time at which one may have room
 };
 
-/// Chooses an engine whose first token is predicted within the limit.
+/// Time from now within which the first token has to be predicted.
+struct first_token_limits {
+    duration timely{};  // at any engine
+    duration granted{}; // at an engine that is not idle; no more than timely
+};
+
+/// Chooses an engine whose first token is predicted within the limits.
 [[nodiscard]] placement_result place_prompt(std::span<const placement_option> options,
-                                            const prompt_shape& prompt, duration limit,
+                                            const prompt_shape& prompt, const first_token_limits& limits,
                                             const engine_settings& settings, time_point now);
 /// Chooses the least loaded target of a plain service.
 [[nodiscard]] placement_result place_call(std::span<const placement_option> options,
