--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -132,13 +132,15 @@
                      (load.kv_limit == 0 || running == 0 ||
                       memory <= settings.memory_share * static_cast<double>(load.kv_limit));
     const double backlog = backlog_ms(load, settings, now);
-    offer.idle = used < settings.idle_slots && backlog < to_milliseconds(settings.idle_backlog);
     offer.work_ms = reading_ms(missing_tokens(load, prompt, settings, now), prompt, settings);
     offer.wait_ms = backlog + offer.work_ms + to_milliseconds(settings.first_token_base);
     // Shared parts that other routers have sent there need not be read; the last part is the request's own.
     const std::uint32_t own = prompt.parts.empty() ? prompt.tokens : prompt.parts.back().tokens;
     const double own_ms = std::min(offer.work_ms, reading_ms(own, prompt, settings));
-    const double expected_ms = offer.work_ms - option.affinity * (offer.work_ms - own_ms);
+    const double shared_ms = (1.0 - option.affinity) * (offer.work_ms - own_ms);
+    const double expected_ms = own_ms + shared_ms;
+    offer.idle = used < settings.idle_slots && backlog < to_milliseconds(settings.idle_backlog) &&
+                 shared_ms < to_milliseconds(settings.idle_backlog);
     offer.rank = offer.wait_ms + settings.work_weight * expected_ms +
                  to_milliseconds(settings.full_batch_penalty) * used * used +
                  (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty));
