--- a/backends/damaskhill_impl_asio.cpp
+++ b/backends/damaskhill_impl_asio.cpp
@@ -23,6 +23,16 @@
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
     asio::signal_set signals{context};
+    asio::signal_set hangups{context};
+    std::function<void()> on_hangup;
+
+    void wait_for_hangup() {
+        hangups.async_wait([this](const asio::error_code& error, int) {
+            if (error) return;
+            on_hangup();
+            wait_for_hangup();
+        });
+    }
     std::vector<std::shared_ptr<asio::steady_timer>> timers;
 };
 
@@ -74,6 +84,12 @@
     });
 }
 
+void event_loop::on_hangup(std::function<void()> work) {
+    impl_->on_hangup = std::move(work);
+    impl_->hangups.add(SIGHUP);
+    impl_->wait_for_hangup();
+}
+
 time_point wall_clock() { return std::chrono::floor<duration>(std::chrono::system_clock::now()); }
 
 std::optional<std::pair<std::string, std::uint16_t>> split_address(std::string_view address, failure& why) {
--- a/backends/damaskhill_impl_asio.hpp
+++ b/backends/damaskhill_impl_asio.hpp
@@ -33,6 +33,7 @@
     void every(duration period, std::function<void()> work); // repeats until the loop stops
     void after(duration delay, std::function<void()> work);
     void on_terminate(std::function<void()> work); // SIGTERM and SIGINT
+    void on_hangup(std::function<void()> work);    // each SIGHUP
     [[nodiscard]] void* native();                  // asio::io_context of this loop
 
 private:
--- a/backends/damaskhill_impl_datagram.cpp
+++ b/backends/damaskhill_impl_datagram.cpp
@@ -34,6 +34,7 @@
     asio::ip::udp::endpoint sender;
     std::unordered_map<std::string, asio::ip::udp::endpoint> endpoints;
     std::uint64_t rejected{};
+    std::uint64_t unsent{};
 };
 
 void datagram_transport::implementation::receive() {
@@ -83,21 +84,28 @@
     return true;
 }
 
-void datagram_transport::send(const std::string& address, const router_report& report) {
-    auto found = impl_->endpoints.find(address);
-    if (found == impl_->endpoints.end()) {
-        failure why;
-        const auto parts = split_address(address, why);
-        if (!parts) return;
-        const asio::ip::udp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
-        found = impl_->endpoints.emplace(address, endpoint).first;
-    }
+void datagram_transport::send(std::span<const std::string> addresses, const router_report& report) {
     const std::string frame = seal_frame(encode_report(report), impl_->keys, unordered);
-    if (frame.size() > datagram_limit) return;
-    asio::error_code ignored; // as good as a datagram that is lost on the way
-    impl_->socket.send_to(asio::buffer(frame), found->second, 0, ignored);
+    if (frame.size() > datagram_limit) {
+        ++impl_->unsent;
+        return;
+    }
+    for (const std::string& address : addresses) {
+        auto found = impl_->endpoints.find(address);
+        if (found == impl_->endpoints.end()) {
+            failure why;
+            const auto parts = split_address(address, why);
+            if (!parts) continue; // an address that a peer made up: nothing can be sent there
+            const asio::ip::udp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
+            found = impl_->endpoints.emplace(address, endpoint).first;
+        }
+        asio::error_code error;
+        impl_->socket.send_to(asio::buffer(frame), found->second, 0, error);
+        if (error) ++impl_->unsent;
+    }
 }
 
+std::uint64_t datagram_transport::unsent() const { return impl_->unsent; }
 std::uint64_t datagram_transport::rejected() const { return impl_->rejected; }
 
 } // namespace damaskhill
--- a/backends/damaskhill_impl_datagram.hpp
+++ b/backends/damaskhill_impl_datagram.hpp
@@ -30,7 +30,9 @@
     /// Binds "IP:port". Writes network when the address cannot be used.
     [[nodiscard]] std::optional<bool> bind(std::string_view address, failure& why);
     /// Sends without waiting; a report that the system does not take is lost.
-    void send(const std::string& address, const router_report& report);
+    void send(std::span<const std::string> addresses, const router_report& report);
+    /// Datagrams that the system did not take; as good as lost on the way.
+    [[nodiscard]] std::uint64_t unsent() const;
     /// Datagrams that were no signed report.
     [[nodiscard]] std::uint64_t rejected() const;
 
--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -61,6 +61,7 @@
     implementation(asio::io_context& c, edge_server_settings s, handlers h)
         : context(c), settings(s), on(std::move(h)), acceptor(c) {}
 
+    void open(asio::ip::tcp::socket socket);
     void accept();
     void read(const connection_ptr& connection);
     void parse(const connection_ptr& connection, std::string_view bytes);
@@ -84,19 +85,27 @@
     bool closing{};
 };
 
+void edge_server::implementation::open(asio::ip::tcp::socket socket) {
+    if (connections.size() >= settings.connection_limit) return;
+    asio::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    socket.non_blocking(true, ignored);
+    const connection_ptr connection{new edge_connection{std::move(socket)}};
+    http_parser_init(&connection->parser, HTTP_REQUEST);
+    connection->parser.data = connection.get();
+    connections.insert(connection);
+    read(connection);
+}
+
 void edge_server::implementation::accept() {
-    acceptor.async_accept([self = shared_from_this()](const asio::error_code& error,
-                                                      asio::ip::tcp::socket socket) {
+    acceptor.async_accept([self = shared_from_this()](asio::error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
-        if (!error && self->connections.size() < self->settings.connection_limit) {
-            asio::error_code ignored;
-            socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-            socket.non_blocking(true, ignored);
-            const connection_ptr connection{new edge_connection{std::move(socket)}};
-            http_parser_init(&connection->parser, HTTP_REQUEST);
-            connection->parser.data = connection.get();
-            self->connections.insert(connection);
-            self->read(connection);
+        // The loop comes back here once in a round of all ready connections, so several are taken at once.
+        constexpr int at_once = 16;
+        for (int taken = 0; !error && taken < at_once; ++taken) {
+            self->open(std::move(socket));
+            socket = asio::ip::tcp::socket{self->context};
+            self->acceptor.accept(socket, error);
         }
         self->accept();
     });
@@ -208,6 +217,18 @@
     }
 }
 
+namespace {
+
+/// Whether the other side has closed the connection behind its request. Costs one system call.
+bool caller_has_left(asio::ip::tcp::socket& socket) {
+    std::array<char, 1> next{};
+    asio::error_code error;
+    const std::size_t size = socket.receive(asio::buffer(next), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block && (error || size == 0);
+}
+
+} // namespace
+
 void edge_server::implementation::on_complete(const connection_ptr& connection) {
     connection->request_complete = false;
     connection->exchange = next_exchange++;
@@ -216,6 +237,10 @@
     exchanges[connection->exchange] = connection;
     http_request request = std::move(connection->request);
     connection->request = {};
+    if (caller_has_left(connection->socket)) {
+        close(connection, false);
+        return;
+    }
     on.on_request(connection->exchange, std::move(request));
 }
 
@@ -339,6 +364,7 @@
     if (!error) acceptor.bind(endpoint, error);
     constexpr int backlog = 1024; // connections that wait to be accepted; a dropped one costs its caller seconds
     if (!error) acceptor.listen(backlog, error);
+    if (!error) acceptor.non_blocking(true, error);
     if (error) {
         why = {failure_kind::network, std::string{address}, error.message(), "a free address of this VM"};
         return std::nullopt;
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -129,7 +129,7 @@
 
 struct belief_settings {
     duration key_limit{4900ms};     // a key may be used on a belief that is no older
-    duration refusal_limit{1500ms}; // "no such key or route" may be said on a belief that is no older
+    duration refusal_limit{2600ms}; // "no such key or route" may be said on a belief that is no older
     duration ready_limit{2500ms};   // an older belief takes the router out of the balancer's rotation
 };
 
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -128,7 +128,7 @@
 void index_targets(router_state& state) {
     state.by_service.clear();
     for (auto& [id, target] : state.targets) {
-        state.by_service[target.entry.service].push_back(id);
+        state.by_service[target.entry.service].push_back(&target);
         const auto service = state.known->services.find(target.entry.service);
         const bool engine = service != state.known->services.end() && service->second.engine;
         target.load.kv_limit = engine ? std::max<std::uint64_t>(1, service->second.engine->kv_tokens) : 0;
@@ -205,13 +205,13 @@
 
 namespace {
 
-constexpr duration waiting_period = 15ms; // between two looks at requests that wait
+constexpr duration waiting_period = 25ms; // between two looks at requests that wait
 
 void ask_for_wake(router_state& state, effects& out) {
     time_point next = std::min(state.next_report, state.next_share_update);
     if (!state.deadlines.empty()) next = std::min(next, state.deadlines.begin()->first);
     if (!state.attempt_limits.empty()) next = std::min(next, state.attempt_limits.begin()->first);
-    if (!state.waiting.empty()) next = std::min(next, state.now + waiting_period);
+    if (!state.waiting.empty()) next = std::min(next, state.next_serve);
     if (next >= state.next_wake && state.next_wake > state.now) return;
     state.next_wake = next;
     out.emplace_back(wake_at{next});
@@ -227,7 +227,30 @@
     out.emplace_back(exit_process{});
 }
 
+/// Follows the lateness of timers: it shows a processor that does not keep up before anything else does.
+void note_lag(router_state& state, effects& out) {
+    constexpr double weight = 0.3; // of the newest timer
+    const auto late = static_cast<double>(std::max<duration>(0s, state.now - state.next_wake).count());
+    const auto lag = static_cast<double>(state.lag.count());
+    state.lag = duration{static_cast<std::int64_t>(lag + weight * (late - lag))};
+    const bool was = state.overloaded;
+    if (!was && state.lag > state.settings.overload_lag) {
+        state.overloaded = true;
+        state.overloaded_since = state.now;
+    } else if (was && state.lag < state.settings.recovered_lag &&
+               state.now - state.overloaded_since > state.settings.overload_time) {
+        state.overloaded = false;
+    }
+    if (was != state.overloaded) {
+        out.emplace_back(log_event{state.overloaded ? "overloaded" : "overload_ended",
+                                   "\"lag_ms\":" + in_ms(state.lag) +
+                                       ",\"requests\":" + std::to_string(state.requests.size()),
+                                   true});
+    }
+}
+
 void on_timer(router_state& state, effects& out) {
+    if (state.next_wake != time_point{}) note_lag(state, out);
     expire_requests(state, out);
     expire_attempts(state, out);
     if (state.now >= state.next_share_update) {
@@ -237,7 +260,10 @@
         drive_rollouts(state, out);
     }
     if (state.now >= state.next_report) send_reports(state, out);
-    serve_waiting(state, out);
+    if (state.now >= state.next_serve) {
+        state.next_serve = state.now + waiting_period;
+        serve_waiting(state, out);
+    }
     check_stop(state, out);
 }
 
@@ -249,6 +275,16 @@
 
 namespace {
 
+void apply_settings(router_state& state, const router_settings& changed, effects& out) {
+    // Addresses and the incarnation stay those of the running process.
+    state.settings.seeds = changed.seeds;
+    state.settings.belief = changed.belief;
+    state.settings.repeats = changed.repeats;
+    state.settings.cold = changed.cold;
+    state.settings.stop_limit = changed.stop_limit;
+    out.emplace_back(log_event{"settings_read", "\"seeds\":" + std::to_string(changed.seeds.size()), true});
+}
+
 struct event_handler {
     router_state& state;
     effects& out;
@@ -261,7 +297,6 @@
     void operator()(const answer_end& event) const { on_answer_end(state, event, out); }
     void operator()(const catalog_read& event) const {
         apply_catalog(state, event, out);
-        serve_waiting(state, out);
     }
     void operator()(const belief_confirmed& event) const { confirm(state.held, event.as_of); }
     void operator()(const store_reachable& event) const {
@@ -272,6 +307,7 @@
                                    "\"belief_age_ms\":" + belief_age(state), true});
     }
     void operator()(const report_received& event) const { on_report(state, event.report, out); }
+    void operator()(const settings_changed& event) const { apply_settings(state, event.settings, out); }
     void operator()(const stop_requested& /*unused*/) const {
         if (state.stopping) return;
         state.stopping = true;
@@ -291,8 +327,18 @@
 }
 
 bool is_ready(const router_state& state, time_point now) {
-    return !state.stopping && state.known && state.known->version > 0 &&
-           fresh_enough_for_traffic(state.held, state.settings.belief, now);
+    const bool able = !state.stopping && state.known && state.known->version > 0 &&
+                      fresh_enough_for_traffic(state.held, state.settings.belief, now);
+    if (!able || !state.overloaded) return able;
+    // If half of a data centre's routers step aside, the balancer uses all of them again.
+    std::size_t routers = 1;
+    std::size_t aside = 1;
+    for (const auto& [address, peer] : state.peers) {
+        if (peer.data_centre != state.settings.data_centre || now - peer.heard > state.settings.peer_limit) continue;
+        ++routers;
+        if (peer.last.overloaded || peer.last.stopping) ++aside;
+    }
+    return aside * 2 > routers;
 }
 
 } // namespace damaskhill::direct
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -48,6 +48,7 @@
     repeat_settings repeats;
     duration report_period{100ms};      // between two reports to the other routers
     duration report_per_router{8ms};    // added to the period for each of them, so that the cost stays bounded
+    duration probe_period{1s};          // between two reports to an address that is not reported to regularly
     duration peer_limit{1500ms};        // a router that is silent for so long no longer counts for placement
     duration budget_memory{20s};        // but for shared limits it counts for so long
     duration share_period{200ms};       // between two computations of the accounts' shares
@@ -62,6 +63,10 @@
     duration stop_accept_limit{2800ms}; // after a stop was requested, new requests are still taken for so long
     duration stop_limit{7600ms};        // after which what still runs is cut; below the platform's limit of 8 s
     duration least_retry_after{80ms};   // below, a caller would return before anything has changed
+    duration overload_lag{60ms};   // timers that are later than this show that the processor does not keep up
+    duration recovered_lag{12ms};  // below, it does again
+    duration overload_time{1500ms}; // an overload lasts at least so long: the balancer asks once a second
+    duration shed_lag{120ms};      // above, new requests are refused at once
     std::uint32_t poison_limit{2};      // targets lost while running a request after which it is not sent again
 };
 
@@ -138,8 +143,14 @@
 
 struct timer_fired {};
 
+/// The settings file has been read again.
+struct settings_changed {
+    router_settings settings;
+};
+
 using input = std::variant<timer_fired, request_arrived, caller_closed, answer_head, answer_data, answer_end,
-                           catalog_read, belief_confirmed, store_reachable, report_received, stop_requested>;
+                           catalog_read, belief_confirmed, store_reachable, report_received, stop_requested,
+                           settings_changed>;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Effects
@@ -198,8 +209,8 @@
 };
 
 struct send_report {
-    std::string address;
-    router_report report;
+    std::vector<std::string> addresses;
+    std::shared_ptr<const router_report> report;
 };
 
 /// Asks a peer for its copy of the store.
@@ -288,13 +299,16 @@
 
 struct peer_router {
     std::uint64_t incarnation{};
-    std::string snapshot_address;
+    std::string data_centre; // empty: not known yet
+    time_point heard{};      // directly
+    router_report last;      // its newest own report
+};
+
+/// Sums of another data centre, as its relay sent them.
+struct data_centre_summary {
     time_point heard{};
-    std::uint64_t last_sent_us{}; // of its last report, to be echoed
-    std::uint64_t store_revision{};
-    bool stopping{};
-    std::vector<version_row> versions;
-    std::vector<crash_row> crashes;
+    router_report last;
+    bool to_hand_on{}; // newer than what this data centre's relay has handed on
 };
 
 struct version_counts {
@@ -336,15 +350,21 @@
     std::uint64_t next_send{1};
 
     std::map<std::string, target_state, std::less<>> targets;           // by id
-    std::map<std::string, std::vector<std::string>, std::less<>> by_service; // ids
+    std::map<std::string, std::vector<target_state*>, std::less<>> by_service;
     std::unordered_map<std::uint64_t, std::string> target_by_hash;
     std::map<std::string, repeat_window, std::less<>> repeats; // by service
     account_shares shares;
     std::map<std::string, peer_router, std::less<>> peers; // by report address
+    std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
+    time_point next_probe{}; // of addresses that are not reported to
     std::unordered_map<std::uint64_t, std::uint32_t> crashes; // own, by poison hash
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
+    time_point next_serve{}; // of waiting requests
+    duration lag{};          // smoothed lateness of this process's timers
+    bool overloaded{};
+    time_point overloaded_since{};
     time_point next_share_update{};
     time_point next_wake{};
     time_point snapshot_asked{};
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -65,22 +65,47 @@
     }
 };
 
+/// A router that the sender hears.
+struct router_row {
+    std::string address; // "IP:port" of its datagrams
+    std::string data_centre;
+    static constexpr auto fields() {
+        return std::tuple{field{1, "address", &router_row::address},
+                          field{2, "data_centre", &router_row::data_centre}};
+    }
+};
+
+/// The newest report that the sender has from another router.
+struct echo_row {
+    std::uint64_t router{};  // incarnation
+    std::uint64_t sent_us{}; // its clock when it sent that report
+    static constexpr auto fields() {
+        return std::tuple{field{1, "router", &echo_row::router}, field{2, "sent_us", &echo_row::sent_us}};
+    }
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Report
 //-----------------------------------------------------------------------------
 
-/// One datagram from router to router.
+/// One datagram from router to router. A router reports to those of its data centre. One of them, the relay, sends
+/// the sums of its data centre to the relays of the others, which hand them on: the bytes between data centres
+/// then grow with the square of the data centres and not of the routers.
 struct router_report {
-    std::uint64_t router{};      // incarnation of the sender
-    std::string address;         // "IP:port" of the sender's datagrams
-    std::string snapshot_address; // "IP:port" at which it hands out its copy of the store
-    std::uint64_t sent_us{};     // clock of the sender
-    std::uint64_t echo_us{};     // sent_us of the last report that the sender has from the receiver, 0: none
+    std::uint64_t router{};       // incarnation of the sender
+    std::string address;          // "IP:port" of the sender's datagrams
+    std::string data_centre;      // of the sender; in a summary, the data centre that it sums up
+    bool is_summary{};            // rows are sums over the data centre
+    bool relayed{};               // summary that was handed on by this data centre's relay
+    std::string snapshot_address; // "IP:port" at which the sender hands out its copy of the store
+    std::uint64_t sent_us{};      // clock of the sender
     std::uint64_t store_revision{};
     std::uint64_t belief_age_us{}; // of the sender's catalog when it sent this
     bool believes{};               // false: the sender knows no catalog
     bool stopping{};
-    std::vector<std::string> routers; // addresses of routers that the sender hears
+    bool overloaded{};              // takes no new connections
+    std::vector<router_row> routers; // that the sender hears; in a summary, those of the data centre
+    std::vector<echo_row> echoes;
     std::vector<target_load_row> targets;
     std::vector<account_usage_row> accounts;
     std::vector<crash_row> crashes;
@@ -89,18 +114,22 @@
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
                           field{2, "address", &t::address},
-                          field{3, "snapshot_address", &t::snapshot_address},
-                          field{4, "sent_us", &t::sent_us},
-                          field{5, "echo_us", &t::echo_us},
-                          field{6, "store_revision", &t::store_revision},
-                          field{7, "belief_age_us", &t::belief_age_us},
-                          field{8, "believes", &t::believes},
-                          field{9, "stopping", &t::stopping},
-                          field{10, "routers", &t::routers},
-                          field{11, "targets", &t::targets},
-                          field{12, "accounts", &t::accounts},
-                          field{13, "crashes", &t::crashes},
-                          field{14, "versions", &t::versions}};
+                          field{3, "data_centre", &t::data_centre},
+                          field{4, "is_summary", &t::is_summary},
+                          field{5, "relayed", &t::relayed},
+                          field{6, "snapshot_address", &t::snapshot_address},
+                          field{7, "sent_us", &t::sent_us},
+                          field{8, "store_revision", &t::store_revision},
+                          field{9, "belief_age_us", &t::belief_age_us},
+                          field{10, "believes", &t::believes},
+                          field{11, "stopping", &t::stopping},
+                          field{12, "overloaded", &t::overloaded},
+                          field{13, "routers", &t::routers},
+                          field{14, "echoes", &t::echoes},
+                          field{15, "targets", &t::targets},
+                          field{16, "accounts", &t::accounts},
+                          field{17, "crashes", &t::crashes},
+                          field{18, "versions", &t::versions}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -1,5 +1,6 @@
 // Index of this file:
-// [SECTION] Reports
+// [SECTION] Received reports
+// [SECTION] Sent reports
 // [SECTION] Shared limits
 // [SECTION] Version moves
 
@@ -11,7 +12,7 @@
 namespace damaskhill::direct {
 
 //-----------------------------------------------------------------------------
-// [SECTION] Reports
+// [SECTION] Received reports
 //-----------------------------------------------------------------------------
 
 namespace {
@@ -20,34 +21,49 @@
 
 std::uint64_t to_us(time_point at) { return static_cast<std::uint64_t>(at.time_since_epoch().count()); }
 
+bool is_live(const router_state& state, const peer_router& peer) {
+    return peer.incarnation != 0 && state.now - peer.heard <= state.settings.peer_limit;
+}
+
+bool is_neighbour(const router_state& state, const peer_router& peer) {
+    return is_live(state, peer) && peer.data_centre == state.settings.data_centre;
+}
+
+bool is_live(const router_state& state, const data_centre_summary& summary) {
+    return state.now - summary.heard <= state.settings.peer_limit;
+}
+
+/// Number under which the sums of a data centre stand among the routers' loads.
+std::uint64_t summary_id(std::string_view data_centre) { return stable_hash(data_centre, 1); }
+
 // A peer's belief counts from the time of this router's own report that the peer had when it sent its age:
 // the peer sent later than that, so its belief is no older than this says, whatever the network did.
 void take_belief(router_state& state, const router_report& report) {
-    if (!report.believes || report.echo_us == 0 || report.store_revision > state.store_revision) return;
-    // A peer with an older copy says nothing about changes since then.
-    if (report.store_revision < state.store_revision) return;
-    const time_point asked{since_epoch_of(report.echo_us)};
-    if (asked > state.now) return;
-    confirm(state.held, asked - since_epoch_of(report.belief_age_us));
+    // A peer with another copy says nothing about changes to this one.
+    if (!report.believes || report.store_revision != state.store_revision) return;
+    const auto echo = std::ranges::find(report.echoes, state.settings.incarnation, &echo_row::router);
+    if (echo == report.echoes.end()) return;
+    const time_point asked{since_epoch_of(echo->sent_us)};
+    if (asked <= state.now) confirm(state.held, asked - since_epoch_of(report.belief_age_us));
 }
 
-void take_rows(router_state& state, const router_report& report) {
+void take_rows(router_state& state, std::uint64_t sender, const router_report& report) {
     for (const target_load_row& row : report.targets) {
         const auto id = state.target_by_hash.find(row.target);
         target_state* target = id == state.target_by_hash.end() ? nullptr : find_target(state, id->second);
         if (target == nullptr) continue;
-        take_peer_load(target->load, state.settings.engine, report.router,
+        take_peer_load(target->load, state.settings.engine, sender,
                        {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
     }
     std::unordered_map<std::uint64_t, account_usage> usage;
     for (const account_usage_row& row : report.accounts)
         usage[row.account] = {static_cast<double>(row.asked), static_cast<double>(row.served)};
-    state.shares.set_peer(report.router, std::move(usage), state.now);
+    state.shares.set_peer(sender, std::move(usage), state.now);
 }
 
-void forget_router_load(router_state& state, std::uint64_t incarnation) {
+void forget_router_load(router_state& state, std::uint64_t sender) {
     for (auto& [id, target] : state.targets)
-        target.load.peers.erase(incarnation);
+        forget_peer_load(target.load, sender);
 }
 
 constexpr duration snapshot_period = 300ms; // between two fetches of peers' copies
@@ -59,45 +75,82 @@
     out.emplace_back(fetch_snapshot{report.snapshot_address});
 }
 
-} // namespace
+void learn_addresses(router_state& state, const router_report& report) {
+    for (const router_row& row : report.routers) {
+        if (row.address == state.settings.report_address) continue;
+        peer_router& peer = state.peers[row.address];
+        if (peer.data_centre.empty()) peer.data_centre = row.data_centre;
+    }
+}
 
-void on_report(router_state& state, const router_report& report, effects& out) {
-    if (report.router == state.settings.incarnation) return;
+void on_summary(router_state& state, const router_report& report) {
+    if (report.data_centre == state.settings.data_centre) return;
+    data_centre_summary& summary = state.summaries[report.data_centre];
+    const bool other_relay = summary.last.router != report.router;
+    if (!other_relay && report.sent_us <= summary.last.sent_us) return;
+    summary.heard = state.now;
+    summary.last = report;
+    summary.to_hand_on = !report.relayed;
+    take_rows(state, summary_id(report.data_centre), report);
+}
+
+std::shared_ptr<const router_report> report_of(const router_state& state, bool all_routers);
+
+void on_own_report(router_state& state, const router_report& report, effects& out) {
     peer_router& peer = state.peers[report.address];
-    if (peer.incarnation != report.router) {
+    const bool first = peer.incarnation != report.router;
+    if (first) {
         forget_router_load(state, peer.incarnation);
         peer = {};
         peer.incarnation = report.router;
         out.emplace_back(log_event{"router_heard", "\"address\":" + quoted(report.address), true});
+        // The other side learns at once whom it can hear.
+        out.emplace_back(send_report{{report.address}, report_of(state, true)});
     }
-    if (report.sent_us < peer.last_sent_us) return; // overtaken by a later report
+    if (report.sent_us < peer.last.sent_us) return; // overtaken by a later report
     peer.heard = state.now;
-    peer.last_sent_us = report.sent_us;
-    peer.snapshot_address = report.snapshot_address;
-    peer.store_revision = report.store_revision;
-    peer.stopping = report.stopping;
-    peer.versions = report.versions;
-    peer.crashes = report.crashes;
-    for (const std::string& address : report.routers) {
-        if (address != state.settings.report_address) state.peers.try_emplace(address);
+    peer.data_centre = report.data_centre;
+    peer.last = report;
+    if (report.data_centre == state.settings.data_centre) take_rows(state, report.router, report);
+}
+
+} // namespace
+
+void on_report(router_state& state, const router_report& report, effects& out) {
+    if (report.router == state.settings.incarnation) return;
+    learn_addresses(state, report);
+    if (report.is_summary) {
+        on_summary(state, report);
+        if (report.relayed) return;
+        // A summary is also a sign of life of the relay that sent it.
+        const auto sender = state.peers.find(report.address);
+        if (sender != state.peers.end() && sender->second.incarnation == report.router)
+            sender->second.heard = state.now;
+    } else {
+        on_own_report(state, report, out);
     }
-    take_rows(state, report);
     take_belief(state, report);
     fetch_newer_copy(state, report, out);
 }
 
-namespace {
+//-----------------------------------------------------------------------------
+// [SECTION] Sent reports
+//-----------------------------------------------------------------------------
 
-bool is_live(const router_state& state, const peer_router& peer) {
-    return peer.heard != time_point{} && state.now - peer.heard <= state.settings.peer_limit;
-}
+namespace {
 
 void forget_silent_routers(router_state& state, effects& out) {
     for (auto& [address, peer] : state.peers) {
         if (peer.incarnation == 0 || is_live(state, peer)) continue;
-        forget_router_load(state, peer.incarnation);
-        out.emplace_back(log_event{"router_lost", "\"address\":" + quoted(address), true});
-        peer.incarnation = 0;
+        // Routers of other data centres are heard directly only now and then.
+        if (peer.data_centre == state.settings.data_centre) {
+            forget_router_load(state, peer.incarnation);
+            out.emplace_back(log_event{"router_lost", "\"address\":" + quoted(address), true});
+            peer.incarnation = 0;
+        }
+    }
+    for (auto& [data_centre, summary] : state.summaries) {
+        if (!is_live(state, summary)) forget_router_load(state, summary_id(data_centre));
     }
     std::erase_if(state.peers, [&](const auto& item) {
         return item.second.heard != time_point{} &&
@@ -105,62 +158,192 @@
     });
 }
 
-router_report report_of(const router_state& state) {
-    router_report report;
+void add_own_versions(const router_state& state, router_report& report) {
+    for (const auto& [service, progress] : state.rollouts) {
+        const auto order = state.known->rollouts.find(service);
+        if (order == state.known->rollouts.end()) continue;
+        const auto add = [&](bool is_new, const version_counts& counts) {
+            report.versions.push_back(
+                {order->second.revision, is_new, counts.answers, counts.failures, counts.latency_ms_total});
+        };
+        add(true, progress.on_new);
+        add(false, progress.on_old);
+    }
+}
+
+void add_routers(const router_state& state, router_report& report, bool all) {
+    report.routers.push_back({state.settings.report_address, state.settings.data_centre});
+    for (const auto& [address, peer] : state.peers) {
+        if (is_neighbour(state, peer)) report.routers.push_back({address, peer.data_centre});
+    }
+    if (!all) return;
+    for (const auto& [data_centre, summary] : state.summaries)
+        report.routers.insert(report.routers.end(), summary.last.routers.begin(), summary.last.routers.end());
+}
+
+void add_identity(const router_state& state, router_report& report) {
     report.router = state.settings.incarnation;
     report.address = state.settings.report_address;
+    report.data_centre = state.settings.data_centre;
     report.snapshot_address = state.settings.snapshot_address;
+    report.sent_us = to_us(state.now);
     report.store_revision = state.store_revision;
     const auto age = age_of(state.held, state.now);
     report.believes = age.has_value() && state.known;
     report.belief_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
     report.stopping = state.stopping;
+    report.overloaded = state.overloaded;
     for (const auto& [address, peer] : state.peers) {
-        if (is_live(state, peer)) report.routers.push_back(address);
+        if (peer.incarnation != 0) report.echoes.push_back({peer.incarnation, peer.last.sent_us});
     }
+}
+
+std::shared_ptr<const router_report> report_of(const router_state& state, bool all_routers) {
+    auto report = std::make_shared<router_report>();
+    add_identity(state, *report);
+    add_routers(state, *report, all_routers);
     for (const auto& [id, target] : state.targets) {
         if (target.load.running == 0 && target.load.prompt_ms_total == 0) continue;
-        report.targets.push_back(
+        report->targets.push_back(
             {target.hash, target.load.running, target.load.kv_tokens, target.load.prompt_ms_total});
     }
     for (const auto& [account, usage] : state.shares.own_usage(state.now)) {
-        report.accounts.push_back({account, static_cast<std::uint32_t>(usage.asked),
-                                   static_cast<std::uint32_t>(usage.served)});
+        report->accounts.push_back({account, static_cast<std::uint32_t>(usage.asked),
+                                    static_cast<std::uint32_t>(usage.served)});
     }
     for (const auto& [hash, crashes] : state.crashes)
-        report.crashes.push_back({hash, crashes});
-    for (const auto& [service, progress] : state.rollouts) {
-        const auto order = state.known->rollouts.find(service);
-        if (order == state.known->rollouts.end()) continue;
-        const auto add = [&](bool is_new, const version_counts& counts) {
-            report.versions.push_back(
-                {order->second.revision, is_new, counts.answers, counts.failures, counts.latency_ms_total});
-        };
-        add(true, progress.on_new);
-        add(false, progress.on_old);
-    }
+        report->crashes.push_back({hash, crashes});
+    add_own_versions(state, *report);
     return report;
 }
 
-} // namespace
+struct summed_rows {
+    std::map<std::uint64_t, target_load_row> targets;
+    std::map<std::uint64_t, account_usage_row> accounts;
+    std::map<std::uint64_t, crash_row> crashes;
+    std::map<std::pair<std::uint64_t, bool>, version_row> versions;
+
+    void add(const router_report& report) {
+        for (const target_load_row& row : report.targets) {
+            target_load_row& sum = targets[row.target];
+            sum = {row.target, sum.running + row.running, sum.kv_tokens + row.kv_tokens,
+                   sum.prompt_ms_total + row.prompt_ms_total};
+        }
+        for (const account_usage_row& row : report.accounts) {
+            account_usage_row& sum = accounts[row.account];
+            sum = {row.account, sum.asked + row.asked, sum.served + row.served};
+        }
+        for (const crash_row& row : report.crashes) {
+            crash_row& sum = crashes[row.request];
+            sum = {row.request, sum.crashes + row.crashes};
+        }
+        for (const version_row& row : report.versions) {
+            version_row& sum = versions[{row.order, row.is_new}];
+            sum = {row.order, row.is_new, sum.answers + row.answers, sum.failures + row.failures,
+                   sum.latency_ms_total + row.latency_ms_total};
+        }
+    }
+};
 
-void send_reports(router_state& state, effects& out) {
-    forget_silent_routers(state, out);
+std::shared_ptr<const router_report> summary_of(const router_state& state, const router_report& own) {
+    summed_rows sums;
+    sums.add(own);
+    for (const auto& [address, peer] : state.peers) {
+        if (is_neighbour(state, peer)) sums.add(peer.last);
+    }
+    auto summary = std::make_shared<router_report>();
+    add_identity(state, *summary);
+    add_routers(state, *summary, false);
+    summary->is_summary = true;
+    const auto values = [](const auto& from, auto& to) {
+        for (const auto& [key, row] : from)
+            to.push_back(row);
+    };
+    values(sums.targets, summary->targets);
+    values(sums.accounts, summary->accounts);
+    values(sums.crashes, summary->crashes);
+    values(sums.versions, summary->versions);
+    return summary;
+}
+
+std::vector<std::string> neighbours_of(const router_state& state) {
+    std::vector<std::string> addresses;
+    for (const auto& [address, peer] : state.peers) {
+        if (is_neighbour(state, peer)) addresses.push_back(address);
+    }
+    return addresses;
+}
+
+/// The relay of a data centre is its live router with the lowest address.
+bool is_relay(const router_state& state, std::span<const std::string> neighbours) {
+    return !state.stopping && std::ranges::none_of(neighbours, [&](const std::string& address) {
+        const peer_router& peer = state.peers.find(address)->second;
+        return !peer.last.stopping && address < state.settings.report_address;
+    });
+}
+
+/// Addresses in each other data centre that are likely to be its relay: the sender of its last summary, and the
+/// lowest address that is known there.
+std::vector<std::string> relays_of_others(const router_state& state) {
+    std::map<std::string, std::string, std::less<>> lowest;
+    for (const auto& [address, peer] : state.peers) {
+        if (!peer.data_centre.empty() && peer.data_centre != state.settings.data_centre)
+            lowest.try_emplace(peer.data_centre, address);
+    }
+    std::set<std::string> addresses;
+    for (const auto& [data_centre, address] : lowest) {
+        const auto summary = state.summaries.find(data_centre);
+        const bool heard = summary != state.summaries.end() && is_live(state, summary->second);
+        addresses.insert(heard && !summary->second.last.relayed ? summary->second.last.address : address);
+    }
+    return {addresses.begin(), addresses.end()};
+}
+
+void hand_summaries_on(router_state& state, const std::vector<std::string>& neighbours, effects& out) {
+    for (auto& [data_centre, summary] : state.summaries) {
+        if (!summary.to_hand_on) continue;
+        summary.to_hand_on = false;
+        auto copy = std::make_shared<router_report>(summary.last);
+        copy->relayed = true;
+        out.emplace_back(send_report{neighbours, std::move(copy)});
+    }
+}
+
+/// Reports to addresses that get none regularly, so that routers find each other again.
+void probe_others(router_state& state, std::span<const std::string> neighbours, effects& out) {
     for (const std::string& seed : state.settings.seeds) {
         if (seed != state.settings.report_address) state.peers.try_emplace(seed);
     }
-    state.next_report = state.now + state.settings.report_period +
-                        state.settings.report_per_router * static_cast<int>(state.peers.size());
-    if (state.peers.empty()) return;
-    router_report report = report_of(state);
-    report.sent_us = to_us(state.now);
+    if (state.now < state.next_probe) return;
+    constexpr duration eager_time = 3s; // after the start
+    const bool eager = state.now - state.started < eager_time;
+    state.next_probe = state.now + (eager ? state.settings.probe_period / 4 : state.settings.probe_period);
+    std::vector<std::string> others;
     for (const auto& [address, peer] : state.peers) {
-        // Addresses from which nothing is heard are tried at a tenth of the rate.
-        constexpr std::uint64_t quiet_share = 10;
-        if (!is_live(state, peer) && state.random.next() % quiet_share != 0) continue;
-        report.echo_us = peer.last_sent_us;
-        out.emplace_back(send_report{address, report});
+        if (std::ranges::find(neighbours, address) == neighbours.end()) others.push_back(address);
     }
+    if (others.empty()) return;
+    constexpr std::size_t eager_probes = 8; // at once; reaches the three seeds and who they name
+    if (!eager) others = {others[state.random.next() % others.size()]};
+    if (others.size() > eager_probes) others.resize(eager_probes);
+    out.emplace_back(send_report{std::move(others), report_of(state, true)});
+}
+
+} // namespace
+
+void send_reports(router_state& state, effects& out) {
+    forget_silent_routers(state, out);
+    const std::vector<std::string> neighbours = neighbours_of(state);
+    state.next_report = state.now + state.settings.report_period +
+                        state.settings.report_per_router * static_cast<int>(neighbours.size());
+    const auto own = report_of(state, false);
+    if (!neighbours.empty()) out.emplace_back(send_report{neighbours, own});
+    if (is_relay(state, neighbours)) {
+        const auto relays = relays_of_others(state);
+        if (!relays.empty()) out.emplace_back(send_report{relays, summary_of(state, *own)});
+        hand_summaries_on(state, neighbours, out);
+    }
+    probe_others(state, neighbours, out);
 }
 
 //-----------------------------------------------------------------------------
@@ -168,9 +351,15 @@
 //-----------------------------------------------------------------------------
 
 std::size_t routers_for_limits(const router_state& state) {
+    const auto remembered = [&](time_point heard) {
+        return heard != time_point{} && state.now - heard <= state.settings.budget_memory;
+    };
     std::size_t routers = 1;
     for (const auto& [address, peer] : state.peers) {
-        if (peer.heard != time_point{} && state.now - peer.heard <= state.settings.budget_memory) ++routers;
+        if (peer.data_centre == state.settings.data_centre && remembered(peer.heard)) ++routers;
+    }
+    for (const auto& [data_centre, summary] : state.summaries) {
+        if (remembered(summary.heard)) routers += summary.last.routers.size();
     }
     // A router that has just started has not heard the others yet: it counts its seeds.
     return std::max(routers, state.settings.seeds.size() + 1);
@@ -181,19 +370,38 @@
     const std::uint64_t own = weight(state.settings.report_address);
     std::size_t rank = 0;
     for (const auto& [address, peer] : state.peers) {
-        if (is_live(state, peer) && !peer.stopping && weight(address) > own) ++rank;
+        if (is_neighbour(state, peer) && !peer.last.stopping && weight(address) > own) ++rank;
+    }
+    for (const auto& [data_centre, summary] : state.summaries) {
+        if (!is_live(state, summary)) continue;
+        for (const router_row& row : summary.last.routers)
+            rank += weight(row.address) > own ? 1 : 0;
     }
     return rank;
 }
 
+namespace {
+
+/// Calls f with the newest report of each router of this data centre and of each other data centre.
+template <class F>
+void for_each_report(const router_state& state, F&& f) {
+    for (const auto& [address, peer] : state.peers) {
+        if (peer.data_centre == state.settings.data_centre) f(peer.last);
+    }
+    for (const auto& [data_centre, summary] : state.summaries)
+        f(summary.last);
+}
+
+} // namespace
+
 std::uint32_t crashes_everywhere(const router_state& state, std::uint64_t poison_hash) {
     const auto own = state.crashes.find(poison_hash);
     std::uint32_t sum = own == state.crashes.end() ? 0 : own->second;
-    for (const auto& [address, peer] : state.peers) {
-        for (const crash_row& row : peer.crashes) {
+    for_each_report(state, [&](const router_report& report) {
+        for (const crash_row& row : report.crashes) {
             if (row.request == poison_hash) sum += row.crashes;
         }
-    }
+    });
     return sum;
 }
 
@@ -217,13 +425,13 @@
 rollout_evidence evidence_of(const router_state& state, const rollout_progress& own,
                              const rollout_order& order) {
     rollout_evidence sum{own.on_new, own.on_old};
-    for (const auto& [address, peer] : state.peers) {
-        for (const version_row& row : peer.versions) {
+    for_each_report(state, [&](const router_report& report) {
+        for (const version_row& row : report.versions) {
             if (row.order != order.revision) continue;
             add_counts(row.is_new ? sum.on_new : sum.on_old,
                        {row.answers, row.failures, row.latency_ms_total});
         }
-    }
+    });
     return sum;
 }
 
@@ -267,9 +475,12 @@
 }
 
 bool drives(const router_state& state) {
-    const auto first = std::ranges::find_if(
-        state.peers, [&](const auto& item) { return is_live(state, item.second) && !item.second.stopping; });
-    return first == state.peers.end() || state.settings.report_address < first->first;
+    // The router with the lowest address of all that are heard; the write's condition settles a disagreement.
+    bool lowest = is_relay(state, neighbours_of(state));
+    for (const auto& [data_centre, summary] : state.summaries) {
+        if (is_live(state, summary)) lowest = lowest && state.settings.report_address < summary.last.address;
+    }
+    return lowest;
 }
 
 } // namespace
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -127,7 +127,6 @@
 }
 
 bool version_allowed(const router_state& state, const request& item, const target_state& target) {
-    if (!state.known->rollouts.contains(item.service)) return true;
     constexpr double hash_range = 18446744073709551616.0; // 2^64
     const double position = static_cast<double>(stable_hash(item.input.attempt, 1)) / hash_range;
     const auto& order = state.known->rollouts.find(item.service)->second;
@@ -160,16 +159,19 @@
 
 candidate_list candidates_for(router_state& state, const request& item) {
     candidate_list list;
-    const auto ids = state.by_service.find(item.service);
-    if (ids == state.by_service.end()) return list;
+    const auto found = state.by_service.find(item.service);
+    if (found == state.by_service.end()) return list;
     const auto service = state.known->services.find(item.service);
     const double cold_per_s = service == state.known->services.end() ? 0.0 : service->second.cold_per_s;
     const std::uint64_t subject = subject_of(item);
     std::array<std::pair<std::uint64_t, std::size_t>, preferred_targets> best{};
-    for (const std::string& id : ids->second) {
-        target_state& target = state.targets.find(id)->second;
-        if (!may_send(state, target) || !version_allowed(state, item, target)) continue;
-        if (std::ranges::find(item.tried, id) != item.tried.end()) continue;
+    const bool moving = state.known->rollouts.contains(item.service);
+    list.options.reserve(found->second.size());
+    list.targets.reserve(found->second.size());
+    for (target_state* const candidate : found->second) {
+        target_state& target = *candidate;
+        if (!may_send(state, target) || (moving && !version_allowed(state, item, target))) continue;
+        if (std::ranges::find(item.tried, target.entry.id) != item.tried.end()) continue;
         if (is_cold(state, target) &&
             !cold_gate_open(target.cold, state.settings.cold, cold_per_s, rank_for_target(state, target.hash),
                             routers_for_limits(state), state.now)) {
@@ -291,13 +293,6 @@
     return take_repeat(state.repeats[item.service], state.settings.repeats, routers_for_limits(state), state.now);
 }
 
-bool try_start(router_state& state, const request_ptr& item, effects& out) {
-    const placement_outcome found = place(state, *item);
-    if (found.target == nullptr) return false;
-    start_attempt(state, item, *found.target, found.choice, out);
-    return true;
-}
-
 /// Sends a request once more, or ends it with the answer that says what is known of it.
 void repeat_or_fail(router_state& state, const request_ptr& item, std::uint32_t status,
                     std::string_view reason, effects& out) {
@@ -334,6 +329,7 @@
     };
     if (state.stopping && state.now - state.stop_at >= state.settings.stop_accept_limit)
         return refused(status_unavailable, state.settings.least_retry_after, "stopping");
+    if (state.lag > state.settings.shed_lag) return refused(status_unavailable, retry_unready, "overloaded");
     if (!state.known || state.known->version == 0)
         return refused(status_unavailable, retry_unready, "no_declarations");
     const bool sure = may_deny(state.held, state.settings.belief, state.now);
@@ -379,6 +375,20 @@
     return item;
 }
 
+duration retry_after_of(router_state& state, const request& item, duration room_in) {
+    // Returns are spread, so that those refused together do not come back together.
+    constexpr double spread = 0.5;
+    const auto base = static_cast<double>(std::max(room_in, state.settings.least_retry_after).count());
+    const duration wanted{static_cast<std::int64_t>(base * (1.0 + spread * state.random.next_unit()))};
+    return std::min(wanted, std::max(state.settings.least_retry_after, (item.deadline - state.now) / 3));
+}
+
+void refuse_for_room(router_state& state, const request_ptr& item, const placement_outcome& found,
+                     effects& out) {
+    refuse(state, item, status_unavailable, retry_after_of(state, *item, found.room_in),
+           found.any ? "no_room" : "no_target", out);
+}
+
 } // namespace
 
 void on_request(router_state& state, const request_arrived& event, effects& out) {
@@ -393,9 +403,14 @@
         refuse(state, item, status_bad_gateway, std::nullopt, "crashes_targets", out);
         return;
     }
-    if (state.waiting.empty() && try_start(state, item, out)) return;
-    state.waiting.push_back(item);
-    serve_waiting(state, out);
+    const placement_outcome found = place(state, *item);
+    if (found.target != nullptr) {
+        start_attempt(state, item, *found.target, found.choice, out);
+    } else if (state.now + found.room_in > item->hold_until) {
+        refuse_for_room(state, item, found, out);
+    } else {
+        state.waiting.push_back(item);
+    }
 }
 
 void on_caller_closed(router_state& state, caller_id caller, effects& out) {
@@ -544,7 +559,6 @@
             reply_whole{item->input.caller, item->head.status, item->head.headers, std::move(item->body)});
     }
     forget(state, item);
-    serve_waiting(state, out);
 }
 
 //-----------------------------------------------------------------------------
@@ -612,14 +626,6 @@
             to_milliseconds(item.timely.time_since_epoch()) + work_weight * work_ms};
 }
 
-duration retry_after_of(router_state& state, const request& item, duration room_in) {
-    // Returns are spread, so that those refused together do not come back together.
-    constexpr double spread = 0.5;
-    const auto base = static_cast<double>(std::max(room_in, state.settings.least_retry_after).count());
-    const duration wanted{static_cast<std::int64_t>(base * (1.0 + spread * state.random.next_unit()))};
-    return std::min(wanted, std::max(state.settings.least_retry_after, (item.deadline - state.now) / 3));
-}
-
 } // namespace
 
 void serve_waiting(router_state& state, effects& out) {
@@ -636,9 +642,8 @@
         if (found.target != nullptr) {
             std::erase(state.waiting, item);
             start_attempt(state, item, *found.target, found.choice, out);
-        } else if (state.now >= item->hold_until || (tried <= tries && found.room_in > item->timely - state.now)) {
-            refuse(state, item, status_unavailable, retry_after_of(state, *item, found.room_in),
-                   found.any ? "no_room" : "no_target", out);
+        } else if (state.now >= item->hold_until) {
+            refuse_for_room(state, item, found, out);
         }
     }
 }
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -52,18 +52,16 @@
     load.backlog = {backlog_ms(load, settings, now) + ms, now};
 }
 
-std::uint32_t running_everywhere(const target_load& load) {
-    std::uint32_t sum = load.running;
-    for (const auto& [router, row] : load.peers)
-        sum += row.running;
-    return sum;
-}
+std::uint32_t running_everywhere(const target_load& load) { return load.running + load.peers_running; }
+
+std::uint64_t kv_everywhere(const target_load& load) { return load.kv_tokens + load.peers_kv_tokens; }
 
-std::uint64_t kv_everywhere(const target_load& load) {
-    std::uint64_t sum = load.kv_tokens;
-    for (const auto& [router, row] : load.peers)
-        sum += row.kv_tokens;
-    return sum;
+void forget_peer_load(target_load& load, std::uint64_t router) {
+    const auto found = load.peers.find(router);
+    if (found == load.peers.end()) return;
+    load.peers_running -= found->second.running;
+    load.peers_kv_tokens -= found->second.kv_tokens;
+    load.peers.erase(found);
 }
 
 void take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
@@ -73,6 +71,12 @@
         add_backlog(load, settings, static_cast<double>(row.prompt_ms_total - found->second.prompt_ms_total),
                     now);
     }
+    if (!fresh) {
+        load.peers_running -= found->second.running;
+        load.peers_kv_tokens -= found->second.kv_tokens;
+    }
+    load.peers_running += row.running;
+    load.peers_kv_tokens += row.kv_tokens;
     found->second = row;
 }
 
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -83,7 +83,9 @@
     std::uint64_t kv_tokens{};
     std::uint64_t prompt_ms_total{}; // of this router since its start
     prompt_backlog backlog;          // of all routers
-    std::unordered_map<std::uint64_t, peer_load> peers; // by router
+    std::unordered_map<std::uint64_t, peer_load> peers; // by router; changed by the functions below only
+    std::uint32_t peers_running{};                      // sums over them
+    std::uint64_t peers_kv_tokens{};
     kept_parts parts;
 };
 
@@ -92,6 +94,8 @@
 /// Requests of all routers that run or wait there.
 [[nodiscard]] std::uint32_t running_everywhere(const target_load& load);
 [[nodiscard]] std::uint64_t kv_everywhere(const target_load& load);
+/// Drops what another router has said.
+void forget_peer_load(target_load& load, std::uint64_t router);
 /// Takes a row of another router's report.
 void take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
                     const peer_load& row, time_point now);
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -45,10 +45,12 @@
           wake_timer_(*static_cast<asio::io_context*>(loop.native())) {}
 
     [[nodiscard]] std::optional<bool> start(const direct_daemon_settings& settings, failure& why);
-    void stop() { submit(stop_requested{}); }
+    void stop();
     void submit(const direct::input& event);
     void flush_log() { log_.flush(); }
     void log_start(const direct_daemon_settings& settings);
+    /// Reads the settings again; a file that cannot be read changes nothing.
+    void reload(const std::string& settings_file);
 
 private:
     static platform::store_settings store_settings_of(const direct_daemon_settings& settings) {
@@ -104,6 +106,7 @@
     } else if (request.target == "/metrics") {
         metrics_.set(gauge{"log_lines_dropped", "", static_cast<double>(log_.dropped())});
         metrics_.set(gauge{"connections_opened", "", static_cast<double>(client_.connections_opened())});
+        metrics_.set(gauge{"reports_unsent", "", static_cast<double>(reports_.unsent())});
         metrics_.set(gauge{"reports_rejected", "", static_cast<double>(reports_.rejected())});
         control_->whole(exchange, 200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text());
     } else if (request.target == "/healthz") {
@@ -121,6 +124,23 @@
                true, boot_clock());
 }
 
+void direct_host::stop() {
+    submit(stop_requested{});
+    // Callers that keep connections are told with their next answer; idle connections end a little later, when the
+    // balancer has taken this router out.
+    edge_.begin_closing(state_.settings.stop_accept_limit);
+}
+
+void direct_host::reload(const std::string& settings_file) {
+    failure why;
+    const auto settings = load_direct_settings(settings_file, why);
+    if (!settings) {
+        log_.write("settings_rejected", "\"reason\":" + direct::quoted(describe(why)), true, boot_clock());
+        return;
+    }
+    submit(direct::settings_changed{core_settings(*settings, state_.settings.incarnation)});
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Effects
 //-----------------------------------------------------------------------------
@@ -197,7 +217,7 @@
         edge_.whole(refused->caller, refused->status, platform::refusal_headers(*refused),
                     std::string{refused->reason} + "\n");
     } else if (auto* report = std::get_if<direct::send_report>(&item)) {
-        reports_.send(report->address, report->report);
+        reports_.send(report->addresses, *report->report);
     } else if (auto* fetch = std::get_if<direct::fetch_snapshot>(&item)) {
         store_.fetch_snapshot(fetch->address);
     } else if (auto* status = std::get_if<direct::write_rollout_status>(&item)) {
@@ -220,7 +240,7 @@
 // [SECTION] Program
 //-----------------------------------------------------------------------------
 
-exit_code run(const direct_daemon_settings& settings) {
+exit_code run(const direct_daemon_settings& settings, const std::string& settings_file) {
     event_loop loop;
     direct_host host{loop, settings};
     failure why;
@@ -232,6 +252,7 @@
     constexpr duration flush_period = 250ms; // one write for the lines of this time
     loop.every(flush_period, [&] { host.flush_log(); });
     loop.on_terminate([&] { host.stop(); });
+    loop.on_hangup([&] { host.reload(settings_file); });
     loop.run();
     host.flush_log();
     return exit_code::ok;
@@ -255,5 +276,5 @@
         std::printf("%s: ok\n", options->settings_file.c_str());
         return 0;
     }
-    return static_cast<int>(run(*settings));
+    return static_cast<int>(run(*settings, options->settings_file));
 }
