--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -48,6 +48,9 @@
 }
 
 void take_rows(router_state& state, std::uint64_t sender, const router_report& report) {
+    // A target without a row has nothing of the sender's running.
+    for (auto& [id, target] : state.targets)
+        clear_peer_load(target.load, sender);
     for (const target_load_row& row : report.targets) {
         const auto id = state.target_by_hash.find(row.target);
         target_state* target = id == state.target_by_hash.end() ? nullptr : find_target(state, id->second);
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -56,6 +56,15 @@
 
 std::uint64_t kv_everywhere(const target_load& load) { return load.kv_tokens + load.peers_kv_tokens; }
 
+void clear_peer_load(target_load& load, std::uint64_t router) {
+    const auto found = load.peers.find(router);
+    if (found == load.peers.end()) return;
+    load.peers_running -= found->second.running;
+    load.peers_kv_tokens -= found->second.kv_tokens;
+    found->second.running = 0;
+    found->second.kv_tokens = 0;
+}
+
 void forget_peer_load(target_load& load, std::uint64_t router) {
     const auto found = load.peers.find(router);
     if (found == load.peers.end()) return;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -94,6 +94,8 @@
 /// Requests of all routers that run or wait there.
 [[nodiscard]] std::uint32_t running_everywhere(const target_load& load);
 [[nodiscard]] std::uint64_t kv_everywhere(const target_load& load);
+/// Takes it that another router has nothing running there any more.
+void clear_peer_load(target_load& load, std::uint64_t router);
 /// Drops what another router has said.
 void forget_peer_load(target_load& load, std::uint64_t router);
 /// Takes a row of another router's report.
