--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -212,7 +212,9 @@
     if (!state.deadlines.empty()) next = std::min(next, state.deadlines.begin()->first);
     if (!state.attempt_limits.empty()) next = std::min(next, state.attempt_limits.begin()->first);
     if (!state.waiting.empty()) next = std::min(next, state.next_serve);
-    if (next >= state.next_wake && state.next_wake > state.now) return;
+    // A wake-up that is due already is on its way; asking again would only put it off.
+    if (state.wake_asked && next >= state.next_wake) return;
+    state.wake_asked = true;
     state.next_wake = next;
     out.emplace_back(wake_at{next});
 }
@@ -250,7 +252,8 @@
 }
 
 void on_timer(router_state& state, effects& out) {
-    if (state.next_wake != time_point{}) note_lag(state, out);
+    if (state.wake_asked) note_lag(state, out);
+    state.wake_asked = false;
     expire_requests(state, out);
     expire_attempts(state, out);
     if (state.now >= state.next_share_update) {
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -367,6 +367,7 @@
     time_point overloaded_since{};
     time_point next_share_update{};
     time_point next_wake{};
+    bool wake_asked{};
     time_point snapshot_asked{};
     bool stopping{};
     time_point stop_at{};
