--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 
 namespace damaskhill::direct {
 
@@ -157,6 +158,20 @@
     }
 }
 
+/// Marks the engines that take long prompts: the same ones at all routers.
+void mark_long_engines(const router_state& state, candidate_list& list) {
+    const auto count = static_cast<std::size_t>(
+        std::ceil(state.settings.engine.long_engines * static_cast<double>(list.options.size())));
+    constexpr std::uint64_t long_subject = 0x6c6f6e67;
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(list.options.size());
+    for (std::size_t i = 0; i < list.options.size(); ++i)
+        order.emplace_back(rendezvous_weight(list.targets[i]->hash, long_subject), i);
+    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(count), std::greater{});
+    for (std::size_t i = 0; i < count; ++i)
+        list.options[order[i].second].for_long_prompts = true;
+}
+
 candidate_list candidates_for(router_state& state, const request& item) {
     candidate_list list;
     const auto found = state.by_service.find(item.service);
@@ -185,6 +200,7 @@
         list.options.push_back(option);
         list.targets.push_back(&target);
     }
+    mark_long_engines(state, list);
     for (std::size_t i = 0; i < best.size(); ++i) {
         if (best.at(i).first > 0) list.options[best.at(i).second].affinity = affinity_by_rank.at(i);
     }
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -129,6 +129,7 @@
 struct prompt_offer {
     bool has_room{};
     bool idle{};
+    bool is_long{};
     double wait_ms{};
     double work_ms{};
     double rank{}; // lower is better, ms
@@ -146,6 +147,9 @@
                       memory <= settings.memory_share * static_cast<double>(load.kv_limit));
     const double backlog = backlog_ms(load, settings, now);
     offer.work_ms = reading_ms(missing_tokens(load, prompt, settings, now), prompt, settings);
+    offer.is_long = offer.work_ms > to_milliseconds(settings.long_prompt);
+    const bool breaks = backlog + offer.work_ms <= to_milliseconds(settings.unbroken_reading);
+    if (!option.for_long_prompts) offer.has_room = offer.has_room && !offer.is_long && breaks;
     offer.wait_ms = backlog + offer.work_ms + to_milliseconds(settings.first_token_base);
     // Shared parts that other routers have sent there need not be read; the last part is the request's own.
     const std::uint32_t own = prompt.parts.empty() ? prompt.tokens : prompt.parts.back().tokens;
@@ -156,15 +160,13 @@
                  shared_ms < to_milliseconds(settings.idle_backlog);
     offer.rank = offer.wait_ms + settings.work_weight * expected_ms +
                  to_milliseconds(settings.full_batch_penalty) * used * used +
-                 (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty));
+                 (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty)) +
+                 (option.for_long_prompts && !offer.is_long ? to_milliseconds(settings.long_engine_penalty) : 0.0);
     return offer;
 }
 
-/// Long prompts would starve behind short ones, which fit into any gap: they may exceed the limit a little.
 duration allowed_for(const prompt_offer& offer, duration limit, const engine_settings& settings) {
-    const double limit_ms = to_milliseconds(limit);
-    const bool is_long = offer.work_ms > settings.long_prompt_share * limit_ms;
-    return is_long ? from_ms(limit_ms * settings.long_prompt_allowance) : limit;
+    return offer.is_long ? from_ms(to_milliseconds(limit) * settings.long_prompt_allowance) : limit;
 }
 
 } // namespace
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -31,8 +31,13 @@
     double slot_share{0.94};         // of an engine's slots; the rest covers what other routers start meanwhile
     double memory_share{0.92};       // of an engine's memory, for the same reason
     double work_weight{8.0};      // delay that is worth taking to avoid one ms of reading, within the limit, ms
-    double long_prompt_share{0.4};     // part of the limit above which the reading of a prompt counts as long
-    double long_prompt_allowance{1.2}; // factor of the limit for these
+    // While an engine reads, its running streams get one token for each chunk, so reading without a break makes
+    // their events pause. Long prompts therefore go to a few engines that short requests avoid.
+    duration unbroken_reading{400ms}; // at an engine for short requests; a pause of 500 ms makes streams late
+    duration long_prompt{300ms};      // reading time above which a prompt is long
+    double long_engines{0.15};        // part of a service's engines that take long prompts
+    duration long_engine_penalty{300ms}; // of these engines for short requests
+    double long_prompt_allowance{1.2};   // factor of the limit for long prompts, which fit into few gaps
     duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
     double idle_slots{0.4};         // an engine is idle below this share of its slots
@@ -135,6 +140,7 @@
     std::uint32_t target{};       // position in the caller's list
     const target_load* load{};
     bool same_data_centre{};
+    bool for_long_prompts{};
     double affinity{}; // 0 to 1: how likely the other routers have sent the prompt's subject there
 };
 
