--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -35,9 +35,9 @@
     // their events pause. Long prompts therefore go to a few engines that short requests avoid.
     duration unbroken_reading{400ms}; // at an engine for short requests; a pause of 500 ms makes streams late
     duration long_prompt{300ms};      // reading time above which a prompt is long
-    double long_engines{0.15};        // part of a service's engines that take long prompts
+    double long_engines{0.2};         // part of a service's engines that take long prompts
     duration long_engine_penalty{300ms}; // of these engines for short requests
-    double long_prompt_allowance{1.2};   // factor of the limit for long prompts, which fit into few gaps
+    double long_prompt_allowance{1.5};   // factor of the limit for long prompts, which fit into few gaps
     duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
     double idle_slots{0.4};         // an engine is idle below this share of its slots
