Test the direct router; refuse at once where no target may take the request

Tests of the direct router, its limits, the platform's formats and the edge server and client. One failed first: leaving_targets_get_nothing, where a request whose data centre is out of service was held for a quarter of its target latency although nothing could take it; it is now refused at once with a time to come back.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -382,6 +382,8 @@
 /// Time is a clock that never jumps and counts suspensions.
 void reduce(router_state& state, time_point now, const input& event, effects& out);
 
+/// Routers that count for limits which all share, this one among them.
+[[nodiscard]] std::size_t routers_for_limits(const router_state& state);
 /// Text as a JSON string, for log lines.
 [[nodiscard]] std::string quoted(std::string_view text);
 /// Whether the balancer may send new connections.
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -50,8 +50,6 @@
 
 void on_report(router_state& state, const router_report& report, effects& out);
 void send_reports(router_state& state, effects& out);
-/// Routers that count for limits which all share, this one among them.
-[[nodiscard]] std::size_t routers_for_limits(const router_state& state);
 /// Rank of this router among the routers for a target, 0 for the first.
 [[nodiscard]] std::size_t rank_for_target(const router_state& state, std::uint64_t target_hash);
 /// Crashes of a request as all routers have counted them.
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -246,10 +246,14 @@
     bool any{}; // a target may take requests at all
 };
 
+constexpr duration no_target_pause = 400ms; // after which a lost target is tried again
+
 placement_outcome place(router_state& state, const request& item) {
     const candidate_list list = candidates_for(state, item);
     placement_outcome outcome;
     outcome.any = !list.options.empty();
+    outcome.room_in = no_target_pause;
+    if (!outcome.any) return outcome;
     const placement_result result =
         is_generation(state, item)
             ? place_prompt(list.options, item.input.prompt, limits_of(state, item), state.settings.engine,
@@ -422,7 +426,7 @@
     const placement_outcome found = place(state, *item);
     if (found.target != nullptr) {
         start_attempt(state, item, *found.target, found.choice, out);
-    } else if (state.now + found.room_in > item->hold_until) {
+    } else if (!found.any || state.now + found.room_in > item->hold_until) {
         refuse_for_room(state, item, found, out);
     } else {
         state.waiting.push_back(item);
--- /dev/null
+++ b/tests/direct_fixture.hpp
@@ -0,0 +1,148 @@
+// A direct router on virtual time, with a catalog of one engine service and one plain service.
+//
+// Index of this file:
+// [SECTION] Catalog
+// [SECTION] Router
+
+#pragma once
+
+#include "damaskhill_direct.hpp"
+
+#include <algorithm>
+
+namespace damaskhill::direct {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Catalog
+//-----------------------------------------------------------------------------
+
+inline route_declaration make_route(const std::string& name, repeat_rule rule, const std::string& service) {
+    route_declaration route;
+    route.name = name;
+    route.host = "h.example";
+    route.path_prefix = "/" + name + "/";
+    route.rule = rule;
+    route.timeout = 10s;
+    route.target_latency = 500ms;
+    route.max_attempts = 2;
+    route.services = {{service, 1.0}};
+    return route;
+}
+
+inline target_entry make_target(const std::string& id, const std::string& service, std::uint32_t slots) {
+    target_entry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.address = "127.0.0.1:1000";
+    entry.data_centre = "dc-a";
+    entry.version = "v1";
+    entry.slots = slots;
+    entry.revision = 1;
+    return entry;
+}
+
+inline catalog make_catalog() {
+    catalog known;
+    known.version = 1;
+    known.revision = 1;
+    route_declaration chat = make_route("chat", repeat_rule::streaming, "lm");
+    chat.resumable = true;
+    known.routes["h.example"] = {chat, make_route("review", repeat_rule::streaming, "lm"),
+                                 make_route("order", repeat_rule::non_idempotent, "app"),
+                                 make_route("stock", repeat_rule::idempotent, "app")};
+    index_routes(known);
+    service_declaration engines;
+    engines.name = "lm";
+    engines.cold_per_s = 10;
+    engines.cold_start = 3s;
+    engines.engine = engine_declaration{64, 500'000};
+    known.services["lm"] = engines;
+    known.services["app"] = service_declaration{"app"};
+    known.account_by_key["key-1"] = "team-1";
+    for (const char* id : {"e-1", "e-2"})
+        known.targets[id] = make_target(id, "lm", 64);
+    for (const char* id : {"a-1", "a-2"})
+        known.targets[id] = make_target(id, "app", 6);
+    return known;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Router
+//-----------------------------------------------------------------------------
+
+struct test_router {
+    router_state state;
+    effects out;
+    time_point now{1000s};
+    caller_id next_caller{1};
+    std::uint64_t revision{1};
+
+    explicit test_router(const std::string& address = "127.0.0.1:7001", const std::string& data_centre = "dc-a")
+        : state(settings_of(address, data_centre)) {
+        publish(make_catalog());
+        confirm_now();
+        out.clear();
+    }
+
+    static router_settings settings_of(const std::string& address, const std::string& data_centre) {
+        router_settings settings;
+        settings.report_address = address;
+        settings.data_centre = data_centre;
+        settings.incarnation = stable_hash(address);
+        return settings;
+    }
+    void give(const input& event) { reduce(state, now, event, out); }
+    void publish(catalog known) {
+        give(catalog_read{std::make_shared<catalog>(std::move(known)), ++revision});
+    }
+    void confirm_now() { give(belief_confirmed{now}); }
+    /// Lets time pass in steps of 20 ms, with the timers that fall into it.
+    void pass(duration time) {
+        for (const time_point end = now + time; now < end;) {
+            now += 20ms;
+            give(timer_fired{});
+        }
+    }
+    caller_id ask(const std::string& route, const std::string& key = "key-1") {
+        request_arrived request;
+        request.caller = next_caller++;
+        request.attempt = "attempt-" + std::to_string(request.caller);
+        request.method = "POST";
+        request.host = "h.example";
+        request.path = "/" + route + "/x";
+        request.api_key = key;
+        request.body = "body-" + std::to_string(request.caller);
+        request.remaining = 8s;
+        if (route == "chat" || route == "review") request.prompt = {800, 100, 0, {{1, 400}, {request.caller + 10, 400}}};
+        give(request);
+        return request.caller;
+    }
+    answer_head head(std::uint64_t send, std::uint32_t status = 200) {
+        answer_head event;
+        event.send = send;
+        event.status = status;
+        event.headers = {{"X", std::to_string(send)}};
+        event.sealed = true;
+        return event;
+    }
+    template <class T>
+    [[nodiscard]] bool has() const {
+        return std::ranges::any_of(out, [](const auto& item) { return std::holds_alternative<T>(item); });
+    }
+    template <class T>
+    std::vector<T> take() {
+        std::vector<T> found;
+        for (const effect& item : out) {
+            if (const T* match = std::get_if<T>(&item)) found.push_back(*match);
+        }
+        out.clear();
+        return found;
+    }
+    template <class T>
+    std::optional<T> last() {
+        auto found = take<T>();
+        return found.empty() ? std::nullopt : std::optional<T>{found.back()};
+    }
+};
+
+} // namespace damaskhill::direct
--- /dev/null
+++ b/tests/test_direct.cpp
@@ -0,0 +1,443 @@
+// Index of this file:
+// [SECTION] At most once
+// [SECTION] Whose answer
+// [SECTION] Belief
+// [SECTION] Targets
+// [SECTION] Stops and overload
+// [SECTION] Reports
+
+#include "direct_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+using namespace damaskhill::direct;
+
+BOOST_AUTO_TEST_SUITE(direct_router)
+
+//-----------------------------------------------------------------------------
+// [SECTION] At most once
+//-----------------------------------------------------------------------------
+
+// Guards against a second order after a connection that broke when the first may have run.
+BOOST_AUTO_TEST_CASE(order_that_may_have_run_is_not_sent_again) {
+    test_router router;
+    router.ask("order");
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    router.give(answer_end{sent->send, send_result::broken});
+    BOOST_TEST(!router.has<send_request>());
+    const auto refusal = router.last<reply_refused>();
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->status == 502U);
+    BOOST_TEST(!refusal->retry_after.has_value());
+}
+
+// Guards against losing an order that the target says it did not run.
+BOOST_AUTO_TEST_CASE(order_that_was_not_run_goes_to_another_target) {
+    test_router router;
+    router.ask("order");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    answer_head refused = router.head(first->send, 503);
+    refused.not_executed = true;
+    router.give(refused);
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->target != first->target);
+}
+
+// Guards against a refusal that says "not run" after a send, and against more sends than the route allows.
+BOOST_AUTO_TEST_CASE(attempts_are_bounded_and_the_refusal_is_true) {
+    test_router router;
+    router.ask("order");
+    for (int i = 0; i < 2; ++i) {
+        const auto sent = router.last<send_request>();
+        BOOST_REQUIRE(sent.has_value());
+        answer_head refused = router.head(sent->send, 503);
+        refused.not_executed = true;
+        router.give(refused);
+    }
+    const auto refusal = router.last<reply_refused>();
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->status == 503U); // both targets said that they did not run it
+    BOOST_TEST(refusal->retry_after.has_value());
+}
+
+// Guards against an idempotent call that fails although another target would answer.
+BOOST_AUTO_TEST_CASE(lookup_is_repeated_after_a_failure) {
+    test_router router;
+    router.ask("stock");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    router.give(router.head(first->send, 500));
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->target != first->target);
+    router.give(router.head(second->send));
+    router.give(answer_data{second->send, "ok"});
+    router.give(answer_end{second->send, send_result::complete});
+    const auto reply = router.last<reply_whole>();
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status == 200U);
+    BOOST_TEST(reply->body == "ok");
+}
+
+// Guards against lookups that wait for good at a target that is silent.
+BOOST_AUTO_TEST_CASE(silent_target_is_left_for_another) {
+    test_router router;
+    router.ask("stock");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    router.pass(700ms);
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->target != first->target);
+}
+
+// Guards against requests that crash each target which runs them: the third caller's repeat is not sent.
+BOOST_AUTO_TEST_CASE(request_that_crashes_targets_is_not_sent_again) {
+    test_router router;
+    std::size_t sends = 0;
+    for (int i = 0; i < 5; ++i) {
+        request_arrived poison;
+        poison.caller = router.next_caller++;
+        poison.attempt = "p-" + std::to_string(i);
+        poison.host = "h.example";
+        poison.path = "/order/poison";
+        poison.api_key = "key-1";
+        poison.body = "poison";
+        router.give(poison);
+        for (const auto& sent : router.take<send_request>()) {
+            ++sends;
+            router.give(answer_end{sent.send, send_result::broken});
+        }
+        router.pass(2s);
+        router.confirm_now();
+    }
+    BOOST_TEST(sends == router.state.settings.poison_limit);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Whose answer
+//-----------------------------------------------------------------------------
+
+// Guards against events that are lost, doubled or cut when a stream goes on at another target.
+BOOST_AUTO_TEST_CASE(resumed_stream_goes_on_after_the_last_whole_event) {
+    test_router router;
+    router.ask("chat");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    router.give(router.head(first->send));
+    router.give(answer_data{first->send, "id: 1\ndata: a\n\nid: 2\nda"});
+    const auto piece = router.last<reply_data>();
+    BOOST_REQUIRE(piece.has_value());
+    BOOST_TEST(piece->data == "id: 1\ndata: a\n\n");
+    router.give(answer_end{first->send, send_result::broken});
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->resume_after == "1");
+    router.give(router.head(second->send));
+    router.give(answer_data{second->send, "id: 2\ndata: b\n\n"});
+    router.give(answer_end{second->send, send_result::complete});
+    // The reply keeps the head of the first target.
+    BOOST_TEST(!router.has<reply_begin>());
+    BOOST_TEST(router.has<reply_end>());
+}
+
+// Guards against a cut stream that looks complete.
+BOOST_AUTO_TEST_CASE(stream_that_cannot_be_resumed_is_broken_off) {
+    test_router router;
+    router.ask("review");
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    router.give(router.head(sent->send));
+    router.give(answer_data{sent->send, "id: 1\nda"});
+    router.give(answer_end{sent->send, send_result::broken});
+    BOOST_TEST(router.has<reply_abort>());
+    BOOST_TEST(!router.has<reply_end>());
+}
+
+// Guards against a success that no target has proved to be its own.
+BOOST_AUTO_TEST_CASE(answer_without_seal_is_no_success) {
+    test_router router;
+    router.ask("order");
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    answer_head head = router.head(sent->send);
+    head.sealed = false;
+    router.give(head);
+    const auto refusal = router.last<reply_refused>();
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->status == 502U);
+}
+
+// Guards against work that goes on at a target after its caller has left.
+BOOST_AUTO_TEST_CASE(caller_that_leaves_cancels_its_attempt) {
+    test_router router;
+    const caller_id caller = router.ask("review");
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    router.give(caller_closed{caller});
+    const auto cancelled = router.last<cancel_send>();
+    BOOST_REQUIRE(cancelled.has_value());
+    BOOST_TEST(cancelled->send == sent->send);
+    BOOST_TEST(router.state.requests.empty());
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Belief
+//-----------------------------------------------------------------------------
+
+// Guards against a revoked key that runs at a router which the store refuses; the refusal invites a return.
+BOOST_AUTO_TEST_CASE(router_without_the_store_stops_using_keys) {
+    test_router router;
+    router.pass(3s);
+    router.ask("order");
+    BOOST_TEST(router.take<send_request>().size() == 1U);
+    router.pass(2s);
+    router.ask("order");
+    const auto refusal = router.last<reply_refused>();
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->status == 503U);
+    BOOST_TEST(!is_ready(router.state, router.now));
+}
+
+// Guards against 401 and 404 for what newer declarations may have added.
+BOOST_AUTO_TEST_CASE(stale_router_denies_nothing) {
+    test_router router;
+    router.ask("unknown");
+    BOOST_TEST(router.last<reply_refused>()->status == 404U);
+    router.ask("order", "key-2");
+    BOOST_TEST(router.last<reply_refused>()->status == 401U);
+    router.pass(3s);
+    router.ask("unknown");
+    BOOST_TEST(router.last<reply_refused>()->status == 503U);
+    router.ask("order", "key-2");
+    BOOST_TEST(router.last<reply_refused>()->status == 503U);
+}
+
+// Guards against a router that answers 404 before it has read any declarations.
+BOOST_AUTO_TEST_CASE(empty_router_is_not_ready_and_denies_nothing) {
+    test_router router;
+    router.state.known.reset();
+    router.ask("order");
+    BOOST_TEST(router.last<reply_refused>()->status == 503U);
+    BOOST_TEST(!is_ready(router.state, router.now));
+}
+
+// Guards against a VM that was suspended and goes on with what it believed before.
+BOOST_AUTO_TEST_CASE(suspension_ages_the_belief) {
+    test_router router;
+    BOOST_TEST(is_ready(router.state, router.now));
+    router.now += 5s; // no timer ran meanwhile
+    router.ask("order");
+    BOOST_TEST(router.last<reply_refused>()->status == 503U);
+    BOOST_TEST(!is_ready(router.state, router.now));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Targets
+//-----------------------------------------------------------------------------
+
+// Guards against new work at a target that is leaving, and in a data centre that operators have taken out.
+BOOST_AUTO_TEST_CASE(leaving_targets_get_nothing) {
+    test_router router;
+    catalog known = make_catalog();
+    known.targets["a-1"].draining = true;
+    known.targets["a-1"].revision = 2;
+    router.publish(known);
+    for (int i = 0; i < 4; ++i) {
+        router.ask("order");
+        BOOST_TEST(router.last<send_request>()->target == "a-2");
+    }
+    known.evacuated.insert("dc-a");
+    router.publish(known);
+    router.ask("order");
+    BOOST_TEST(router.last<reply_refused>()->status == 503U);
+}
+
+// Guards against losing targets whose entries lapsed while the store was away.
+BOOST_AUTO_TEST_CASE(entries_that_lapsed_in_an_outage_are_kept_for_a_while) {
+    test_router router;
+    router.give(store_reachable{true});
+    router.pass(4s);
+    router.give(store_reachable{false});
+    router.pass(1s);
+    router.give(store_reachable{true});
+    catalog known = make_catalog();
+    known.targets.erase("a-1");
+    known.targets.erase("a-2");
+    router.publish(known);
+    router.confirm_now();
+    router.ask("order");
+    BOOST_TEST(router.take<send_request>().size() == 1U);
+    router.pass(3s);
+    router.confirm_now();
+    router.ask("order");
+    BOOST_TEST(router.take<send_request>().empty());
+}
+
+// Guards against crashing cold engines: one router sends at most one request at once.
+BOOST_AUTO_TEST_CASE(cold_engine_gets_a_trickle) {
+    test_router router;
+    catalog known = make_catalog();
+    for (auto& [id, entry] : known.targets) {
+        entry.cold_remaining = 3s;
+        entry.revision = 2;
+    }
+    router.publish(known);
+    for (int i = 0; i < 10; ++i)
+        router.ask("chat");
+    BOOST_TEST(router.take<send_request>().size() == 2U); // one for each engine
+}
+
+// Guards against a target that is dark: connections that fail leave it out for longer each time.
+BOOST_AUTO_TEST_CASE(target_without_connection_is_left_out) {
+    test_router router;
+    router.ask("order");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    router.give(answer_end{first->send, send_result::not_sent});
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->target != first->target);
+    router.ask("order");
+    BOOST_TEST(router.last<send_request>()->target == second->target);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Stops and overload
+//-----------------------------------------------------------------------------
+
+// Guards against requests that are cut by a planned stop: what was taken is finished before the process ends.
+BOOST_AUTO_TEST_CASE(stop_waits_for_what_runs) {
+    test_router router;
+    router.ask("order");
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    router.give(stop_requested{});
+    BOOST_TEST(!is_ready(router.state, router.now));
+    router.pass(3s);
+    BOOST_TEST(router.take<exit_process>().empty());
+    router.confirm_now();
+    router.ask("order");
+    BOOST_TEST(router.last<reply_refused>()->status == 503U); // too late to be finished for sure
+    router.give(router.head(sent->send));
+    router.give(answer_end{sent->send, send_result::complete});
+    BOOST_TEST(router.take<reply_whole>().size() == 1U);
+    router.pass(100ms);
+    BOOST_TEST(router.take<exit_process>().size() == 1U);
+}
+
+// Load: one account's surge at one small router. Guards against requests that are read long after their callers
+// have left: late timers take the router out of rotation and refuse at once.
+BOOST_AUTO_TEST_CASE(late_timers_show_an_overload) {
+    test_router router;
+    for (int i = 0; i < 12; ++i) {
+        router.give(timer_fired{});
+        router.now = router.state.next_wake + 300ms;
+    }
+    router.confirm_now();
+    router.out.clear();
+    BOOST_TEST(router.state.overloaded);
+    BOOST_TEST(is_ready(router.state, router.now)); // the only router of its data centre stays
+    router.ask("order");
+    BOOST_TEST(router.last<reply_refused>()->reason == "overloaded");
+    for (int i = 0; i < 40; ++i) {
+        router.now = router.state.next_wake;
+        router.give(timer_fired{});
+    }
+    BOOST_TEST(!router.state.overloaded);
+}
+
+// Guards against an event that puts off a timer which is due: the lateness would never show.
+BOOST_AUTO_TEST_CASE(events_do_not_put_off_a_due_timer) {
+    test_router router;
+    router.give(timer_fired{});
+    const time_point due = router.state.next_wake;
+    router.out.clear();
+    for (int i = 0; i < 5; ++i) {
+        router.now = due + 50ms * i;
+        router.confirm_now();
+    }
+    BOOST_TEST(router.take<wake_at>().empty());
+    BOOST_TEST((router.state.next_wake == due));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reports
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Hands all reports of one router to the others that they are addressed to.
+void deliver(test_router& from, std::span<test_router* const> all) {
+    for (const auto& sent : from.take<send_report>()) {
+        for (const std::string& address : sent.addresses) {
+            for (test_router* to : all) {
+                if (to->state.settings.report_address == address) to->give(report_received{*sent.report});
+            }
+        }
+    }
+}
+
+void exchange_reports(std::span<test_router* const> all, duration time) {
+    for (duration passed{}; passed < time; passed += 20ms) {
+        for (test_router* router : all) {
+            router->now += 20ms;
+            router->give(timer_fired{});
+        }
+        for (test_router* router : all)
+            deliver(*router, all);
+    }
+}
+
+} // namespace
+
+// Guards against routers of other data centres that are unknown: loads and counts arrive through the relays.
+BOOST_AUTO_TEST_CASE(relays_carry_loads_between_data_centres) {
+    test_router a1{"10.0.0.1:7", "dc-a"};
+    test_router a2{"10.0.0.2:7", "dc-a"};
+    test_router b1{"10.0.1.1:7", "dc-b"};
+    test_router b2{"10.0.1.2:7", "dc-b"};
+    const std::vector<test_router*> all{&a1, &a2, &b1, &b2};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7"};
+    exchange_reports(all, 4s);
+    for (test_router* router : all)
+        BOOST_TEST(routers_for_limits(router->state) == 4U);
+    b2.confirm_now();
+    b2.ask("order");
+    const auto sent = b2.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    exchange_reports(all, 600ms);
+    BOOST_TEST(running_everywhere(a2.state.targets.at(sent->target).load) == 1U);
+    b2.give(b2.head(sent->send));
+    b2.give(answer_end{sent->send, send_result::complete});
+    exchange_reports(all, 600ms);
+    BOOST_TEST(running_everywhere(a2.state.targets.at(sent->target).load) == 0U);
+}
+
+// Guards against a router that refuses everybody although a peer still hears the store, and against a peer's
+// belief that looks younger than it is.
+BOOST_AUTO_TEST_CASE(peer_relays_belief_with_its_age) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    const std::vector<test_router*> all{&a1, &a2};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7", "10.0.0.2:7"};
+    for (int i = 0; i < 50; ++i) {
+        a1.confirm_now(); // only the first one hears the store
+        exchange_reports(all, 200ms);
+    }
+    const auto age = age_of(a2.state.held, a2.now);
+    BOOST_REQUIRE(age.has_value());
+    BOOST_TEST(age->count() < (1s / 1us));
+    const time_point last_confirmed = *a1.state.held.as_of;
+    exchange_reports(all, 5s);
+    BOOST_TEST((*a2.state.held.as_of <= last_confirmed));
+    BOOST_TEST(!may_use_key(a2.state.held, a2.state.settings.belief, a2.now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/test_edge.cpp
@@ -0,0 +1,209 @@
+// Index of this file:
+// [SECTION] Helpers
+// [SECTION] Answers of targets
+// [SECTION] Answers to callers
+
+#include "damaskhill_impl_edge_client.hpp"
+#include "damaskhill_impl_edge_server.hpp"
+
+#include <asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Helpers
+//-----------------------------------------------------------------------------
+
+/// A target that answers its first request with fixed bytes and then closes, in order or by a reset.
+struct scripted_target {
+    event_loop& loop;
+    asio::ip::tcp::acceptor acceptor{*static_cast<asio::io_context*>(loop.native()),
+                                     {asio::ip::make_address("127.0.0.1"), 0}};
+    std::string answer;
+    bool keep_open{};
+    bool reset{};
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets;
+    std::array<char, 4096> buffer{};
+
+    scripted_target(event_loop& l, std::string text) : loop(l), answer(std::move(text)) { accept(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+    void accept() {
+        acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+            if (error) return;
+            sockets.push_back(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+            serve(sockets.back());
+            accept();
+        });
+    }
+    void serve(const std::shared_ptr<asio::ip::tcp::socket>& socket) {
+        socket->async_read_some(asio::buffer(buffer), [this, socket](const asio::error_code& error, std::size_t) {
+            if (error) return;
+            asio::write(*socket, asio::buffer(answer));
+            if (keep_open) return;
+            asio::error_code ignored;
+            if (reset) socket->set_option(asio::socket_base::linger{true, 0}, ignored);
+            socket->close(ignored);
+        });
+    }
+};
+
+struct outcome {
+    std::uint32_t status{};
+    std::string body;
+    std::optional<edge_result> result;
+    bool unframed{};
+};
+
+outcome call(event_loop& loop, edge_client& client, const std::string& address) {
+    outcome seen;
+    edge_handlers handlers;
+    handlers.on_head = [&](edge_answer_head&& head) {
+        if (find_header(head.headers, "Id") == "other") return edge_verdict::skip;
+        seen.status = head.status;
+        seen.unframed = head.unframed;
+        return edge_verdict::take;
+    };
+    handlers.on_data = [&](std::string_view data) { seen.body.append(data); };
+    handlers.on_end = [&](edge_result result) {
+        seen.result = result;
+        loop.stop();
+    };
+    client.start({address, "GET / HTTP/1.1\r\nHost: t\r\n\r\n", {}, false, false}, std::move(handlers));
+    loop.after(3s, [&] { loop.stop(); });
+    loop.run();
+    return seen;
+}
+
+outcome call_scripted(const std::string& answer, bool keep_open = false, bool reset = false) {
+    event_loop loop;
+    scripted_target target{loop, answer};
+    target.keep_open = keep_open;
+    target.reset = reset;
+    edge_client client{loop, {}};
+    return call(loop, client, target.address());
+}
+
+/// Bytes that a caller reads until the connection ends, after a request to a server.
+std::string read_all(event_loop& loop, const std::string& address) {
+    failure why;
+    const auto parts = split_address(address, why);
+    asio::ip::tcp::socket socket{*static_cast<asio::io_context*>(loop.native())};
+    socket.connect({asio::ip::make_address(parts->first), parts->second});
+    asio::write(socket, asio::buffer(std::string{"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"}));
+    std::string bytes;
+    std::array<char, 4096> buffer{};
+    std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(buffer), [&](const asio::error_code& error, std::size_t size) {
+            bytes.append(buffer.data(), size);
+            if (error) {
+                loop.stop();
+                return;
+            }
+            read();
+        });
+    };
+    read();
+    loop.after(3s, [&] { loop.stop(); });
+    loop.run();
+    return bytes;
+}
+
+constexpr const char* server_address = "127.0.0.1:38471";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(edge)
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers of targets
+//-----------------------------------------------------------------------------
+
+// Guards against the answer to an earlier request that arrives where the next one is expected.
+BOOST_AUTO_TEST_CASE(answer_to_another_request_is_skipped) {
+    const auto seen = call_scripted("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nold"
+                                    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew",
+                                    true);
+    BOOST_TEST((seen.result == edge_result::complete));
+    BOOST_TEST(seen.body == "new");
+}
+
+// Guards against a cut answer that counts as whole.
+BOOST_AUTO_TEST_CASE(short_answer_is_broken) {
+    BOOST_TEST((call_scripted("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").result == edge_result::broken));
+    BOOST_TEST((call_scripted("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n").result ==
+                edge_result::broken));
+}
+
+// Guards against a reset that ends an answer without a length as if it were whole.
+BOOST_AUTO_TEST_CASE(only_an_orderly_close_ends_an_answer_without_length) {
+    const auto whole = call_scripted("HTTP/1.1 200 OK\r\n\r\nabc");
+    BOOST_TEST((whole.result == edge_result::complete));
+    BOOST_TEST(whole.unframed);
+    BOOST_TEST(whole.body == "abc");
+    BOOST_TEST((call_scripted("HTTP/1.1 200 OK\r\n\r\nabc", false, true).result == edge_result::broken));
+}
+
+// Guards against bytes that are no answer, and against a request that counts as sent without a connection.
+BOOST_AUTO_TEST_CASE(garbage_and_missing_targets_are_told_apart) {
+    BOOST_TEST((call_scripted("hello\r\n\r\n", true).result == edge_result::garbled));
+    event_loop loop;
+    edge_client client{loop, {}};
+    BOOST_TEST((call(loop, client, "127.0.0.1:1").result == edge_result::not_sent));
+}
+
+// Guards against bytes behind a complete answer that would begin the next one.
+BOOST_AUTO_TEST_CASE(connection_with_extra_bytes_is_not_used_again) {
+    event_loop loop;
+    scripted_target target{loop, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcEXTRA"};
+    target.keep_open = true;
+    edge_client client{loop, {}};
+    BOOST_TEST((call(loop, client, target.address()).result == edge_result::complete));
+    BOOST_TEST((call(loop, client, target.address()).result == edge_result::complete));
+    BOOST_TEST(client.connections_opened() == 2U);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers to callers
+//-----------------------------------------------------------------------------
+
+// Guards against a stream that was broken off and looks complete.
+BOOST_AUTO_TEST_CASE(aborted_stream_has_no_end_marker) {
+    event_loop loop;
+    edge_server* serving = nullptr;
+    edge_server server{loop,
+                       {},
+                       {[&](std::uint64_t exchange, http_request&&) {
+                            serving->begin(exchange, 200, {});
+                            serving->data(exchange, "abc");
+                            serving->abort(exchange);
+                        },
+                        [](std::uint64_t) {}}};
+    serving = &server;
+    failure why;
+    BOOST_REQUIRE(server.listen(server_address, why).has_value());
+    const std::string bytes = read_all(loop, server_address);
+    BOOST_TEST((bytes.find("3\r\nabc\r\n") != std::string::npos));
+    BOOST_TEST((bytes.find("0\r\n\r\n") == std::string::npos));
+}
+
+// Guards against a stop that leaves callers on a connection that is about to end.
+BOOST_AUTO_TEST_CASE(closing_server_says_so) {
+    event_loop loop;
+    edge_server* serving = nullptr;
+    edge_server server{loop,
+                       {},
+                       {[&](std::uint64_t exchange, http_request&&) { serving->whole(exchange, 200, {}, "ok"); },
+                        [](std::uint64_t) {}}};
+    serving = &server;
+    failure why;
+    BOOST_REQUIRE(server.listen(server_address, why).has_value());
+    server.begin_closing(10s);
+    const std::string bytes = read_all(loop, server_address);
+    BOOST_TEST((bytes.find("Connection: close\r\n") != std::string::npos));
+    BOOST_TEST(bytes.ends_with("ok"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/test_engine_load.cpp
@@ -0,0 +1,198 @@
+// Index of this file:
+// [SECTION] Helpers
+// [SECTION] Kept parts
+// [SECTION] Choice of an engine
+// [SECTION] Loads of other routers
+
+#include "damaskhill_engine_load.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Helpers
+//-----------------------------------------------------------------------------
+
+constexpr time_point start{1000s};
+
+prompt_shape review(std::uint64_t subject, std::uint32_t own_tokens) {
+    return {5000 + own_tokens, 400, 0, {{subject, 5000}, {subject * 1000 + own_tokens, own_tokens}}};
+}
+
+struct fleet {
+    std::vector<target_load> loads;
+    std::vector<placement_option> options;
+    engine_settings settings;
+
+    explicit fleet(std::size_t engines) : loads(engines) {
+        for (std::size_t i = 0; i < engines; ++i) {
+            loads[i].slots = 64;
+            loads[i].kv_limit = 544'695;
+        }
+        for (std::size_t i = 0; i < engines; ++i)
+            options.push_back({static_cast<std::uint32_t>(i), &loads[i], true, false, 0.0});
+    }
+    placement_result place(const prompt_shape& prompt, duration limit) const {
+        return place_prompt(options, prompt, {limit, limit}, settings, start);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(engine_load)
+
+//-----------------------------------------------------------------------------
+// [SECTION] Kept parts
+//-----------------------------------------------------------------------------
+
+// Guards against counting a later part as kept although an earlier one was evicted: engines keep prefixes.
+BOOST_AUTO_TEST_CASE(part_behind_a_missing_one_is_missing) {
+    target_load load;
+    const engine_settings settings;
+    load.parts.use(2, start, settings.parts_kept);
+    const prompt_shape prompt{300, 10, 0, {{1, 100}, {2, 100}, {3, 100}}};
+    BOOST_TEST(missing_tokens(load, prompt, settings, start) == 300U);
+    load.parts.use(1, start, settings.parts_kept);
+    BOOST_TEST(missing_tokens(load, prompt, settings, start) == 100U);
+}
+
+// Guards against memory that grows with the number of subjects.
+BOOST_AUTO_TEST_CASE(least_recently_used_part_is_dropped) {
+    kept_parts parts;
+    parts.use(1, start, 2);
+    parts.use(2, start, 2);
+    parts.use(1, start + 1s, 2);
+    parts.use(3, start + 2s, 2);
+    BOOST_TEST(parts.holds(1, start + 2s, 30s));
+    BOOST_TEST(!parts.holds(2, start + 2s, 30s));
+    BOOST_TEST(!parts.holds(1, start + 60s, 30s));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice of an engine
+//-----------------------------------------------------------------------------
+
+// Load: many requests about one subject. Guards against reading its shared part at another engine while the one
+// that keeps it still answers in time.
+BOOST_AUTO_TEST_CASE(subject_stays_where_its_parts_are) {
+    fleet engines{3};
+    const prompt_shape prompt = review(7, 1000);
+    engines.loads[1].parts.use(7, start, engines.settings.parts_kept);
+    add_backlog(engines.loads[1], engines.settings, 100, start);
+    const auto found = engines.place(prompt, 700ms);
+    BOOST_REQUIRE(found.chosen.has_value());
+    BOOST_TEST(found.chosen->target == 1U);
+}
+
+// Load: a hot key. Guards against a queue at the engine that keeps its parts while others are free.
+BOOST_AUTO_TEST_CASE(hot_subject_spills_before_it_is_late) {
+    fleet engines{3};
+    const prompt_shape prompt = review(7, 1000);
+    engines.loads[1].parts.use(7, start, engines.settings.parts_kept);
+    add_backlog(engines.loads[1], engines.settings, 690, start);
+    const auto found = engines.place(prompt, 700ms);
+    BOOST_REQUIRE(found.chosen.has_value());
+    BOOST_TEST(found.chosen->target != 1U);
+}
+
+// Guards against routers that spill one subject to different engines: the expected parts decide.
+BOOST_AUTO_TEST_CASE(expected_parts_decide_between_engines_that_know_nothing) {
+    fleet engines{4};
+    engines.options[2].affinity = 0.9;
+    engines.options[3].affinity = 0.6;
+    const auto found = engines.place(review(7, 1000), 700ms);
+    BOOST_REQUIRE(found.chosen.has_value());
+    BOOST_TEST(found.chosen->target == 2U);
+}
+
+// Load: prompts of 30,000 tokens between chats. Guards against streams that pause while a long prompt is read.
+BOOST_AUTO_TEST_CASE(long_prompt_goes_to_its_engines_only) {
+    fleet engines{4};
+    engines.options[3].for_long_prompts = true;
+    const auto long_one = engines.place(review(7, 30'000), 700ms);
+    BOOST_REQUIRE(long_one.chosen.has_value());
+    BOOST_TEST(long_one.chosen->target == 3U);
+    const auto short_one = engines.place(review(8, 1000), 700ms);
+    BOOST_REQUIRE(short_one.chosen.has_value());
+    BOOST_TEST(short_one.chosen->target != 3U);
+}
+
+// Guards against reading without a break for longer than a stream may pause, although the first token is in time.
+BOOST_AUTO_TEST_CASE(reading_without_a_break_is_bounded) {
+    fleet engines{1};
+    add_backlog(engines.loads[0], engines.settings, 395, start);
+    const auto found = engines.place(review(7, 1000), 2s);
+    BOOST_TEST(!found.chosen.has_value());
+}
+
+// Guards against a queue inside an engine, whose slots are all taken.
+BOOST_AUTO_TEST_CASE(full_engine_gets_nothing) {
+    fleet engines{1};
+    engines.loads[0].running = 63;
+    BOOST_TEST(!engines.place(review(7, 1000), 700ms).chosen.has_value());
+    engines.loads[0].running = 50;
+    BOOST_TEST(engines.place(review(7, 1000), 700ms).chosen.has_value());
+    engines.loads[0].kv_tokens = 540'000;
+    BOOST_TEST(!engines.place(review(7, 1000), 700ms).chosen.has_value());
+}
+
+// Guards against a Retry-After that says nothing: it follows the backlog of the engine that is free first.
+BOOST_AUTO_TEST_CASE(time_until_room_follows_the_backlog) {
+    fleet engines{2};
+    add_backlog(engines.loads[0], engines.settings, 2000, start);
+    add_backlog(engines.loads[1], engines.settings, 1000, start);
+    engines.options[0].for_long_prompts = engines.options[1].for_long_prompts = true;
+    const auto found = engines.place(review(7, 1000), 500ms);
+    BOOST_TEST(!found.chosen.has_value());
+    BOOST_TEST(found.room_in.count() > (500ms / 1us));
+    BOOST_TEST(found.room_in.count() < (2s / 1us));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loads of other routers
+//-----------------------------------------------------------------------------
+
+// Guards against a service that looks full for good: a router leaves targets without load out of its report.
+BOOST_AUTO_TEST_CASE(target_without_a_row_has_nothing_running) {
+    target_load load;
+    const engine_settings settings;
+    take_peer_load(load, settings, 1, {6, 1000, 10}, start);
+    take_peer_load(load, settings, 2, {1, 0, 0}, start);
+    BOOST_TEST(running_everywhere(load) == 7U);
+    clear_peer_load(load, 1);
+    BOOST_TEST(running_everywhere(load) == 1U);
+    BOOST_TEST(kv_everywhere(load) == 0U);
+    forget_peer_load(load, 2);
+    BOOST_TEST(running_everywhere(load) == 0U);
+}
+
+// Guards against counting a router's whole history as new work when it is first heard, or when it restarts.
+BOOST_AUTO_TEST_CASE(only_growth_of_a_total_joins_the_backlog) {
+    target_load load;
+    const engine_settings settings;
+    take_peer_load(load, settings, 1, {0, 0, 5000}, start);
+    BOOST_TEST(backlog_ms(load, settings, start) == 0.0);
+    take_peer_load(load, settings, 1, {0, 0, 5100}, start);
+    BOOST_TEST(backlog_ms(load, settings, start) == 100.0);
+    take_peer_load(load, settings, 1, {0, 0, 0}, start);
+    BOOST_TEST(backlog_ms(load, settings, start) == 100.0);
+}
+
+// Load: one of three plain targets is busy. Guards against queueing there while another has a free slot.
+BOOST_AUTO_TEST_CASE(call_goes_to_a_free_slot) {
+    std::vector<target_load> loads(2);
+    loads[0].slots = loads[1].slots = 6;
+    loads[0].running = 6;
+    const std::vector<placement_option> options{{0, &loads[0], true, false, 0}, {1, &loads[1], false, false, 0}};
+    const engine_settings settings;
+    const auto found = place_call(options, settings);
+    BOOST_REQUIRE(found.chosen.has_value());
+    BOOST_TEST(found.chosen->target == 1U);
+    loads[0].running = loads[1].running = 9;
+    BOOST_TEST(!place_call(options, settings).chosen.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/test_platform_wire.cpp
@@ -0,0 +1,176 @@
+// Index of this file:
+// [SECTION] Requests
+// [SECTION] Answers
+// [SECTION] Items of the store
+
+#include "damaskhill_impl_thrift.hpp"
+#include "damaskhill_platform_wire.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace damaskhill;
+using namespace damaskhill::platform;
+
+namespace {
+
+http_request chat_request() {
+    return {1,
+            "POST",
+            "/a/b?c=1",
+            {{"Host", "h.example:80"},
+             {"Damaskhill-Attempt-Id", "9c41"},
+             {"Damaskhill-Token-Count", "1460,80"},
+             {"Damaskhill-Length-Hint", "60"},
+             {"Damaskhill-Model", "m"},
+             {"Damaskhill-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"},
+             {"Damaskhill-Deadline-Remaining", "12000"},
+             {"Authorization", "Token secret"},
+             {"Damaskhill-Tenant", "forged"},
+             {"Damaskhill-Cache-Hold", "forged"},
+             {"Kv-From", "forged"},
+             {"Connection", "keep-alive, X-Hop"},
+             {"X-Hop", "1"},
+             {"X-Kept", "2"}},
+            "body"};
+}
+
+const std::string declarations = R"({"version":7,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/",
+"kind":"streaming","timeoutMs":15000,"targetLatencyMs":800,"backends":[{"service":"s","weight":90},
+{"service":"t","weight":10}],"maxAttempts":2,"streamResume":true,"targetGapMs":500}],"services":[{"name":"s",
+"coldStartS":3.0,"coldPerS":13.0,"engine":{"capacity":64,"kvCapacity":1000}}],"limits":{"tokensPerS":290000},
+"tenants":[{"name":"n","apiKeys":["k1","k2"]}]})";
+
+const std::string registration = R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1",
+"capacity":64,"state":"ready","coldRemainingMs":1500,"sequence":4})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_wire)
+
+//-----------------------------------------------------------------------------
+// [SECTION] Requests
+//-----------------------------------------------------------------------------
+
+// Guards against headers that a caller forges, against a key that reaches a target, and against changed bytes.
+BOOST_AUTO_TEST_CASE(request_keeps_what_is_the_callers_only) {
+    const auto request = decode_request(5, chat_request());
+    BOOST_TEST(request.caller == 5U);
+    BOOST_TEST(request.host == "h.example");
+    BOOST_TEST(request.path == "/a/b?c=1");
+    BOOST_TEST(request.api_key == "secret");
+    BOOST_TEST((request.remaining == duration{12s}));
+    BOOST_TEST(request.prompt.tokens == 1460U);
+    BOOST_TEST(request.prompt.output_limit == 80U);
+    BOOST_TEST(request.prompt.output_hint == 60U);
+    BOOST_REQUIRE(request.prompt.parts.size() == 3U);
+    BOOST_TEST(request.prompt.parts[1].tokens == 410U);
+    for (const char* name : {"Authorization", "Damaskhill-Tenant", "Damaskhill-Cache-Hold", "Kv-From", "X-Hop"})
+        BOOST_TEST(find_header(request.headers, name).empty());
+    BOOST_TEST(find_header(request.headers, "X-Kept") == "2");
+    BOOST_TEST(find_header(request.headers, "Damaskhill-Attempt-Id") == "9c41");
+}
+
+// Guards against a target that gets more time than is left, or another target's request.
+BOOST_AUTO_TEST_CASE(call_names_target_account_and_time_left) {
+    direct::send_request effect;
+    effect.content = new direct::request;
+    effect.content->input = decode_request(5, chat_request());
+    effect.target = "i-1";
+    effect.account = "n";
+    effect.remaining = 900ms;
+    effect.resume_after = "12";
+    const edge_call call = encode_call(effect);
+    BOOST_TEST(call.head.starts_with("POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\n"));
+    for (const char* line : {"Damaskhill-Expect-Replica: i-1\r\n", "Damaskhill-Tenant: n\r\n", "Content-Length: 4\r\n",
+                             "Damaskhill-Deadline-Remaining: 900\r\n", "Last-Event-Id: 12\r\n"})
+        BOOST_TEST((call.head.find(line) != std::string::npos));
+    BOOST_TEST((call.head.find("secret") == std::string::npos));
+    BOOST_TEST(call.body == "body");
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+// Guards against an answer to another request, and against headers of one connection that are passed on.
+BOOST_AUTO_TEST_CASE(answer_is_told_apart) {
+    edge_answer_head head{200,
+                          {{"Damaskhill-Attempt-Id", "9c41"},
+                           {"Damaskhill-Replica-Seal", "s"},
+                           {"Keep-Alive", "timeout=5"},
+                           {"Content-Type", "text/event-stream"}},
+                          false};
+    const auto own = decode_answer(1, "9c41", edge_answer_head{head});
+    BOOST_TEST(own.same_attempt);
+    BOOST_TEST(own.head.sealed);
+    BOOST_TEST(own.head.event_stream);
+    BOOST_TEST(find_header(own.head.headers, "Keep-Alive").empty());
+    const auto other = decode_answer(1, "ffff", std::move(head));
+    BOOST_TEST(other.other_attempt);
+    const auto moved = decode_answer(1, "9c41", {421, {}, false});
+    BOOST_TEST(moved.head.other_target);
+    const auto encoded = decode_answer(1, "9c41", {200, {{"Content-Encoding", "gzip"}}, false});
+    BOOST_TEST(encoded.encoded);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Items of the store
+//-----------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(declarations_are_decoded) {
+    catalog known;
+    failure why;
+    BOOST_REQUIRE(decode_declarations(declarations, known, why).has_value());
+    BOOST_TEST(known.version == 7U);
+    BOOST_TEST(known.tokens_per_second == 290'000U);
+    BOOST_TEST(known.account_by_key.at("k2") == "n");
+    const auto* route = find_route(known, "h.example", "/a/x");
+    BOOST_REQUIRE(route != nullptr);
+    BOOST_TEST(route->services.size() == 2U);
+    BOOST_TEST(route->resumable);
+    BOOST_TEST(known.services.at("s").engine->slots == 64U);
+}
+
+// Guards against a target that another writer has made up: it names none to use.
+BOOST_AUTO_TEST_CASE(foreign_registrations_name_no_target) {
+    failure why;
+    const auto entry = decode_target("i-1", registration, why);
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_TEST((entry->cold_remaining == duration{1500ms}));
+    for (const char* text :
+         {"", "{}", "[]", R"({"service":"s","address":"10.1.0.9:8080","capacity":"64","state":"ready"})",
+          R"({"service":"s","address":"somewhere","capacity":64,"state":"ready"})",
+          R"({"service":"s","address":"10.1.0.9:8080","capacity":64,"state":"resting"})"})
+        BOOST_TEST(!decode_target("i-1", text, why).has_value());
+}
+
+// Guards against a crash by bytes that cannot be read.
+BOOST_AUTO_TEST_CASE(altered_and_truncated_items_are_survived) {
+    const bool survived = rc::check("altered items", [] {
+        std::string text = *rc::gen::element(declarations, registration);
+        const auto cut = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+        text.resize(cut);
+        if (!text.empty()) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+            text[at] = *rc::gen::arbitrary<char>();
+        }
+        catalog known;
+        failure why;
+        (void)decode_declarations(text, known, why);
+        (void)decode_target("i-1", text, why);
+        (void)decode_rollout(text, why);
+        (void)decode_rollout_status(text, why);
+        (void)decode_base64(text);
+        (void)decode_report(text, why);
+    });
+    BOOST_TEST(survived);
+}
+
+BOOST_AUTO_TEST_CASE(base64_round_trip) {
+    for (const std::string text : {"", "a", "ab", "abc", "abcd"})
+        BOOST_TEST(decode_base64(encode_base64(text)).value() == text);
+    BOOST_TEST(!decode_base64("a").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
