--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -36,6 +36,7 @@
     bool value_begun{};
     bool request_complete{};
     bool keep_alive{};
+    bool ends{}; // the answer has said that the connection ends
     bool head_only{}; // the request was HEAD
     std::string early; // bytes of the next request, which came before the answer to this one
     std::uint64_t exchange{};
@@ -83,6 +84,10 @@
     std::set<connection_ptr> connections;
     std::uint64_t next_exchange{1};
     bool closing{};
+    bool turning_away{};
+    [[nodiscard]] bool ends(const edge_connection& connection) const {
+        return !connection.keep_alive || closing || turning_away;
+    }
 };
 
 void edge_server::implementation::open(asio::ip::tcp::socket socket) {
@@ -272,7 +277,8 @@
     } else {
         out.append("Transfer-Encoding: chunked\r\n");
     }
-    if (!connection.keep_alive || closing) out.append("Connection: close\r\n");
+    connection.ends = ends(connection);
+    if (connection.ends) out.append("Connection: close\r\n");
     out.append("\r\n");
 }
 
@@ -332,7 +338,7 @@
 void edge_server::implementation::finish_reply(const connection_ptr& connection) {
     exchanges.erase(connection->exchange);
     connection->reply = reply_state::none;
-    if (!connection->keep_alive || closing) connection->close_after_write = true;
+    if (connection->ends || closing) connection->close_after_write = true;
     write(connection);
     if (connection->closed || connection->close_after_write) return;
     if (connection->early.empty()) return;
@@ -415,6 +421,8 @@
     impl_->write(connection);
 }
 
+void edge_server::set_turning_away(bool turning_away) { impl_->turning_away = turning_away; }
+
 void edge_server::begin_closing(duration idle_close_delay) {
     impl_->closing = true;
     const auto timer = std::make_shared<asio::steady_timer>(impl_->context, idle_close_delay);
--- a/backends/damaskhill_impl_edge_server.hpp
+++ b/backends/damaskhill_impl_edge_server.hpp
@@ -49,6 +49,8 @@
     void end(std::uint64_t exchange);
     void abort(std::uint64_t exchange); // closes the connection without an end
 
+    /// While set, every answer ends its connection, so that callers come back through the balancer.
+    void set_turning_away(bool turning_away);
     /// From now on every answer ends its connection; idle connections close after the delay.
     void begin_closing(duration idle_close_delay);
 
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -65,7 +65,7 @@
     duration least_retry_after{80ms};   // below, a caller would return before anything has changed
     duration overload_lag{60ms};   // timers that are later than this show that the processor does not keep up
     duration recovered_lag{12ms};  // below, it does again
-    duration overload_time{1500ms}; // an overload lasts at least so long: the balancer asks once a second
+    duration overload_time{4s};     // an overload lasts at least so long: callers move within about 2 s
     duration shed_lag{120ms};      // above, new requests are refused at once
     std::uint32_t poison_limit{2};      // targets lost while running a request after which it is not sent again
 };
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -152,6 +152,7 @@
         spare_.pop_back();
     }
     direct::reduce(state_, boot_clock(), event, out);
+    edge_.set_turning_away(state_.overloaded && !direct::is_ready(state_, state_.now));
     for (direct::effect& item : out)
         perform(item);
     out.clear();
