Grant room by backlog, so that prompts of any length lose it alike

The backlog that an account may join now falls from half of its share on, and shared parts that would be read again count against what is granted.

--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -223,20 +223,20 @@
     return service != state.known->services.end() && service->second.engine && item.input.prompt.tokens > 0;
 }
 
-/// Part of the limits that an account may use: all of it within its share, then less the more it has had beyond,
-/// so that accounts which ask for too much come out even whatever the length of their prompts.
+/// Part of the limits that an account may use. It falls with what the account has had of its share, so that the
+/// accounts that have had least get the room that becomes free, whatever the length of their prompts.
 double share_factor(double used_share) {
-    constexpr double cut_off = 0.8; // beyond the share, at which only idle engines take the account's requests
-    return used_share <= 1.0 ? 1.0 : std::max(0.0, 1.0 - (used_share - 1.0) / cut_off);
+    constexpr double untouched = 0.5; // of the share: up to here all of the limits
+    constexpr double cut_off = 1.7;   // of the share: from here only idle engines take the account's requests
+    return std::clamp(1.0 - (used_share - untouched) / (cut_off - untouched), 0.0, 1.0);
 }
 
 first_token_limits limits_of(const router_state& state, const request& item) {
     const double used = item.account.empty() ? 0.0 : state.shares.used_share(item.account_hash, state.now);
     const auto latency = static_cast<double>(item.route.target_latency.count());
     const duration timely{static_cast<std::int64_t>(latency * state.settings.timely_share)};
-    const duration granted{static_cast<std::int64_t>(static_cast<double>(timely.count()) * share_factor(used))};
     const duration waited = state.now - item.arrived;
-    return {timely - waited, granted - waited};
+    return {timely - waited, share_factor(used)};
 }
 
 struct placement_outcome {
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -130,45 +130,63 @@
     bool has_room{};
     bool idle{};
     bool is_long{};
+    bool in_time{};
+    double over_ms{}; // of the backlog beyond what is allowed
     double wait_ms{};
     double work_ms{};
+    double shared_ms{}; // of the work: shared parts that are expected to be missing
     double rank{}; // lower is better, ms
 };
 
+/// Longest backlog behind which the request may be sent, ms; negative: none is short enough.
+double allowed_backlog_ms(const prompt_offer& offer, const placement_option& option,
+                          const first_token_limits& limits, const engine_settings& settings) {
+    const double timely = to_milliseconds(limits.timely);
+    const double base = to_milliseconds(settings.first_token_base);
+    double limit = timely - base;
+    if (offer.is_long) {
+        if (!option.for_long_prompts) return -1;
+        limit = timely * settings.long_prompt_allowance - base;
+    } else if (!option.for_long_prompts) {
+        limit = std::min(limit, to_milliseconds(settings.unbroken_reading));
+    }
+    const double room = limit - offer.work_ms;
+    if (room < 0 || offer.idle) return room;
+    // The less an account is granted, the less it may have read again elsewhere.
+    const double again = settings.read_again_weight * (1.0 - limits.granted_part) * offer.shared_ms;
+    return room * limits.granted_part - again;
+}
+
 prompt_offer offer_of(const placement_option& option, const prompt_shape& prompt,
-                      const engine_settings& settings, time_point now) {
+                      const first_token_limits& limits, const engine_settings& settings, time_point now) {
     const target_load& load = *option.load;
     const std::uint32_t running = running_everywhere(load);
     const double used = static_cast<double>(running) / std::max(1U, load.slots);
     const auto memory = static_cast<double>(kv_everywhere(load) + expected_kv(prompt));
+    const double backlog = backlog_ms(load, settings, now);
     prompt_offer offer;
     offer.has_room = (running == 0 || used < settings.slot_share) &&
                      (load.kv_limit == 0 || running == 0 ||
                       memory <= settings.memory_share * static_cast<double>(load.kv_limit));
-    const double backlog = backlog_ms(load, settings, now);
     offer.work_ms = reading_ms(missing_tokens(load, prompt, settings, now), prompt, settings);
     offer.is_long = offer.work_ms > to_milliseconds(settings.long_prompt);
-    const bool breaks = backlog + offer.work_ms <= to_milliseconds(settings.unbroken_reading);
-    if (!option.for_long_prompts) offer.has_room = offer.has_room && !offer.is_long && breaks;
     offer.wait_ms = backlog + offer.work_ms + to_milliseconds(settings.first_token_base);
     // Shared parts that other routers have sent there need not be read; the last part is the request's own.
     const std::uint32_t own = prompt.parts.empty() ? prompt.tokens : prompt.parts.back().tokens;
     const double own_ms = std::min(offer.work_ms, reading_ms(own, prompt, settings));
-    const double shared_ms = (1.0 - option.affinity) * (offer.work_ms - own_ms);
-    const double expected_ms = own_ms + shared_ms;
+    offer.shared_ms = (1.0 - option.affinity) * (offer.work_ms - own_ms);
     offer.idle = used < settings.idle_slots && backlog < to_milliseconds(settings.idle_backlog) &&
-                 shared_ms < to_milliseconds(settings.idle_backlog);
-    offer.rank = offer.wait_ms + settings.work_weight * expected_ms +
+                 offer.shared_ms < to_milliseconds(settings.idle_backlog);
+    const double allowed = allowed_backlog_ms(offer, option, limits, settings);
+    offer.in_time = backlog <= allowed;
+    offer.over_ms = std::max(0.0, backlog - std::max(0.0, allowed));
+    offer.rank = offer.wait_ms + settings.work_weight * (own_ms + offer.shared_ms) +
                  to_milliseconds(settings.full_batch_penalty) * used * used +
                  (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty)) +
                  (option.for_long_prompts && !offer.is_long ? to_milliseconds(settings.long_engine_penalty) : 0.0);
     return offer;
 }
 
-duration allowed_for(const prompt_offer& offer, duration limit, const engine_settings& settings) {
-    return offer.is_long ? from_ms(to_milliseconds(limit) * settings.long_prompt_allowance) : limit;
-}
-
 } // namespace
 
 placement_result place_prompt(std::span<const placement_option> options, const prompt_shape& prompt,
@@ -179,19 +197,17 @@
     double best = 0;
     double shortest = -1;
     for (const placement_option& option : options) {
-        const prompt_offer offer = offer_of(option, prompt, settings, now);
+        const prompt_offer offer = offer_of(option, prompt, limits, settings, now);
         if (!offer.has_room) continue;
-        if (shortest < 0 || offer.wait_ms < shortest) shortest = offer.wait_ms;
-        const duration limit = offer.idle ? limits.timely : limits.granted;
-        if (from_ms(offer.wait_ms) > allowed_for(offer, limit, settings)) continue;
+        if (!offer.in_time) {
+            if (shortest < 0 || offer.over_ms < shortest) shortest = offer.over_ms;
+            continue;
+        }
         if (result.chosen && best <= offer.rank) continue;
         best = offer.rank;
         result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms};
     }
-    if (!result.chosen && shortest >= 0) {
-        const double over = shortest - std::max(0.0, to_milliseconds(limits.granted));
-        result.room_in = from_ms(std::max(1.0, over / settings.prompt_share));
-    }
+    if (!result.chosen && shortest >= 0) result.room_in = from_ms(std::max(1.0, shortest / settings.prompt_share));
     return result;
 }
 
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -40,6 +40,7 @@
     double long_prompt_allowance{1.5};   // factor of the limit for long prompts, which fit into few gaps
     duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
+    double read_again_weight{4.0};  // backlog that an account without any grant gives up for each ms read again
     double idle_slots{0.4};         // an engine is idle below this share of its slots
     duration idle_backlog{20ms};    // and below this backlog
     std::size_t parts_kept{4096}; // prompt parts remembered for each engine
@@ -157,8 +158,8 @@
 
 /// Time from now within which the first token has to be predicted.
 struct first_token_limits {
-    duration timely{};  // at any engine
-    duration granted{}; // at an engine that is not idle; no more than timely
+    duration timely{};        // at any engine
+    double granted_part{1.0}; // of the limits at an engine that is not idle
 };
 
 /// Chooses an engine whose first token is predicted within the limits.
