Send growth in summaries, not sums that fall and rise

Cause: a relay summed its neighbours' totals of prompt reading; when one of them was not heard for a moment the sum fell, and its return looked like new work. Ruled out: the order between accounts, and processors (the refused requests were at idle routers).

--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -55,8 +55,9 @@
         const auto id = state.target_by_hash.find(row.target);
         target_state* target = id == state.target_by_hash.end() ? nullptr : find_target(state, id->second);
         if (target == nullptr) continue;
-        take_peer_load(target->load, state.settings.engine, sender,
-                       {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
+        const std::uint64_t growth = take_peer_load(target->load, state.settings.engine, sender,
+                                                    {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
+        if (!report.is_summary) target->load.peers_prompt_ms += growth;
     }
     std::unordered_map<std::uint64_t, account_usage> usage;
     for (const account_usage_row& row : report.accounts)
@@ -91,6 +92,8 @@
     data_centre_summary& summary = state.summaries[report.data_centre];
     const bool other_relay = summary.last.router != report.router;
     if (!other_relay && report.sent_us <= summary.last.sent_us) return;
+    // The totals of another relay count from another beginning.
+    if (other_relay) forget_router_load(state, summary_id(report.data_centre));
     summary.heard = state.now;
     summary.last = report;
     summary.to_hand_on = !report.relayed;
@@ -254,6 +257,15 @@
     for (const auto& [address, peer] : state.peers) {
         if (is_neighbour(state, peer)) sums.add(peer.last);
     }
+    // A sum of the neighbours' own totals would fall and rise with who is heard at the moment, and each rise would
+    // look like new work. The relay therefore sends what it has seen their totals grow by.
+    for (auto& [hash, row] : sums.targets) {
+        const auto id = state.target_by_hash.find(hash);
+        const auto target = id == state.target_by_hash.end() ? state.targets.end() : state.targets.find(id->second);
+        row.prompt_ms_total = target == state.targets.end() ? 0
+                                                            : target->second.load.prompt_ms_total +
+                                                                  target->second.load.peers_prompt_ms;
+    }
     auto summary = std::make_shared<router_report>();
     add_identity(state, *summary);
     add_routers(state, *summary, false);
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -73,20 +73,21 @@
     load.peers.erase(found);
 }
 
-void take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
-                    const peer_load& row, time_point now) {
+std::uint64_t take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
+                             const peer_load& row, time_point now) {
     const auto [found, fresh] = load.peers.try_emplace(router, row);
-    if (!fresh && row.prompt_ms_total > found->second.prompt_ms_total) {
-        add_backlog(load, settings, static_cast<double>(row.prompt_ms_total - found->second.prompt_ms_total),
-                    now);
-    }
+    peer_load& held = found->second;
+    const bool grown = !fresh && row.prompt_ms_total > held.prompt_ms_total;
+    const std::uint64_t growth = grown ? row.prompt_ms_total - held.prompt_ms_total : 0;
+    if (grown) add_backlog(load, settings, static_cast<double>(growth), now);
     if (!fresh) {
-        load.peers_running -= found->second.running;
-        load.peers_kv_tokens -= found->second.kv_tokens;
+        load.peers_running -= held.running;
+        load.peers_kv_tokens -= held.kv_tokens;
     }
     load.peers_running += row.running;
     load.peers_kv_tokens += row.kv_tokens;
-    found->second = row;
+    held = row;
+    return growth;
 }
 
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -88,6 +88,7 @@
     std::uint32_t running{};  // of this router
     std::uint64_t kv_tokens{};
     std::uint64_t prompt_ms_total{}; // of this router since its start
+    std::uint64_t peers_prompt_ms{}; // growth of the peers' totals that this router has seen
     prompt_backlog backlog;          // of all routers
     std::unordered_map<std::uint64_t, peer_load> peers; // by router; changed by the functions below only
     std::uint32_t peers_running{};                      // sums over them
@@ -104,8 +105,8 @@
 void clear_peer_load(target_load& load, std::uint64_t router);
 /// Drops what another router has said.
 void forget_peer_load(target_load& load, std::uint64_t router);
-/// Takes a row of another router's report.
-void take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
+/// Takes a row of another router's report. Returns the growth of its total since the last row, ms.
+std::uint64_t take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
                     const peer_load& row, time_point now);
 
 //-----------------------------------------------------------------------------
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -419,6 +419,34 @@
     BOOST_TEST(running_everywhere(a2.state.targets.at(sent->target).load) == 0U);
 }
 
+// Guards against a backlog that grows by the whole history of a router whenever its relay hears it again.
+BOOST_AUTO_TEST_CASE(neighbour_that_is_lost_and_heard_again_adds_no_backlog) {
+    test_router a1{"10.0.0.1:7", "dc-a"};
+    test_router a2{"10.0.0.2:7", "dc-a"};
+    test_router b1{"10.0.1.1:7", "dc-b"};
+    const std::vector<test_router*> all{&a1, &a2, &b1};
+    const std::vector<test_router*> without_a2{&a1, &b1};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7", "10.0.0.2:7"};
+    exchange_reports(all, 3s);
+    for (int i = 0; i < 40; ++i) {
+        a1.confirm_now();
+        a1.ask("chat");
+        a2.confirm_now();
+        a2.ask("chat");
+        exchange_reports(all, 100ms);
+    }
+    exchange_reports(without_a2, 3s); // a1, the relay, no longer hears a2
+    a2.now = a1.now;
+    double highest = 0;
+    for (int i = 0; i < 200; ++i) { // looks often: a backlog that is added drains again
+        exchange_reports(all, 20ms);
+        for (const auto& [id, target] : b1.state.targets)
+            highest = std::max(highest, backlog_ms(target.load, b1.state.settings.engine, b1.now));
+    }
+    BOOST_TEST(highest == 0.0);
+}
+
 // Guards against a router that refuses everybody although a peer still hears the store, and against a peer's
 // belief that looks younger than it is.
 BOOST_AUTO_TEST_CASE(peer_relays_belief_with_its_age) {
