--- a/backends/damaskhill_impl_datagram.cpp
+++ b/backends/damaskhill_impl_datagram.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t datagram_limit = 60'000; // bytes; the largest that UDP carries is 65,507
+constexpr std::size_t datagram_limit = 60'000;            // bytes; the largest that UDP carries is 65,507
 constexpr frame_position unordered{false, 0, "datagram"}; // reports carry their own order
 
 } // namespace
--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -21,14 +21,13 @@
     if (!text) return std::nullopt;
     auto s = parse_as<direct_daemon_settings>(*text, file, unknown_keys::reject, why);
     if (!s) return std::nullopt;
-    const bool ok = check_text(s->name, "name", file, why) &&
-                    check_text(s->data_centre, "data_centre", file, why) &&
-                    check_address(s->http_address, "http_address", file, why) &&
-                    check_address(s->ready_address, "ready_address", file, why) &&
-                    check_address(s->control_address, "control_address", file, why) &&
-                    check_address(s->report_address, "report_address", file, why) &&
-                    check_address(s->store_address, "store_address", file, why) &&
-                    check_keys(s->link_keys, file, why);
+    const bool ok =
+        check_text(s->name, "name", file, why) && check_text(s->data_centre, "data_centre", file, why) &&
+        check_address(s->http_address, "http_address", file, why) &&
+        check_address(s->ready_address, "ready_address", file, why) &&
+        check_address(s->control_address, "control_address", file, why) &&
+        check_address(s->report_address, "report_address", file, why) &&
+        check_address(s->store_address, "store_address", file, why) && check_keys(s->link_keys, file, why);
     if (!ok) return std::nullopt;
     for (const std::string& seed : s->seeds) {
         if (!check_address(seed, "seeds", file, why)) return std::nullopt;
@@ -61,6 +60,10 @@
     core.repeats.ratio = settings.repeat_ratio;
     core.repeats.slack = settings.repeat_slack;
     core.repeats.window = duration{static_cast<std::int64_t>(settings.repeat_window_s * 1e6)};
+    // Each sender's burst is one request, so that the slack bounds the senders.
+    core.cold.senders = static_cast<std::uint32_t>(std::max(1.0, settings.cold_slack));
+    constexpr double rate_margin = 0.5; // of the rate that is allowed; routers may count each other wrongly
+    core.cold.rate_share = settings.cold_overage * rate_margin;
     constexpr duration stop_margin = 400ms; // for the last answers to leave
     core.stop_limit = duration{static_cast<std::int64_t>(settings.stop_limit_s * 1e6)} - stop_margin;
     return core;
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -19,21 +19,20 @@
 struct direct_daemon_settings {
     std::string name;
     std::string data_centre;
-    std::string http_address;     // callers, "IP:port"
-    std::string ready_address;    // the balancer's readiness check
-    std::string control_address;  // /metrics, /snapshot and /healthz
-    std::string report_address;   // datagrams of other routers
+    std::string http_address;    // callers, "IP:port"
+    std::string ready_address;   // the balancer's readiness check
+    std::string control_address; // /metrics, /snapshot and /healthz
+    std::string report_address;  // datagrams of other routers
     std::string store_address;
     std::vector<std::string> seeds; // "IP:port" of some routers' control addresses
     std::vector<link_key_settings> link_keys;
-    double key_limit_ms{5000};               // how old the store's copy may be while keys are accepted
-    double stop_limit_s{8};                  // from SIGTERM to the end of the process
-    double repeat_ratio{0.2};                // repeats to each service, all routers together
+    double key_limit_ms{5000}; // how old the store's copy may be while keys are accepted
+    double stop_limit_s{8};    // from SIGTERM to the end of the process
+    double repeat_ratio{0.2};  // repeats to each service, all routers together
     double repeat_slack{50};
     double repeat_window_s{10};
-    double cold_overage{1.5};                // factor and addition by which a cold target's rate may be exceeded
+    double cold_overage{1.5}; // factor and addition by which a cold target's rate may be exceeded
     double cold_slack{5};
-    double link_mbps{1000};
     static constexpr auto fields() {
         using t = direct_daemon_settings;
         return std::tuple{field{1, "name", &t::name},
@@ -51,13 +50,13 @@
                           field{13, "repeat_slack", &t::repeat_slack},
                           field{14, "repeat_window_s", &t::repeat_window_s},
                           field{15, "cold_overage", &t::cold_overage},
-                          field{16, "cold_slack", &t::cold_slack},
-                          field{17, "link_mbps", &t::link_mbps}};
+                          field{16, "cold_slack", &t::cold_slack}};
     }
 };
 
 /// Reads and checks a settings file as a whole.
-[[nodiscard]] std::optional<direct_daemon_settings> load_direct_settings(const std::string& file, failure& why);
+[[nodiscard]] std::optional<direct_daemon_settings> load_direct_settings(const std::string& file,
+                                                                         failure& why);
 [[nodiscard]] direct::router_settings core_settings(const direct_daemon_settings& settings,
                                                     std::uint64_t incarnation);
 
@@ -66,12 +65,12 @@
 //-----------------------------------------------------------------------------
 
 struct structured_log_settings {
-    double lines_per_s{250};              // of lines that are not essential
+    double lines_per_s{250};               // of lines that are not essential
     std::size_t buffer_limit{256U << 10U}; // bytes that wait for standard output; further lines are dropped
 };
 
-/// JSON lines on standard output. Never blocks: what the pipe does not take is kept up to the limit, then dropped
-/// and counted.
+/// JSON lines on standard output. Never blocks: what the pipe does not take is kept up to the limit, then
+/// dropped and counted.
 class structured_log {
 public:
     explicit structured_log(structured_log_settings settings = {});
--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -210,7 +210,8 @@
     connection.socket.set_option(integer{silent_ms}, ignored);
     connection.socket.set_option(asio::socket_base::keep_alive{true}, ignored);
     connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>{1}, ignored);
-    connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>{1}, ignored);
+    connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>{1},
+                                 ignored);
     connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{2}, ignored);
 }
 
@@ -228,23 +229,24 @@
     connection->socket.open(asio::ip::tcp::v4(), ignored);
     set_options(*connection);
     connection->connect_timer.expires_after(settings.connect_limit);
-    connection->connect_timer.async_wait([self = shared_from_this(), connection](const asio::error_code& error) {
-        if (!error && !connection->connected && !connection->closed)
-            self->finish(connection, edge_result::not_sent);
-    });
-    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
-    connection->socket.async_connect(
-        endpoint, [self = shared_from_this(), connection](const asio::error_code& error) {
-            if (connection->closed) return;
-            connection->connect_timer.cancel();
-            if (error) {
+    connection->connect_timer.async_wait(
+        [self = shared_from_this(), connection](const asio::error_code& error) {
+            if (!error && !connection->connected && !connection->closed)
                 self->finish(connection, edge_result::not_sent);
-                return;
-            }
-            connection->connected = true;
-            self->read(connection);
-            self->write(connection);
         });
+    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
+    connection->socket.async_connect(endpoint,
+                                     [self = shared_from_this(), connection](const asio::error_code& error) {
+                                         if (connection->closed) return;
+                                         connection->connect_timer.cancel();
+                                         if (error) {
+                                             self->finish(connection, edge_result::not_sent);
+                                             return;
+                                         }
+                                         connection->connected = true;
+                                         self->read(connection);
+                                         self->write(connection);
+                                     });
 }
 
 void edge_client::implementation::finish(const connection_ptr& connection, edge_result result) {
--- a/backends/damaskhill_impl_edge_client.hpp
+++ b/backends/damaskhill_impl_edge_client.hpp
@@ -1,8 +1,8 @@
-// HTTP/1.1 client of the direct router, over Asio and http_parser: keeps connections, passes bodies on as they
-// arrive, and tells whether a request can have reached the other side.
+// HTTP/1.1 client of the direct router, over Asio and http_parser: keeps connections, passes bodies on as
+// they arrive, and tells whether a request can have reached the other side.
 //
-// libcurl fits neither need here: it repeats a request by itself when a kept connection turns out to be dead, and
-// a thread hand-over for each piece of a stream costs more than the piece.
+// libcurl fits neither need here: it repeats a request by itself when a kept connection turns out to be dead,
+// and a thread hand-over for each piece of a stream costs more than the piece.
 //
 // Index of this file:
 // [SECTION] Calls
@@ -20,19 +20,19 @@
 //-----------------------------------------------------------------------------
 
 struct edge_client_settings {
-    duration connect_limit{400ms};     // a connection within one region takes a few ms
-    duration silent_limit{1500ms};     // unacknowledged bytes or keep-alive probes, after which it is dead
-    duration idle_limit{8s};           // a kept connection is not used after so long, or what Keep-Alive says
-    duration idle_margin{700ms};       // before the time that Keep-Alive says
-    duration recent_limit{1500ms};     // a call that must not be repeated takes no older connection
-    std::size_t idle_connections{48};  // kept for each address
+    duration connect_limit{400ms};    // a connection within one region takes a few ms
+    duration silent_limit{1500ms};    // unacknowledged bytes or keep-alive probes, after which it is dead
+    duration idle_limit{8s};          // a kept connection is not used after so long, or what Keep-Alive says
+    duration idle_margin{700ms};      // before the time that Keep-Alive says
+    duration recent_limit{1500ms};    // a call that must not be repeated takes no older connection
+    std::size_t idle_connections{48}; // kept for each address
 };
 
 struct edge_call {
     std::string address; // "IP:port"
     std::string head;    // request line and headers with the empty line
     std::string body;
-    bool head_only{};    // method HEAD
+    bool head_only{}; // method HEAD
     bool recent_connection_only{};
 };
 
--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -36,8 +36,8 @@
     bool value_begun{};
     bool request_complete{};
     bool keep_alive{};
-    bool ends{}; // the answer has said that the connection ends
-    bool head_only{}; // the request was HEAD
+    bool ends{};       // the answer has said that the connection ends
+    bool head_only{};  // the request was HEAD
     std::string early; // bytes of the next request, which came before the answer to this one
     std::uint64_t exchange{};
     reply_state reply{reply_state::none};
@@ -269,7 +269,11 @@
                                               const http_headers& headers,
                                               std::optional<std::size_t> length) const {
     std::string& out = connection.unsent;
-    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason_of(status)).append("\r\n");
+    out.append("HTTP/1.1 ")
+        .append(std::to_string(status))
+        .append(" ")
+        .append(reason_of(status))
+        .append("\r\n");
     for (const auto& [name, value] : headers)
         out.append(name).append(": ").append(value).append("\r\n");
     if (length) {
@@ -368,7 +372,8 @@
     if (!error) acceptor.open(endpoint.protocol(), error);
     if (!error) acceptor.set_option(asio::socket_base::reuse_address{true}, error);
     if (!error) acceptor.bind(endpoint, error);
-    constexpr int backlog = 1024; // connections that wait to be accepted; a dropped one costs its caller seconds
+    constexpr int backlog =
+        1024; // connections that wait to be accepted; a dropped one costs its caller seconds
     if (!error) acceptor.listen(backlog, error);
     if (!error) acceptor.non_blocking(true, error);
     if (error) {
--- a/backends/damaskhill_impl_edge_server.hpp
+++ b/backends/damaskhill_impl_edge_server.hpp
@@ -1,7 +1,7 @@
 // HTTP/1.1 server for callers of the direct router, over Asio and http_parser.
 //
-// RESTinio, which is built from the same two libraries, has no call that breaks a begun answer off: its chunked
-// builder always ends with the end marker, so that a cut stream would look complete.
+// RESTinio, which is built from the same two libraries, has no call that breaks a begun answer off: its
+// chunked builder always ends with the end marker, so that a cut stream would look complete.
 //
 // Index of this file:
 // [SECTION] Server
@@ -18,14 +18,14 @@
 //-----------------------------------------------------------------------------
 
 struct edge_server_settings {
-    std::size_t header_limit{64U << 10U};   // bytes of a head
-    std::size_t body_limit{8U << 20U};      // bytes of a body
-    std::size_t unsent_limit{4U << 20U};    // bytes that a slow reader may leave unsent
-    std::size_t connection_limit{3000};     // open connections; further ones are closed at once
+    std::size_t header_limit{64U << 10U}; // bytes of a head
+    std::size_t body_limit{8U << 20U};    // bytes of a body
+    std::size_t unsent_limit{4U << 20U};  // bytes that a slow reader may leave unsent
+    std::size_t connection_limit{3000};   // open connections; further ones are closed at once
 };
 
-/// One request has one exchange number, which its answer is addressed by. Answers to exchanges whose connection
-/// has gone are ignored.
+/// One request has one exchange number, which its answer is addressed by. Answers to exchanges whose
+/// connection has gone are ignored.
 class edge_server {
 public:
     struct handlers {
@@ -43,7 +43,8 @@
     /// Serves "IP:port" on the loop. Writes network when the address cannot be used.
     [[nodiscard]] std::optional<bool> listen(std::string_view address, failure& why);
 
-    void whole(std::uint64_t exchange, std::uint32_t status, const http_headers& headers, std::string_view body);
+    void whole(std::uint64_t exchange, std::uint32_t status, const http_headers& headers,
+               std::string_view body);
     void begin(std::uint64_t exchange, std::uint32_t status, const http_headers& headers);
     void data(std::uint64_t exchange, std::string_view data);
     void end(std::uint64_t exchange);
--- a/backends/damaskhill_impl_program.cpp
+++ b/backends/damaskhill_impl_program.cpp
@@ -76,7 +76,8 @@
     if (const char* file = std::getenv("DAMASKHILL_CONFIG"); file != nullptr && options.settings_file.empty())
         options.settings_file = file;
     if (options.settings_file.empty() || optind != static_cast<int>(arguments.size())) {
-        std::fprintf(stderr, "%s: --settings FILE or DAMASKHILL_CONFIG is required; see --help\n", arguments[0]);
+        std::fprintf(stderr, "%s: --settings FILE or DAMASKHILL_CONFIG is required; see --help\n",
+                     arguments[0]);
         code = exit_code::usage;
         return std::nullopt;
     }
--- a/backends/damaskhill_impl_program.hpp
+++ b/backends/damaskhill_impl_program.hpp
@@ -123,10 +123,12 @@
 };
 
 /// Checks of single settings; they write the file and the setting's name.
-[[nodiscard]] bool check_text(const std::string& value, const char* name, const std::string& file, failure& why);
+[[nodiscard]] bool check_text(const std::string& value, const char* name, const std::string& file,
+                              failure& why);
 [[nodiscard]] bool check_address(const std::string& value, const char* name, const std::string& file,
                                  failure& why);
-[[nodiscard]] bool check_keys(const std::vector<link_key_settings>& keys, const std::string& file, failure& why);
+[[nodiscard]] bool check_keys(const std::vector<link_key_settings>& keys, const std::string& file,
+                              failure& why);
 
 /// Reads and checks a settings file as a whole.
 [[nodiscard]] std::optional<router_daemon_settings> load_router_settings(const std::string& file,
--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -74,7 +74,8 @@
     for (const auto& [account, usage] : own_usage(now))
         asked[account] += usage.asked;
     peers_served_.clear();
-    std::erase_if(peers_, [&](const auto& peer) { return now - peer.second.heard > settings_.peer_lifetime; });
+    std::erase_if(peers_,
+                  [&](const auto& peer) { return now - peer.second.heard > settings_.peer_lifetime; });
     for (const auto& [router, peer] : peers_) {
         for (const auto& [account, usage] : peer.rows) {
             asked[account] += usage.asked;
--- a/core/damaskhill_account_share.hpp
+++ b/core/damaskhill_account_share.hpp
@@ -1,7 +1,8 @@
 // Max-min shares of client accounts in what the engines produce together.
 //
-// Load pattern: one account sends many times its usual. What it asks beyond an even share must wait behind the
-// requests of every account that is within its share, on all routers, from the first seconds of the surge on.
+// Load pattern: one account sends many times its usual. What it asks beyond an even share must wait behind
+// the requests of every account that is within its share, on all routers, from the first seconds of the surge
+// on.
 //
 // Index of this file:
 // [SECTION] Usage of accounts
@@ -21,8 +22,8 @@
 //-----------------------------------------------------------------------------
 
 struct share_settings {
-    duration slice{500ms};           // grain of the window
-    duration peer_lifetime{1500ms};  // after which a silent router's rows no longer count
+    duration slice{500ms};                     // grain of the window
+    duration peer_lifetime{1500ms};            // after which a silent router's rows no longer count
     double default_tokens_per_second{290'000}; // where the operator declares none
 };
 
@@ -49,7 +50,8 @@
 
     void on_asked(std::uint64_t account, double tokens, time_point now);
     void on_served(std::uint64_t account, double tokens, time_point now);
-    void set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows, time_point now);
+    void set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
+                  time_point now);
     [[nodiscard]] std::unordered_map<std::uint64_t, account_usage> own_usage(time_point now) const;
 
     /// Recomputes the level up to which every account may be served; costs a sort of the accounts.
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -1,4 +1,5 @@
-// What a direct router knows of the deployment: routes, client accounts, targets, data centres out of service.
+// What a direct router knows of the deployment: routes, client accounts, targets, data centres out of
+// service.
 //
 // Index of this file:
 // [SECTION] Declarations
@@ -106,7 +107,8 @@
     std::uint64_t version{};           // of the declarations, 0: none known
     std::uint64_t revision{};          // of the declarations in the store
     std::uint64_t tokens_per_second{}; // that all engines produce together, 0: not declared
-    std::map<std::string, std::vector<route_declaration>, std::less<>> routes; // by host, longest prefix first
+    std::map<std::string, std::vector<route_declaration>, std::less<>>
+        routes; // by host, longest prefix first
     std::map<std::string, service_declaration, std::less<>> services;
     std::map<std::string, std::string, std::less<>> account_by_key;
     std::map<std::string, target_entry, std::less<>> targets; // by id
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -107,12 +107,12 @@
         target.lost_until = {};
     }
     if (fresh || entry.draining != target.entry.draining) {
-        out.emplace_back(log_event{"target",
-                                   "\"target\":" + quoted(entry.id) + ",\"service\":" + quoted(entry.service) +
-                                       ",\"state\":" + (entry.draining ? "\"draining\"" : "\"ready\"") +
-                                       ",\"cold_ms\":" + in_ms(entry.cold_remaining) +
-                                       ",\"revision\":" + std::to_string(entry.revision),
-                                   true});
+        out.emplace_back(
+            log_event{"target",
+                      "\"target\":" + quoted(entry.id) + ",\"service\":" + quoted(entry.service) +
+                          ",\"state\":" + (entry.draining ? "\"draining\"" : "\"ready\"") + ",\"cold_ms\":" +
+                          in_ms(entry.cold_remaining) + ",\"revision\":" + std::to_string(entry.revision),
+                      true});
     }
     target.entry = entry;
     target.entry_seen = state.now;
@@ -157,9 +157,8 @@
     state.store_revision = event.store_revision;
     if (!before || before->version != event.known->version) {
         out.emplace_back(log_event{"declarations",
-                                   "\"version\":" + std::to_string(event.known->version) +
-                                       ",\"revision\":" + std::to_string(event.known->revision) +
-                                       ",\"accounts_keys\":" +
+                                   "\"version\":" + std::to_string(event.known->version) + ",\"revision\":" +
+                                       std::to_string(event.known->revision) + ",\"accounts_keys\":" +
                                        std::to_string(event.known->account_by_key.size()),
                                    true});
     }
@@ -170,9 +169,8 @@
     for (auto& [id, target] : state.targets) {
         if (event.known->targets.contains(id)) continue;
         if (target.missing_since == time_point{}) target.missing_since = state.now;
-        const bool after_outage =
-            state.store_regained != time_point{} &&
-            state.now - state.store_regained < state.settings.missing_grace;
+        const bool after_outage = state.store_regained != time_point{} &&
+                                  state.now - state.store_regained < state.settings.missing_grace;
         if (!after_outage) target.missing = true;
     }
     for (const auto& [id, entry] : event.known->targets)
@@ -298,9 +296,7 @@
     void operator()(const answer_head& event) const { on_answer_head(state, event, out); }
     void operator()(const answer_data& event) const { on_answer_data(state, event, out); }
     void operator()(const answer_end& event) const { on_answer_end(state, event, out); }
-    void operator()(const catalog_read& event) const {
-        apply_catalog(state, event, out);
-    }
+    void operator()(const catalog_read& event) const { apply_catalog(state, event, out); }
     void operator()(const belief_confirmed& event) const { confirm(state.held, event.as_of); }
     void operator()(const store_reachable& event) const {
         if (event.reachable == state.store_up) return;
@@ -337,7 +333,8 @@
     std::size_t routers = 1;
     std::size_t aside = 1;
     for (const auto& [address, peer] : state.peers) {
-        if (peer.data_centre != state.settings.data_centre || now - peer.heard > state.settings.peer_limit) continue;
+        if (peer.data_centre != state.settings.data_centre || now - peer.heard > state.settings.peer_limit)
+            continue;
         ++routers;
         if (peer.last.overloaded || peer.last.stopping) ++aside;
     }
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -37,8 +37,8 @@
 struct router_settings {
     std::string name;
     std::string data_centre;
-    std::string report_address;   // of this router's datagrams
-    std::string snapshot_address; // at which peers fetch the copy of the store
+    std::string report_address;     // of this router's datagrams
+    std::string snapshot_address;   // at which peers fetch the copy of the store
     std::vector<std::string> seeds; // report addresses of routers to begin with; may be out of date
     std::uint64_t incarnation{1};
     belief_settings belief;
@@ -46,28 +46,29 @@
     share_settings shares;
     cold_settings cold;
     repeat_settings repeats;
-    duration report_period{100ms};      // between two reports to the other routers
-    duration report_per_router{8ms};    // added to the period for each of them, so that the cost stays bounded
-    duration probe_period{1s};          // between two reports to an address that is not reported to regularly
-    duration peer_limit{1500ms};        // a router that is silent for so long no longer counts for placement
-    duration budget_memory{20s};        // but for shared limits it counts for so long
-    duration share_period{200ms};       // between two computations of the accounts' shares
-    double hold_share{0.25};            // part of the target latency for which a request may wait in the router
-    double timely_share{0.9};           // part of the target latency within which a first token must be predicted
-    duration answer_margin{30ms};       // before a deadline, so that the last answer reaches the caller in time
-    duration connect_limit{400ms};      // after which a target that accepts no connection counts as lost
+    duration report_period{100ms};   // between two reports to the other routers
+    duration report_per_router{8ms}; // added to the period for each of them, so that the cost stays bounded
+    duration probe_period{1s};       // between two reports to an address that is not reported to regularly
+    duration peer_limit{1500ms};     // a router that is silent for so long no longer counts for placement
+    duration budget_memory{20s};     // but for shared limits it counts for so long
+    duration share_period{200ms};    // between two computations of the accounts' shares
+    double hold_share{0.25};         // part of the target latency for which a request may wait in the router
+    double timely_share{0.9};      // part of the target latency within which a first token must be predicted
+    duration answer_margin{30ms};  // before a deadline, so that the last answer reaches the caller in time
+    duration connect_limit{400ms}; // after which a target that accepts no connection counts as lost
     duration service_attempt_limit{600ms}; // an idempotent call that is silent for so long may be repeated
-    duration lost_base{400ms};          // a target that was lost is left out for so long, doubling up to lost_limit
+    duration lost_base{400ms}; // a target that was lost is left out for so long, doubling up to lost_limit
     duration lost_limit{3s};
     duration missing_grace{2500ms}; // an entry that is missing after an outage of the store may come back
-    duration stop_accept_limit{2800ms}; // after a stop was requested, new requests are still taken for so long
-    duration stop_limit{7600ms};        // after which what still runs is cut; below the platform's limit of 8 s
-    duration least_retry_after{80ms};   // below, a caller would return before anything has changed
+    duration stop_accept_limit{
+        2800ms};                      // after a stop was requested, new requests are still taken for so long
+    duration stop_limit{7600ms};      // after which what still runs is cut; below the platform's limit of 8 s
+    duration least_retry_after{80ms}; // below, a caller would return before anything has changed
     duration overload_lag{60ms};   // timers that are later than this show that the processor does not keep up
     duration recovered_lag{12ms};  // below, it does again
-    duration overload_time{4s};     // an overload lasts at least so long: callers move within about 2 s
+    duration overload_time{4s};    // an overload lasts at least so long: callers move within about 2 s
     duration shed_lag{120ms};      // above, new requests are refused at once
-    std::uint32_t poison_limit{2};      // targets lost while running a request after which it is not sent again
+    std::uint32_t poison_limit{2}; // targets lost while running a request after which it is not sent again
 };
 
 //-----------------------------------------------------------------------------
@@ -98,9 +99,9 @@
     std::uint64_t send{};
     std::uint32_t status{};
     std::vector<std::pair<std::string, std::string>> headers; // to be passed on
-    bool not_executed{};  // the target says that it did not run the request
-    bool other_target{};  // another target has the address
-    bool sealed{};        // the target has proved that the answer is its own
+    bool not_executed{}; // the target says that it did not run the request
+    bool other_target{}; // another target has the address
+    bool sealed{};       // the target has proved that the answer is its own
     bool event_stream{};
     bool unframed{}; // no length: the end of the connection ends the answer
 };
@@ -267,9 +268,13 @@
     std::string body; // of a whole answer, or the part of a stream that is no whole event yet
     std::uint64_t charged_kv{};
     // All attempts.
-    std::uint32_t sends{};     // that reached a target, or may have
-    std::uint32_t refusals{};  // by targets that did not run it
+    std::uint32_t sends{};    // that reached a target, or may have
+    std::uint32_t refusals{}; // by targets that did not run it
     bool may_have_run{};
+    // What the last decision on it rested on, for the log.
+    double used_share{};  // of its account
+    duration predicted{}; // first token, from the send
+    duration room_in{};   // if no target had room
     bool reply_begun{};
     std::vector<std::string> tried; // targets
     std::string last_event_id;      // that the caller has been sent
@@ -286,7 +291,7 @@
     target_entry entry;
     std::uint64_t hash{}; // of its id
     time_point entry_seen{};
-    bool missing{};             // not in the store's list at present
+    bool missing{}; // not in the store's list at present
     time_point missing_since{};
     target_load load;
     cold_gate cold;
@@ -349,15 +354,15 @@
     std::set<std::pair<time_point, caller_id>> attempt_limits;
     std::uint64_t next_send{1};
 
-    std::map<std::string, target_state, std::less<>> targets;           // by id
+    std::map<std::string, target_state, std::less<>> targets; // by id
     std::map<std::string, std::vector<target_state*>, std::less<>> by_service;
     std::unordered_map<std::uint64_t, std::string> target_by_hash;
     std::map<std::string, repeat_window, std::less<>> repeats; // by service
     account_shares shares;
-    std::map<std::string, peer_router, std::less<>> peers; // by report address
+    std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
-    time_point next_probe{}; // of addresses that are not reported to
-    std::unordered_map<std::uint64_t, std::uint32_t> crashes; // own, by poison hash
+    time_point next_probe{};                                       // of addresses that are not reported to
+    std::unordered_map<std::uint64_t, std::uint32_t> crashes;      // own, by poison hash
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -88,9 +88,9 @@
 // [SECTION] Report
 //-----------------------------------------------------------------------------
 
-/// One datagram from router to router. A router reports to those of its data centre. One of them, the relay, sends
-/// the sums of its data centre to the relays of the others, which hand them on: the bytes between data centres
-/// then grow with the square of the data centres and not of the routers.
+/// One datagram from router to router. A router reports to those of its data centre. One of them, the relay,
+/// sends the sums of its data centre to the relays of the others, which hand them on: the bytes between data
+/// centres then grow with the square of the data centres and not of the routers.
 struct router_report {
     std::uint64_t router{};       // incarnation of the sender
     std::string address;          // "IP:port" of the sender's datagrams
@@ -103,7 +103,7 @@
     std::uint64_t belief_age_us{}; // of the sender's catalog when it sent this
     bool believes{};               // false: the sender knows no catalog
     bool stopping{};
-    bool overloaded{};              // takes no new connections
+    bool overloaded{};               // takes no new connections
     std::vector<router_row> routers; // that the sender hears; in a summary, those of the data centre
     std::vector<echo_row> echoes;
     std::vector<target_load_row> targets;
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -55,8 +55,9 @@
         const auto id = state.target_by_hash.find(row.target);
         target_state* target = id == state.target_by_hash.end() ? nullptr : find_target(state, id->second);
         if (target == nullptr) continue;
-        const std::uint64_t growth = take_peer_load(target->load, state.settings.engine, sender,
-                                                    {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
+        const std::uint64_t growth =
+            take_peer_load(target->load, state.settings.engine, sender,
+                           {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
         if (!report.is_summary) target->load.peers_prompt_ms += growth;
     }
     std::unordered_map<std::uint64_t, account_usage> usage;
@@ -214,8 +215,8 @@
             {target.hash, target.load.running, target.load.kv_tokens, target.load.prompt_ms_total});
     }
     for (const auto& [account, usage] : state.shares.own_usage(state.now)) {
-        report->accounts.push_back({account, static_cast<std::uint32_t>(usage.asked),
-                                    static_cast<std::uint32_t>(usage.served)});
+        report->accounts.push_back(
+            {account, static_cast<std::uint32_t>(usage.asked), static_cast<std::uint32_t>(usage.served)});
     }
     for (const auto& [hash, crashes] : state.crashes)
         report->crashes.push_back({hash, crashes});
@@ -257,14 +258,15 @@
     for (const auto& [address, peer] : state.peers) {
         if (is_neighbour(state, peer)) sums.add(peer.last);
     }
-    // A sum of the neighbours' own totals would fall and rise with who is heard at the moment, and each rise would
-    // look like new work. The relay therefore sends what it has seen their totals grow by.
+    // A sum of the neighbours' own totals would fall and rise with who is heard at the moment, and each rise
+    // would look like new work. The relay therefore sends what it has seen their totals grow by.
     for (auto& [hash, row] : sums.targets) {
         const auto id = state.target_by_hash.find(hash);
-        const auto target = id == state.target_by_hash.end() ? state.targets.end() : state.targets.find(id->second);
-        row.prompt_ms_total = target == state.targets.end() ? 0
-                                                            : target->second.load.prompt_ms_total +
-                                                                  target->second.load.peers_prompt_ms;
+        const auto target =
+            id == state.target_by_hash.end() ? state.targets.end() : state.targets.find(id->second);
+        row.prompt_ms_total = target == state.targets.end()
+                                  ? 0
+                                  : target->second.load.prompt_ms_total + target->second.load.peers_prompt_ms;
     }
     auto summary = std::make_shared<router_report>();
     add_identity(state, *summary);
@@ -297,8 +299,8 @@
     });
 }
 
-/// Addresses in each other data centre that are likely to be its relay: the sender of its last summary, and the
-/// lowest address that is known there.
+/// Addresses in each other data centre that are likely to be its relay: the sender of its last summary, and
+/// the lowest address that is known there.
 std::vector<std::string> relays_of_others(const router_state& state) {
     std::map<std::string, std::string, std::less<>> lowest;
     for (const auto& [address, peer] : state.peers) {
@@ -485,7 +487,8 @@
 const rollout_status* current_status(const router_state& state, const rollout_order& order) {
     const auto status = state.known->rollout_states.find(order.service);
     // A status that was written before the order belongs to an earlier one.
-    if (status == state.known->rollout_states.end() || status->second.revision < order.revision) return nullptr;
+    if (status == state.known->rollout_states.end() || status->second.revision < order.revision)
+        return nullptr;
     return status->second.version == order.version ? &status->second : nullptr;
 }
 
@@ -539,7 +542,8 @@
 
 void drive_rollouts(router_state& state, effects& out) {
     if (!state.known) return;
-    std::erase_if(state.rollouts, [&](const auto& item) { return !state.known->rollouts.contains(item.first); });
+    std::erase_if(state.rollouts,
+                  [&](const auto& item) { return !state.known->rollouts.contains(item.first); });
     for (const auto& [service, order] : state.known->rollouts) {
         const auto [found, fresh] = state.rollouts.try_emplace(service);
         rollout_progress& progress = found->second;
@@ -551,7 +555,8 @@
         const rollout_evidence evidence = evidence_of(state, progress, order);
         if (is_bad(evidence)) {
             phase = rollout_phase::rolled_back;
-        } else if (part_of(state, progress, order) >= complete_part && evidence.on_new.answers >= least_answers) {
+        } else if (part_of(state, progress, order) >= complete_part &&
+                   evidence.on_new.answers >= least_answers) {
             phase = rollout_phase::completed;
         }
         if (status != nullptr && phase == rollout_phase::running) continue;
@@ -561,7 +566,8 @@
             written == state.known->rollout_states.end() ? 0 : written->second.revision;
         out.emplace_back(write_rollout_status{service, {order.version, phase, 0}, expected});
         out.emplace_back(log_event{"rollout",
-                                   "\"service\":" + quoted(service) + ",\"version\":" + quoted(order.version) +
+                                   "\"service\":" + quoted(service) +
+                                       ",\"version\":" + quoted(order.version) +
                                        ",\"phase\":" + std::to_string(static_cast<int>(phase)) +
                                        ",\"answers\":" + std::to_string(evidence.on_new.answers) +
                                        ",\"failures\":" + std::to_string(evidence.on_new.failures),
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -30,15 +30,19 @@
 // [SECTION] Answers of the router's own
 //-----------------------------------------------------------------------------
 
+std::string in_percent(double part) { return std::to_string(std::lround(std::min(part, 100.0) * 100)); }
+
 void log_outcome(router_state& state, const request& item, std::string_view outcome, std::uint32_t status,
                  effects& out) {
-    std::string fields = "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
-                         ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
-                         ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
-                         ",\"sends\":" + std::to_string(item.sends) +
-                         ",\"ms\":" + in_ms(state.now - item.arrived) +
-                         ",\"belief_age_ms\":" + belief_age(state) +
-                         ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
+    std::string fields =
+        "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
+        ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
+        ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
+        ",\"sends\":" + std::to_string(item.sends) +
+        ",\"used_share_percent\":" + in_percent(item.used_share) +
+        ",\"predicted_ms\":" + in_ms(item.predicted) + ",\"room_in_ms\":" + in_ms(item.room_in) +
+        ",\"ms\":" + in_ms(state.now - item.arrived) + ",\"belief_age_ms\":" + belief_age(state) +
+        ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
     out.emplace_back(log_event{"request", std::move(fields), false});
     out.emplace_back(count{"requests_total", std::string{outcome}, 1});
 }
@@ -141,8 +145,8 @@
     std::vector<target_state*> targets;
 };
 
-// All routers send a subject to the same targets in the same order, so that each spill finds the parts that an
-// earlier spill of another router has left there.
+// All routers send a subject to the same targets in the same order, so that each spill finds the parts that
+// an earlier spill of another router has left there.
 constexpr std::size_t preferred_targets = 3;
 constexpr std::array<double, preferred_targets> affinity_by_rank{0.9, 0.6, 0.3};
 
@@ -152,7 +156,8 @@
     return mixed ^ (mixed >> 29U);
 }
 
-void insert_best(std::span<std::pair<std::uint64_t, std::size_t>> best, std::pair<std::uint64_t, std::size_t> item) {
+void insert_best(std::span<std::pair<std::uint64_t, std::size_t>> best,
+                 std::pair<std::uint64_t, std::size_t> item) {
     for (auto& place : best) {
         if (item.first > place.first) std::swap(item, place);
     }
@@ -223,8 +228,8 @@
     return service != state.known->services.end() && service->second.engine && item.input.prompt.tokens > 0;
 }
 
-/// Part of the limits that an account may use. It falls with what the account has had of its share, so that the
-/// accounts that have had least get the room that becomes free, whatever the length of their prompts.
+/// Part of the limits that an account may use. It falls with what the account has had of its share, so that
+/// the accounts that have had least get the room that becomes free, whatever the length of their prompts.
 double share_factor(double used_share) {
     constexpr double untouched = 0.5; // of the share: up to here all of the limits
     constexpr double cut_off = 1.7;   // of the share: from here only idle engines take the account's requests
@@ -232,11 +237,10 @@
 }
 
 first_token_limits limits_of(const router_state& state, const request& item) {
-    const double used = item.account.empty() ? 0.0 : state.shares.used_share(item.account_hash, state.now);
     const auto latency = static_cast<double>(item.route.target_latency.count());
     const duration timely{static_cast<std::int64_t>(latency * state.settings.timely_share)};
     const duration waited = state.now - item.arrived;
-    return {timely - waited, share_factor(used)};
+    return {timely - waited, share_factor(item.used_share)};
 }
 
 struct placement_outcome {
@@ -248,18 +252,19 @@
 
 constexpr duration no_target_pause = 400ms; // after which a lost target is tried again
 
-placement_outcome place(router_state& state, const request& item) {
+placement_outcome place(router_state& state, request& item) {
     const candidate_list list = candidates_for(state, item);
     placement_outcome outcome;
     outcome.any = !list.options.empty();
     outcome.room_in = no_target_pause;
+    item.used_share = item.account.empty() ? 0.0 : state.shares.used_share(item.account_hash, state.now);
     if (!outcome.any) return outcome;
     const placement_result result =
-        is_generation(state, item)
-            ? place_prompt(list.options, item.input.prompt, limits_of(state, item), state.settings.engine,
-                           state.now)
-            : place_call(list.options, state.settings.engine);
+        is_generation(state, item) ? place_prompt(list.options, item.input.prompt, limits_of(state, item),
+                                                  state.settings.engine, state.now)
+                                   : place_call(list.options, state.settings.engine);
     outcome.room_in = result.room_in;
+    item.room_in = result.chosen ? duration{} : result.room_in;
     if (!result.chosen) return outcome;
     outcome.choice = *result.chosen;
     outcome.target = list.targets[result.chosen->target];
@@ -275,6 +280,7 @@
     item->send = state.next_send++;
     item->target = target.entry.id;
     item->sent_at = state.now;
+    item->predicted = choice.first_token;
     item->body.clear();
     item->tried.push_back(target.entry.id);
     state.by_send[item->send] = item->input.caller;
@@ -292,7 +298,8 @@
     if (item->sends == 0) state.shares.on_served(item->account_hash, item->tokens, state.now);
     ++item->sends;
     if (item->route.rule == repeat_rule::idempotent)
-        state.attempt_limits.emplace(item->sent_at + state.settings.service_attempt_limit, item->input.caller);
+        state.attempt_limits.emplace(item->sent_at + state.settings.service_attempt_limit,
+                                     item->input.caller);
     send_request effect;
     effect.send = item->send;
     effect.address = target.entry.address;
@@ -310,7 +317,8 @@
     if (item.sends == 0) return true;
     if (item.sends >= item.route.max_attempts) return false;
     if (item.may_have_run && !may_repeat_rule(item)) return false;
-    return take_repeat(state.repeats[item.service], state.settings.repeats, routers_for_limits(state), state.now);
+    return take_repeat(state.repeats[item.service], state.settings.repeats, routers_for_limits(state),
+                       state.now);
 }
 
 /// Sends a request once more, or ends it with the answer that says what is known of it.
@@ -320,6 +328,12 @@
     if (time_left) {
         const placement_outcome found = place(state, *item);
         if (found.target != nullptr && take_another_send(state, *item)) {
+            out.emplace_back(log_event{
+                "repeat",
+                "\"id\":" + quoted(item->input.attempt) + ",\"reason\":" + quoted(reason) +
+                    ",\"from\":" + quoted(item->target) + ",\"to\":" + quoted(found.target->entry.id) +
+                    ",\"after_event\":" + quoted(item->last_event_id),
+                false});
             start_attempt(state, item, *found.target, found.choice, out);
             return;
         }
@@ -525,8 +539,8 @@
         repeat_or_fail(state, item, status_bad_gateway, "answer_not_sealed", out);
         return;
     }
-    const bool another = failed && !item->reply_begun && may_repeat_rule(*item) &&
-                         item->sends < item->route.max_attempts;
+    const bool another =
+        failed && !item->reply_begun && may_repeat_rule(*item) && item->sends < item->route.max_attempts;
     if (another) {
         const placement_outcome found = place(state, *item);
         if (found.target != nullptr && take_another_send(state, *item)) {
@@ -574,7 +588,8 @@
         out.emplace_back(reply_end{item->input.caller});
     } else {
         release_attempt(state, *item);
-        log_outcome(state, *item, item->head.status < 300 ? "served" : "target_failed", item->head.status, out);
+        log_outcome(state, *item, item->head.status < 300 ? "served" : "target_failed", item->head.status,
+                    out);
         out.emplace_back(
             reply_whole{item->input.caller, item->head.status, item->head.headers, std::move(item->body)});
     }
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -136,7 +136,7 @@
     double wait_ms{};
     double work_ms{};
     double shared_ms{}; // of the work: shared parts that are expected to be missing
-    double rank{}; // lower is better, ms
+    double rank{};      // lower is better, ms
 };
 
 /// Longest backlog behind which the request may be sent, ms; negative: none is short enough.
@@ -181,10 +181,11 @@
     const double allowed = allowed_backlog_ms(offer, option, limits, settings);
     offer.in_time = backlog <= allowed;
     offer.over_ms = std::max(0.0, backlog - std::max(0.0, allowed));
-    offer.rank = offer.wait_ms + settings.work_weight * (own_ms + offer.shared_ms) +
-                 to_milliseconds(settings.full_batch_penalty) * used * used +
-                 (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty)) +
-                 (option.for_long_prompts && !offer.is_long ? to_milliseconds(settings.long_engine_penalty) : 0.0);
+    offer.rank =
+        offer.wait_ms + settings.work_weight * (own_ms + offer.shared_ms) +
+        to_milliseconds(settings.full_batch_penalty) * used * used +
+        (option.same_data_centre ? 0.0 : to_milliseconds(settings.other_data_centre_penalty)) +
+        (option.for_long_prompts && !offer.is_long ? to_milliseconds(settings.long_engine_penalty) : 0.0);
     return offer;
 }
 
@@ -208,7 +209,8 @@
         best = offer.rank;
         result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms};
     }
-    if (!result.chosen && shortest >= 0) result.room_in = from_ms(std::max(1.0, shortest / settings.prompt_share));
+    if (!result.chosen && shortest >= 0)
+        result.room_in = from_ms(std::max(1.0, shortest / settings.prompt_share));
     return result;
 }
 
@@ -220,8 +222,8 @@
         const target_load& load = *option.load;
         const std::uint32_t running = running_everywhere(load);
         if (running >= load.slots + settings.service_queue) continue;
-        const double rank = static_cast<double>(running) / std::max(1U, load.slots) +
-                            (option.same_data_centre ? 0.0 : 0.1);
+        const double rank =
+            static_cast<double>(running) / std::max(1U, load.slots) + (option.same_data_centre ? 0.0 : 0.1);
         if (result.chosen && best <= rank) continue;
         best = rank;
         const std::uint32_t ahead = running < load.slots ? 0 : running - load.slots + 1;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -1,8 +1,9 @@
 // Load of the targets as one router estimates it, and the choice of a target.
 //
-// Load pattern: more prompt tokens arrive than the engines read, half of them shared between requests. Engines
-// admit in order of arrival, so work that is sent too early waits where nobody can reorder it. The model keeps
-// the time of the prompts that each engine still has to read, by all routers, and the parts that each one keeps.
+// Load pattern: more prompt tokens arrive than the engines read, half of them shared between requests.
+// Engines admit in order of arrival, so work that is sent too early waits where nobody can reorder it. The
+// model keeps the time of the prompts that each engine still has to read, by all routers, and the parts that
+// each one keeps.
 //
 // Index of this file:
 // [SECTION] Settings
@@ -26,27 +27,29 @@
 struct engine_settings {
     double prompt_tokens_per_ms{60.0}; // read by one engine; both deployments' engines read 61 to 66
     double pairs_ms_per_million{0.3};  // attention of the prompt to itself and what stands before it
-    double prompt_share{0.68};    // of an engine's time for prompts; the rest generates tokens of running streams
+    double prompt_share{
+        0.68}; // of an engine's time for prompts; the rest generates tokens of running streams
     duration first_token_base{25ms}; // a step, its batch and the way to the engine
-    double slot_share{0.94};         // of an engine's slots; the rest covers what other routers start meanwhile
-    double memory_share{0.92};       // of an engine's memory, for the same reason
-    double work_weight{8.0};      // delay that is worth taking to avoid one ms of reading, within the limit, ms
-    // While an engine reads, its running streams get one token for each chunk, so reading without a break makes
-    // their events pause. Long prompts therefore go to a few engines that short requests avoid.
+    double slot_share{0.94};   // of an engine's slots; the rest covers what other routers start meanwhile
+    double memory_share{0.92}; // of an engine's memory, for the same reason
+    double work_weight{8.0};   // delay that is worth taking to avoid one ms of reading, within the limit, ms
+    // While an engine reads, its running streams get one token for each chunk, so reading without a break
+    // makes their events pause. Long prompts therefore go to a few engines that short requests avoid.
     duration unbroken_reading{400ms}; // at an engine for short requests; a pause of 500 ms makes streams late
     duration long_prompt{300ms};      // reading time above which a prompt is long
     double long_engines{0.2};         // part of a service's engines that take long prompts
     duration long_engine_penalty{300ms}; // of these engines for short requests
     double long_prompt_allowance{1.5};   // factor of the limit for long prompts, which fit into few gaps
-    duration full_batch_penalty{250ms}; // of an engine whose slots are all taken; falls with the square
+    duration full_batch_penalty{250ms};  // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
-    double read_again_weight{4.0};  // backlog that an account without any grant gives up for each ms read again
-    double idle_slots{0.4};         // an engine is idle below this share of its slots
-    duration idle_backlog{20ms};    // and below this backlog
+    double read_again_weight{
+        4.0};                     // backlog that an account without any grant gives up for each ms read again
+    double idle_slots{0.4};       // an engine is idle below this share of its slots
+    duration idle_backlog{20ms};  // and below this backlog
     std::size_t parts_kept{4096}; // prompt parts remembered for each engine
     duration part_lifetime{30s};  // after its last use a part is taken as evicted
-    std::uint32_t service_queue{3};  // requests beyond a plain service's slots that may wait there
-    duration service_time{60ms};     // of a plain service's request, until answers have been seen
+    std::uint32_t service_queue{3}; // requests beyond a plain service's slots that may wait there
+    duration service_time{60ms};    // of a plain service's request, until answers have been seen
 };
 
 //-----------------------------------------------------------------------------
@@ -107,7 +110,7 @@
 void forget_peer_load(target_load& load, std::uint64_t router);
 /// Takes a row of another router's report. Returns the growth of its total since the last row, ms.
 std::uint64_t take_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
-                    const peer_load& row, time_point now);
+                             const peer_load& row, time_point now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Prompts
@@ -120,8 +123,8 @@
 
 struct prompt_shape {
     std::uint32_t tokens{};
-    std::uint32_t output_limit{};  // tokens
-    std::uint32_t output_hint{};   // tokens, 0: none; right at the median only
+    std::uint32_t output_limit{};   // tokens
+    std::uint32_t output_hint{};    // tokens, 0: none; right at the median only
     std::vector<prompt_part> parts; // in order; the last one is the request's own
 };
 
@@ -139,7 +142,7 @@
 //-----------------------------------------------------------------------------
 
 struct placement_option {
-    std::uint32_t target{};       // position in the caller's list
+    std::uint32_t target{}; // position in the caller's list
     const target_load* load{};
     bool same_data_centre{};
     bool for_long_prompts{};
--- a/core/damaskhill_rate_gate.cpp
+++ b/core/damaskhill_rate_gate.cpp
@@ -45,8 +45,9 @@
 bool take_repeat(repeat_window& sent, const repeat_settings& settings, std::size_t routers, time_point now) {
     forget_old(sent.firsts, settings.window, now);
     forget_old(sent.repeats, settings.window, now);
-    const double limit = settings.own_share * (settings.ratio * static_cast<double>(sent.firsts.size()) +
-                                               settings.slack / static_cast<double>(std::max<std::size_t>(1, routers)));
+    const double limit =
+        settings.own_share * (settings.ratio * static_cast<double>(sent.firsts.size()) +
+                              settings.slack / static_cast<double>(std::max<std::size_t>(1, routers)));
     if (static_cast<double>(sent.repeats.size()) + 1 > limit) return false;
     sent.repeats.push_back(now);
     return true;
--- a/core/damaskhill_rate_gate.hpp
+++ b/core/damaskhill_rate_gate.hpp
@@ -38,9 +38,9 @@
 //-----------------------------------------------------------------------------
 
 struct repeat_settings {
-    double ratio{0.2};    // repeats for each first request, of all routers together
-    double slack{50};     // repeats beyond that, of all routers together
-    duration window{10s}; // in which the limit holds
+    double ratio{0.2};     // repeats for each first request, of all routers together
+    double slack{50};      // repeats beyond that, of all routers together
+    duration window{10s};  // in which the limit holds
     double own_share{0.7}; // of the limit that routers use; the rest covers counts that are out of date
 };
 
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -1,4 +1,5 @@
-// The direct router daemon: wires the reducer to callers, targets, the platform's store and the other routers.
+// The direct router daemon: wires the reducer to callers, targets, the platform's store and the other
+// routers.
 //
 // Index of this file:
 // [SECTION] Host
@@ -26,16 +27,16 @@
 class direct_host {
 public:
     direct_host(event_loop& loop, const direct_daemon_settings& settings)
-        : loop_(loop), state_(core_settings(settings, system_random())),
+        : loop_(loop),
+          state_(core_settings(settings, system_random())),
           edge_(loop, {},
                 {[this](std::uint64_t exchange, http_request&& request) {
                      submit(platform::decode_request(exchange, std::move(request)));
                  },
                  [this](std::uint64_t exchange) { submit(direct::caller_closed{exchange}); }}),
-          client_(loop, {}), reports_(loop, link_keys_of(settings.link_keys),
-                                      [this](router_report&& report) {
-                                          submit(direct::report_received{std::move(report)});
-                                      }),
+          client_(loop, {}),
+          reports_(loop, link_keys_of(settings.link_keys),
+                   [this](router_report&& report) { submit(direct::report_received{std::move(report)}); }),
           store_(loop, client_, store_settings_of(settings),
                  {[this](direct::input&& event) { submit(event); }, boot_clock,
                   [this](const failure& why) {
@@ -90,7 +91,8 @@
         constexpr std::uint32_t no = 503;
         ready_->whole(exchange, direct::is_ready(state_, boot_clock()) ? yes : no, {}, {});
     });
-    control_ = make([this](std::uint64_t exchange, http_request&& request) { answer_control(exchange, request); });
+    control_ =
+        make([this](std::uint64_t exchange, http_request&& request) { answer_control(exchange, request); });
     if (!edge_.listen(settings.http_address, why) || !ready_->listen(settings.ready_address, why) ||
         !control_->listen(settings.control_address, why) || !reports_.bind(settings.report_address, why)) {
         return std::nullopt;
@@ -118,16 +120,16 @@
 
 void direct_host::log_start(const direct_daemon_settings& settings) {
     log_.write("start",
-               "\"name\":" + direct::quoted(settings.name) + ",\"callers\":" +
-                   direct::quoted(settings.http_address) + ",\"incarnation\":" +
-                   std::to_string(state_.settings.incarnation),
+               "\"name\":" + direct::quoted(settings.name) +
+                   ",\"callers\":" + direct::quoted(settings.http_address) +
+                   ",\"incarnation\":" + std::to_string(state_.settings.incarnation),
                true, boot_clock());
 }
 
 void direct_host::stop() {
     submit(stop_requested{});
-    // Callers that keep connections are told with their next answer; idle connections end a little later, when the
-    // balancer has taken this router out.
+    // Callers that keep connections are told with their next answer; idle connections end a little later,
+    // when the balancer has taken this router out.
     edge_.begin_closing(state_.settings.stop_accept_limit);
 }
 
--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -77,7 +77,8 @@
     caller_id next_caller{1};
     std::uint64_t revision{1};
 
-    explicit test_router(const std::string& address = "127.0.0.1:7001", const std::string& data_centre = "dc-a")
+    explicit test_router(const std::string& address = "127.0.0.1:7001",
+                         const std::string& data_centre = "dc-a")
         : state(settings_of(address, data_centre)) {
         publish(make_catalog());
         confirm_now();
@@ -113,7 +114,8 @@
         request.api_key = key;
         request.body = "body-" + std::to_string(request.caller);
         request.remaining = 8s;
-        if (route == "chat" || route == "review") request.prompt = {800, 100, 0, {{1, 400}, {request.caller + 10, 400}}};
+        if (route == "chat" || route == "review")
+            request.prompt = {800, 100, 0, {{1, 400}, {request.caller + 10, 400}}};
         give(request);
         return request.caller;
     }
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -330,8 +330,8 @@
     BOOST_TEST(router.take<exit_process>().size() == 1U);
 }
 
-// Load: one account's surge at one small router. Guards against requests that are read long after their callers
-// have left: late timers take the router out of rotation and refuse at once.
+// Load: one account's surge at one small router. Guards against requests that are read long after their
+// callers have left: late timers take the router out of rotation and refuse at once.
 BOOST_AUTO_TEST_CASE(late_timers_show_an_overload) {
     test_router router;
     for (int i = 0; i < 12; ++i) {
--- a/tests/test_direct_limits.cpp
+++ b/tests/test_direct_limits.cpp
@@ -33,8 +33,8 @@
     BOOST_TEST(max_min_level({}, 150) >= 150.0);
 }
 
-// Load: one account sends ten times its usual, at another router. Guards against a surge that only its own router
-// sees as beyond the share.
+// Load: one account sends ten times its usual, at another router. Guards against a surge that only its own
+// router sees as beyond the share.
 BOOST_AUTO_TEST_CASE(surge_at_another_router_counts) {
     account_shares shares;
     shares.on_asked(1, 1000, start);
--- /dev/null
+++ b/tests/test_direct_settings.cpp
@@ -0,0 +1,73 @@
+// Index of this file:
+// [SECTION] Settings
+
+#include "damaskhill_impl_direct.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace damaskhill;
+
+namespace {
+
+const std::string settings_file = "/tmp/damaskhill_test_direct_settings.json";
+
+std::optional<direct_daemon_settings> load(const json& document, failure& why) {
+    std::ofstream{settings_file} << document.dump();
+    auto settings = load_direct_settings(settings_file, why);
+    std::remove(settings_file.c_str());
+    return settings;
+}
+
+json good_settings() {
+    return {{"name", "front-1"},
+            {"data_centre", "dc-a"},
+            {"http_address", "10.1.0.33:8783"},
+            {"ready_address", "10.1.0.33:8780"},
+            {"control_address", "10.1.0.33:8785"},
+            {"report_address", "10.1.0.33:7400"},
+            {"store_address", "10.200.1.7:8781"},
+            {"seeds", {"10.2.0.18:8785"}},
+            {"link_keys", {{{"number", 1}, {"secret", "sixteen bytes or more"}}}},
+            {"key_limit_ms", 5000},
+            {"stop_limit_s", 8.5}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(direct_settings)
+
+// Guards against a router that starts with settings it does not understand, or tells nobody which one is wrong.
+BOOST_AUTO_TEST_CASE(wrong_settings_are_named) {
+    failure why;
+    BOOST_REQUIRE(load(good_settings(), why).has_value());
+    json unknown = good_settings();
+    unknown["cold_slak"] = 5;
+    BOOST_TEST(!load(unknown, why).has_value());
+    BOOST_TEST((why.kind == failure_kind::unknown_field));
+    json address = good_settings();
+    address["seeds"] = {"somewhere"};
+    BOOST_TEST(!load(address, why).has_value());
+    BOOST_TEST((why.where.find("seeds") != std::string::npos));
+    json limit = good_settings();
+    limit["key_limit_ms"] = 10;
+    BOOST_TEST(!load(limit, why).has_value());
+    BOOST_TEST((why.kind == failure_kind::out_of_range));
+}
+
+// Guards against seeds that are called on the wrong port, and against a stop that ends after the platform's kill.
+BOOST_AUTO_TEST_CASE(core_settings_follow_the_file) {
+    failure why;
+    const auto settings = load(good_settings(), why);
+    BOOST_REQUIRE(settings.has_value());
+    const auto core = core_settings(*settings, 7);
+    BOOST_REQUIRE(core.seeds.size() == 1U);
+    BOOST_TEST(core.seeds.front() == "10.2.0.18:7400");
+    BOOST_TEST((core.stop_limit < 8500ms));
+    BOOST_TEST((core.belief.key_limit < 5s));
+    BOOST_TEST(core.cold.senders == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -39,14 +39,16 @@
         });
     }
     void serve(const std::shared_ptr<asio::ip::tcp::socket>& socket) {
-        socket->async_read_some(asio::buffer(buffer), [this, socket](const asio::error_code& error, std::size_t) {
-            if (error) return;
-            asio::write(*socket, asio::buffer(answer));
-            if (keep_open) return;
-            asio::error_code ignored;
-            if (reset) socket->set_option(asio::socket_base::linger{true, 0}, ignored);
-            socket->close(ignored);
-        });
+        socket->async_read_some(asio::buffer(buffer),
+                                [this, socket](const asio::error_code& error, std::size_t) {
+                                    if (error) return;
+                                    asio::write(*socket, asio::buffer(answer));
+                                    if (keep_open) return;
+                                    asio::error_code ignored;
+                                    if (reset)
+                                        socket->set_option(asio::socket_base::linger{true, 0}, ignored);
+                                    socket->close(ignored);
+                                });
     }
 };
 
@@ -132,7 +134,8 @@
 
 // Guards against a cut answer that counts as whole.
 BOOST_AUTO_TEST_CASE(short_answer_is_broken) {
-    BOOST_TEST((call_scripted("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").result == edge_result::broken));
+    BOOST_TEST(
+        (call_scripted("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").result == edge_result::broken));
     BOOST_TEST((call_scripted("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n").result ==
                 edge_result::broken));
 }
@@ -193,10 +196,11 @@
 BOOST_AUTO_TEST_CASE(closing_server_says_so) {
     event_loop loop;
     edge_server* serving = nullptr;
-    edge_server server{loop,
-                       {},
-                       {[&](std::uint64_t exchange, http_request&&) { serving->whole(exchange, 200, {}, "ok"); },
-                        [](std::uint64_t) {}}};
+    edge_server server{
+        loop,
+        {},
+        {[&](std::uint64_t exchange, http_request&&) { serving->whole(exchange, 200, {}, "ok"); },
+         [](std::uint64_t) {}}};
     serving = &server;
     failure why;
     BOOST_REQUIRE(server.listen(server_address, why).has_value());
--- a/tests/test_engine_load.cpp
+++ b/tests/test_engine_load.cpp
@@ -75,8 +75,8 @@
 // [SECTION] Choice of an engine
 //-----------------------------------------------------------------------------
 
-// Load: many requests about one subject. Guards against reading its shared part at another engine while the one
-// that keeps it still answers in time.
+// Load: many requests about one subject. Guards against reading its shared part at another engine while the
+// one that keeps it still answers in time.
 BOOST_AUTO_TEST_CASE(subject_stays_where_its_parts_are) {
     fleet engines{3};
     const prompt_shape prompt = review(7, 1000);
@@ -108,7 +108,8 @@
     BOOST_TEST(found.chosen->target == 2U);
 }
 
-// Load: prompts of 30,000 tokens between chats. Guards against streams that pause while a long prompt is read.
+// Load: prompts of 30,000 tokens between chats. Guards against streams that pause while a long prompt is
+// read.
 BOOST_AUTO_TEST_CASE(long_prompt_goes_to_its_engines_only) {
     fleet engines{4};
     engines.options[3].for_long_prompts = true;
@@ -120,7 +121,8 @@
     BOOST_TEST(short_one.chosen->target != 3U);
 }
 
-// Guards against reading without a break for longer than a stream may pause, although the first token is in time.
+// Guards against reading without a break for longer than a stream may pause, although the first token is in
+// time.
 BOOST_AUTO_TEST_CASE(reading_without_a_break_is_bounded) {
     fleet engines{1};
     add_backlog(engines.loads[0], engines.settings, 395, start);
@@ -128,8 +130,9 @@
     BOOST_TEST(!found.chosen.has_value());
 }
 
-// Load: two accounts beyond their share, one with short prompts, one with long ones. Guards against the short ones
-// that take every gap: the backlog that an account may join falls with its share, not its prompts' length.
+// Load: two accounts beyond their share, one with short prompts, one with long ones. Guards against the short
+// ones that take every gap: the backlog that an account may join falls with its share, not its prompts'
+// length.
 BOOST_AUTO_TEST_CASE(account_beyond_its_share_joins_short_backlogs_only) {
     fleet engines{1};
     engines.loads[0].running = 30;
@@ -199,7 +202,8 @@
     std::vector<target_load> loads(2);
     loads[0].slots = loads[1].slots = 6;
     loads[0].running = 6;
-    const std::vector<placement_option> options{{0, &loads[0], true, false, 0}, {1, &loads[1], false, false, 0}};
+    const std::vector<placement_option> options{{0, &loads[0], true, false, 0},
+                                                {1, &loads[1], false, false, 0}};
     const engine_settings settings;
     const auto found = place_call(options, settings);
     BOOST_REQUIRE(found.chosen.has_value());
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -52,7 +52,8 @@
 // [SECTION] Requests
 //-----------------------------------------------------------------------------
 
-// Guards against headers that a caller forges, against a key that reaches a target, and against changed bytes.
+// Guards against headers that a caller forges, against a key that reaches a target, and against changed
+// bytes.
 BOOST_AUTO_TEST_CASE(request_keeps_what_is_the_callers_only) {
     const auto request = decode_request(5, chat_request());
     BOOST_TEST(request.caller == 5U);
@@ -65,7 +66,8 @@
     BOOST_TEST(request.prompt.output_hint == 60U);
     BOOST_REQUIRE(request.prompt.parts.size() == 3U);
     BOOST_TEST(request.prompt.parts[1].tokens == 410U);
-    for (const char* name : {"Authorization", "Damaskhill-Tenant", "Damaskhill-Cache-Hold", "Kv-From", "X-Hop"})
+    for (const char* name :
+         {"Authorization", "Damaskhill-Tenant", "Damaskhill-Cache-Hold", "Kv-From", "X-Hop"})
         BOOST_TEST(find_header(request.headers, name).empty());
     BOOST_TEST(find_header(request.headers, "X-Kept") == "2");
     BOOST_TEST(find_header(request.headers, "Damaskhill-Attempt-Id") == "9c41");
@@ -82,8 +84,9 @@
     effect.resume_after = "12";
     const edge_call call = encode_call(effect);
     BOOST_TEST(call.head.starts_with("POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\n"));
-    for (const char* line : {"Damaskhill-Expect-Replica: i-1\r\n", "Damaskhill-Tenant: n\r\n", "Content-Length: 4\r\n",
-                             "Damaskhill-Deadline-Remaining: 900\r\n", "Last-Event-Id: 12\r\n"})
+    for (const char* line :
+         {"Damaskhill-Expect-Replica: i-1\r\n", "Damaskhill-Tenant: n\r\n", "Content-Length: 4\r\n",
+          "Damaskhill-Deadline-Remaining: 900\r\n", "Last-Event-Id: 12\r\n"})
         BOOST_TEST((call.head.find(line) != std::string::npos));
     BOOST_TEST((call.head.find("secret") == std::string::npos));
     BOOST_TEST(call.body == "body");
