--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -83,6 +83,7 @@
         }
     }
     std::vector<double> demands;
+    demands.reserve(asked.size());
     for (const auto& [account, tokens] : asked)
         demands.push_back(tokens);
     const double window_s = to_seconds(settings_.slice) * static_cast<double>(share_slices);
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -249,12 +249,24 @@
     }
 }
 
+/// Reports are half a period old on average, and those that relays hand on another half and more.
+void estimate_unseen(router_state& state) {
+    constexpr double age_in_periods = 1.2;
+    const auto period = static_cast<double>((state.next_report - state.last_report).count());
+    const duration age{static_cast<std::int64_t>(period * age_in_periods)};
+    const duration since = state.now - state.unseen_updated;
+    state.unseen_updated = state.now;
+    for (auto& [id, target] : state.targets)
+        update_unseen(target.load, since, age);
+}
+
 void on_timer(router_state& state, effects& out) {
     if (state.wake_asked) note_lag(state, out);
     state.wake_asked = false;
     expire_requests(state, out);
     expire_attempts(state, out);
     if (state.now >= state.next_share_update) {
+        estimate_unseen(state);
         state.next_share_update = state.now + state.settings.share_period;
         if (state.known) state.shares.update(static_cast<double>(state.known->tokens_per_second), state.now);
         forget_missing_targets(state);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -366,6 +366,8 @@
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
+    time_point last_report{};
+    time_point unseen_updated{};
     time_point next_serve{}; // of waiting requests
     duration lag{};          // smoothed lateness of this process's timers
     bool overloaded{};
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -351,6 +351,7 @@
 void send_reports(router_state& state, effects& out) {
     forget_silent_routers(state, out);
     const std::vector<std::string> neighbours = neighbours_of(state);
+    state.last_report = state.now;
     state.next_report = state.now + state.settings.report_period +
                         state.settings.report_per_router * static_cast<int>(neighbours.size());
     const auto own = report_of(state, false);
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -56,6 +56,15 @@
 
 std::uint64_t kv_everywhere(const target_load& load) { return load.kv_tokens + load.peers_kv_tokens; }
 
+void update_unseen(target_load& load, duration since_last, duration report_age) {
+    constexpr double weight = 0.3; // of the newest period
+    if (since_last <= 0s) return;
+    const double rate = static_cast<double>(load.peers_growth_ms) / to_seconds(since_last);
+    load.peers_growth_ms = 0;
+    load.peers_ms_per_s += weight * (rate - load.peers_ms_per_s);
+    load.unseen_ms = load.peers_ms_per_s * to_seconds(report_age);
+}
+
 void clear_peer_load(target_load& load, std::uint64_t router) {
     const auto found = load.peers.find(router);
     if (found == load.peers.end()) return;
@@ -80,6 +89,7 @@
     const bool grown = !fresh && row.prompt_ms_total > held.prompt_ms_total;
     const std::uint64_t growth = grown ? row.prompt_ms_total - held.prompt_ms_total : 0;
     if (grown) add_backlog(load, settings, static_cast<double>(growth), now);
+    load.peers_growth_ms += growth;
     if (!fresh) {
         load.peers_running -= held.running;
         load.peers_kv_tokens -= held.kv_tokens;
@@ -154,7 +164,9 @@
     const double room = limit - offer.work_ms;
     if (room < 0 || offer.idle) return room;
     // The less an account is granted, the less it may have read again elsewhere.
-    const double again = settings.read_again_weight * (1.0 - limits.granted_part) * offer.shared_ms;
+    const double again =
+        (settings.read_again_base + settings.read_again_weight * (1.0 - limits.granted_part)) *
+        offer.shared_ms;
     return room * limits.granted_part - again;
 }
 
@@ -164,7 +176,7 @@
     const std::uint32_t running = running_everywhere(load);
     const double used = static_cast<double>(running) / std::max(1U, load.slots);
     const auto memory = static_cast<double>(kv_everywhere(load) + expected_kv(prompt));
-    const double backlog = backlog_ms(load, settings, now);
+    const double backlog = backlog_ms(load, settings, now) + load.unseen_ms;
     prompt_offer offer;
     offer.has_room = (running == 0 || used < settings.slot_share) &&
                      (load.kv_limit == 0 || running == 0 ||
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -42,12 +42,12 @@
     double long_prompt_allowance{1.5};   // factor of the limit for long prompts, which fit into few gaps
     duration full_batch_penalty{250ms};  // of an engine whose slots are all taken; falls with the square
     duration other_data_centre_penalty{4ms};
-    double read_again_weight{
-        4.0};                     // backlog that an account without any grant gives up for each ms read again
-    double idle_slots{0.4};       // an engine is idle below this share of its slots
-    duration idle_backlog{20ms};  // and below this backlog
-    std::size_t parts_kept{4096}; // prompt parts remembered for each engine
-    duration part_lifetime{30s};  // after its last use a part is taken as evicted
+    double read_again_base{1.5};    // backlog given up for each ms of shared parts that is read again
+    double read_again_weight{4.0};  // the same in addition by an account that is granted nothing
+    double idle_slots{0.4};         // an engine is idle below this share of its slots
+    duration idle_backlog{20ms};    // and below this backlog
+    std::size_t parts_kept{4096};   // prompt parts remembered for each engine
+    duration part_lifetime{30s};    // after its last use a part is taken as evicted
     std::uint32_t service_queue{3}; // requests beyond a plain service's slots that may wait there
     duration service_time{60ms};    // of a plain service's request, until answers have been seen
 };
@@ -96,6 +96,9 @@
     std::unordered_map<std::uint64_t, peer_load> peers; // by router; changed by the functions below only
     std::uint32_t peers_running{};                      // sums over them
     std::uint64_t peers_kv_tokens{};
+    std::uint64_t peers_growth_ms{}; // of their totals since the last update
+    double peers_ms_per_s{};         // smoothed
+    double unseen_ms{};              // what the peers have probably started since their last reports
     kept_parts parts;
 };
 
@@ -104,6 +107,9 @@
 /// Requests of all routers that run or wait there.
 [[nodiscard]] std::uint32_t running_everywhere(const target_load& load);
 [[nodiscard]] std::uint64_t kv_everywhere(const target_load& load);
+/// Estimates what the peers have started since their reports, from the growth of their totals. Many routers
+/// that read the same report would otherwise all fill the same gap.
+void update_unseen(target_load& load, duration since_last, duration report_age);
 /// Takes it that another router has nothing running there any more.
 void clear_peer_load(target_load& load, std::uint64_t router);
 /// Drops what another router has said.
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -39,7 +39,8 @@
 
 BOOST_AUTO_TEST_SUITE(direct_settings)
 
-// Guards against a router that starts with settings it does not understand, or tells nobody which one is wrong.
+// Guards against a router that starts with settings it does not understand, or tells nobody which one is
+// wrong.
 BOOST_AUTO_TEST_CASE(wrong_settings_are_named) {
     failure why;
     BOOST_REQUIRE(load(good_settings(), why).has_value());
@@ -57,7 +58,8 @@
     BOOST_TEST((why.kind == failure_kind::out_of_range));
 }
 
-// Guards against seeds that are called on the wrong port, and against a stop that ends after the platform's kill.
+// Guards against seeds that are called on the wrong port, and against a stop that ends after the platform's
+// kill.
 BOOST_AUTO_TEST_CASE(core_settings_follow_the_file) {
     failure why;
     const auto settings = load(good_settings(), why);
--- a/tests/test_engine_load.cpp
+++ b/tests/test_engine_load.cpp
@@ -197,6 +197,37 @@
     BOOST_TEST(backlog_ms(load, settings, start) == 100.0);
 }
 
+// Load: twenty routers that read the same report. Guards against a herd that fills one gap twenty times over.
+BOOST_AUTO_TEST_CASE(work_since_the_last_report_is_expected) {
+    fleet engines{1};
+    target_load& load = engines.loads[0];
+    load.running = 30; // not idle
+    const engine_settings settings;
+    std::uint64_t total = 0;
+    time_point now = start;
+    for (int i = 0; i < 30; ++i) {
+        now += 200ms;
+        take_peer_load(load, settings, 1, {0, 0, total += 200}, now); // 1,000 ms of reading a second
+        update_unseen(load, 200ms, 200ms);
+    }
+    BOOST_TEST(load.unseen_ms > 190.0);
+    load.backlog = {};
+    BOOST_TEST(!engines.place(review(7, 9000), 450ms).chosen.has_value());
+    load.unseen_ms = 0;
+    BOOST_TEST(engines.place(review(7, 9000), 450ms).chosen.has_value());
+}
+
+// Guards against reading a shared part again at an engine that is nearly full: the room is worth more to
+// others.
+BOOST_AUTO_TEST_CASE(reading_again_costs_room) {
+    fleet engines{1};
+    engines.loads[0].running = 30;
+    add_backlog(engines.loads[0], engines.settings, 200, start);
+    BOOST_TEST(!engines.place(review(7, 1000), 700ms).chosen.has_value());
+    engines.loads[0].parts.use(7, start, engines.settings.parts_kept);
+    BOOST_TEST(engines.place(review(7, 1000), 700ms).chosen.has_value());
+}
+
 // Load: one of three plain targets is busy. Guards against queueing there while another has a free slot.
 BOOST_AUTO_TEST_CASE(call_goes_to_a_free_slot) {
     std::vector<target_load> loads(2);
