--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -88,6 +88,17 @@
         demands.push_back(tokens);
     const double window_s = to_seconds(settings_.slice) * static_cast<double>(share_slices);
     level_ = max_min_level(std::move(demands), tokens_per_second * window_s);
+    least_used_ = 1e9;
+    for (const auto& [account, tokens] : asked) {
+        const double used = used_share(account, now);
+        if (tokens > settings_.backlog_factor * used * level_) least_used_ = std::min(least_used_, used);
+    }
+}
+
+bool account_shares::far_ahead(std::uint64_t account, time_point now) const {
+    // Up to the share itself nobody is held back for another account, whatever keeps that one from being
+    // served.
+    return used_share(account, now) > settings_.lead * std::max(1.0, least_used_);
 }
 
 double account_shares::used_share(std::uint64_t account, time_point now) const {
--- a/core/damaskhill_account_share.hpp
+++ b/core/damaskhill_account_share.hpp
@@ -25,6 +25,8 @@
     duration slice{500ms};                     // grain of the window
     duration peer_lifetime{1500ms};            // after which a silent router's rows no longer count
     double default_tokens_per_second{290'000}; // where the operator declares none
+    double backlog_factor{1.3}; // an account that asks for more than this times what it gets is backlogged
+    double lead{1.7}; // by which an account beyond its share may be ahead of the least served backlogged one
 };
 
 inline constexpr std::size_t share_slices = 8; // of settings.slice: a window of 4 s
@@ -61,6 +63,10 @@
     /// Served tokens as a part of the account's share, 0 for an unknown account.
     [[nodiscard]] double used_share(std::uint64_t account, time_point now) const;
 
+    /// Whether the account is beyond its share and so far ahead of another one that waits that even idle
+    /// engines are left to that one.
+    [[nodiscard]] bool far_ahead(std::uint64_t account, time_point now) const;
+
 private:
     struct own_sums {
         windowed_sum asked;
@@ -74,7 +80,8 @@
     std::unordered_map<std::uint64_t, own_sums> own_;
     std::unordered_map<std::uint64_t, peer_rows> peers_;
     std::unordered_map<std::uint64_t, double> peers_served_; // at the last update
-    double level_{1e18};                                     // tokens in a window
+    double least_used_{1e9}; // used share of the least served backlogged account
+    double level_{1e18};     // tokens in a window
 };
 
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -240,7 +240,8 @@
     const auto latency = static_cast<double>(item.route.target_latency.count());
     const duration timely{static_cast<std::int64_t>(latency * state.settings.timely_share)};
     const duration waited = state.now - item.arrived;
-    return {timely - waited, share_factor(item.used_share)};
+    const bool ahead = !item.account.empty() && state.shares.far_ahead(item.account_hash, state.now);
+    return {timely - waited, ahead ? 0.0 : share_factor(item.used_share), !ahead};
 }
 
 struct placement_outcome {
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -170,6 +170,7 @@
 struct first_token_limits {
     duration timely{};        // at any engine
     double granted_part{1.0}; // of the limits at an engine that is not idle
+    bool may_use_idle{true};  // false: idle engines are left to others
 };
 
 /// Chooses an engine whose first token is predicted within the limits.
--- a/tests/test_direct_limits.cpp
+++ b/tests/test_direct_limits.cpp
@@ -45,6 +45,19 @@
     BOOST_TEST(!shares.within_share(2, start));
 }
 
+// Load: two accounts far beyond their shares, one at every router and one at few. Guards against the first
+// one taking every idle engine: it waits until the other has caught up. Alone, it may go on.
+BOOST_AUTO_TEST_CASE(account_far_ahead_leaves_idle_engines_to_the_other) {
+    account_shares shares;
+    shares.set_peer(7, {{1, {100'000, 60'000}}, {2, {100'000, 30'000}}}, start);
+    shares.update(5'000, start);
+    BOOST_TEST(shares.far_ahead(1, start));
+    BOOST_TEST(!shares.far_ahead(2, start));
+    shares.set_peer(7, {{1, {100'000, 60'000}}, {2, {30'000, 30'000}}}, start);
+    shares.update(5'000, start);
+    BOOST_TEST(!shares.far_ahead(1, start));
+}
+
 // Guards against an account that is held back for what it had long ago.
 BOOST_AUTO_TEST_CASE(window_forgets) {
     account_shares shares;
