Do not end a stopped process while requests wait to be read

Ruled out: idle connections (the request had been sent), the limit of the grace time (8 s). A stop now waits until timers are in time again. Test stop_waits_until_the_router_keeps_up fails before, passes after.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -220,7 +220,9 @@
 void check_stop(router_state& state, effects& out) {
     if (!state.stopping || state.exited) return;
     const duration since = state.now - state.stop_at;
-    const bool idle = state.requests.empty() && since >= state.settings.stop_accept_limit;
+    // While timers are late, requests that have been sent still wait to be read; they need an answer first.
+    const bool idle = state.requests.empty() && since >= state.settings.stop_accept_limit &&
+                      state.lag < state.settings.overload_lag;
     if (!idle && since < state.settings.stop_limit) return;
     cut_all(state, out);
     state.exited = true;
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -330,6 +330,23 @@
     BOOST_TEST(router.take<exit_process>().size() == 1U);
 }
 
+// Guards against a stop that ends the process while requests wait to be read, because it does not keep up.
+BOOST_AUTO_TEST_CASE(stop_waits_until_the_router_keeps_up) {
+    test_router router;
+    router.give(stop_requested{});
+    for (int i = 0; i < 12; ++i) {
+        router.give(timer_fired{});
+        router.now = router.state.next_wake + 300ms;
+    }
+    BOOST_TEST((router.now - router.state.stop_at > router.state.settings.stop_accept_limit));
+    BOOST_TEST(!router.has<exit_process>());
+    for (int i = 0; i < 40; ++i) {
+        router.now = router.state.next_wake;
+        router.give(timer_fired{});
+    }
+    BOOST_TEST(router.has<exit_process>());
+}
+
 // Load: one account's surge at one small router. Guards against requests that are read long after their
 // callers have left: late timers take the router out of rotation and refuse at once.
 BOOST_AUTO_TEST_CASE(late_timers_show_an_overload) {
