Close idle connections of callers when descriptors run out; charge a request once

The limit now follows the VM's descriptors, the connection that has rested longest makes room for a new one, and from four fifths on answers end their connections. One read buffer serves all connections. An accept that fails for want of descriptors waits.

An account was charged twice for a request whose first target took no connection: the send is taken back, the charge was not. Three copies of 'choose, take from the limits, send' are one function. Fields that nothing read are gone, and with one of them (event_stream) its check.

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -38,9 +38,22 @@
                "at least 1000"};
         return std::nullopt;
     }
+    constexpr std::uint64_t least_descriptors = 256;
+    if (s->max_descriptors < least_descriptors) {
+        why = {failure_kind::out_of_range, file + ": $.max_descriptors", std::to_string(s->max_descriptors),
+               "at least 256"};
+        return std::nullopt;
+    }
     return s;
 }
 
+std::size_t caller_connection_limit(const direct_daemon_settings& settings) {
+    // The rest is for connections to targets, of which the largest routers had 1,400 open under the worst
+    // load.
+    constexpr double callers_share = 0.6;
+    return static_cast<std::size_t>(callers_share * static_cast<double>(settings.max_descriptors));
+}
+
 direct::router_settings core_settings(const direct_daemon_settings& settings, std::uint64_t incarnation) {
     direct::router_settings core;
     core.name = settings.name;
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -33,6 +33,7 @@
     double repeat_window_s{10};
     double cold_overage{1.5}; // factor and addition by which a cold target's rate may be exceeded
     double cold_slack{5};
+    std::uint64_t max_descriptors{4096}; // that this process may have open
     static constexpr auto fields() {
         using t = direct_daemon_settings;
         return std::tuple{field{1, "name", &t::name},
@@ -50,13 +51,16 @@
                           field{13, "repeat_slack", &t::repeat_slack},
                           field{14, "repeat_window_s", &t::repeat_window_s},
                           field{15, "cold_overage", &t::cold_overage},
-                          field{16, "cold_slack", &t::cold_slack}};
+                          field{16, "cold_slack", &t::cold_slack},
+                          field{17, "max_descriptors", &t::max_descriptors}};
     }
 };
 
 /// Reads and checks a settings file as a whole.
 [[nodiscard]] std::optional<direct_daemon_settings> load_direct_settings(const std::string& file,
                                                                          failure& why);
+/// Connections of callers that leave enough descriptors for targets, the store and files.
+[[nodiscard]] std::size_t caller_connection_limit(const direct_daemon_settings& settings);
 [[nodiscard]] direct::router_settings core_settings(const direct_daemon_settings& settings,
                                                     std::uint64_t incarnation);
 
--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -7,6 +7,7 @@
 #include "damaskhill_impl_edge_server.hpp"
 
 #include <asio.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <http_parser.h>
@@ -22,14 +23,17 @@
 
 namespace {
 
-constexpr std::size_t read_size = 8U << 10U; // bytes of one read
+constexpr std::size_t read_size = 16U << 10U; // bytes of one read
 
 enum class reply_state : std::uint8_t { none, awaited, chunked };
 
-struct edge_connection : boost::intrusive_ref_counter<edge_connection, boost::thread_unsafe_counter> {
+using idle_hook =
+    boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+struct edge_connection : boost::intrusive_ref_counter<edge_connection, boost::thread_unsafe_counter>,
+                         idle_hook { // linked while no request is being read or answered
     explicit edge_connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
     asio::ip::tcp::socket socket;
-    std::array<char, read_size> buffer{};
     http_parser parser{};
     http_request request;
     std::size_t head_bytes{};
@@ -49,6 +53,7 @@
     bool closed{};
 };
 using connection_ptr = boost::intrusive_ptr<edge_connection>;
+using idle_list = boost::intrusive::list<edge_connection, boost::intrusive::constant_time_size<false>>;
 
 const char* reason_of(std::uint32_t status) { return http_status_str(static_cast<http_status>(status)); }
 
@@ -64,7 +69,10 @@
 
     void open(asio::ip::tcp::socket socket);
     void accept();
+    /// Makes room for one more connection. False if all are at work on requests.
+    bool make_room();
     void read(const connection_ptr& connection);
+    void take_bytes(const connection_ptr& connection, std::string_view bytes);
     void parse(const connection_ptr& connection, std::string_view bytes);
     void on_complete(const connection_ptr& connection);
     void reject(const connection_ptr& connection, std::uint32_t status);
@@ -82,16 +90,38 @@
     asio::ip::tcp::acceptor acceptor;
     std::unordered_map<std::uint64_t, connection_ptr> exchanges;
     std::set<connection_ptr> connections;
+    idle_list idle;                       // the one that has rested longest first
+    std::array<char, read_size> buffer{}; // of whichever connection is being read
     std::uint64_t next_exchange{1};
+    std::uint64_t idle_closed{};
+    std::uint64_t turned_down{};
     bool closing{};
     bool turning_away{};
     [[nodiscard]] bool ends(const edge_connection& connection) const {
-        return !connection.keep_alive || closing || turning_away;
+        return !connection.keep_alive || closing || turning_away || crowded();
+    }
+    /// Answers end their connections before the limit is reached, so that few have to be closed unasked.
+    [[nodiscard]] bool crowded() const {
+        constexpr double crowded_share = 0.8; // leaves room for the connections of a burst of one second
+        return static_cast<double>(connections.size()) >
+               crowded_share * static_cast<double>(settings.connection_limit);
     }
 };
 
+bool edge_server::implementation::make_room() {
+    if (connections.size() < settings.connection_limit) return true;
+    if (idle.empty()) return false;
+    // Its caller has the longest had no use for it, and sends its next request on a new connection.
+    close(connection_ptr{&idle.front()}, false);
+    ++idle_closed;
+    return true;
+}
+
 void edge_server::implementation::open(asio::ip::tcp::socket socket) {
-    if (connections.size() >= settings.connection_limit) return;
+    if (!make_room()) {
+        ++turned_down;
+        return;
+    }
     asio::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
     socket.non_blocking(true, ignored);
@@ -99,6 +129,7 @@
     http_parser_init(&connection->parser, HTTP_REQUEST);
     connection->parser.data = connection.get();
     connections.insert(connection);
+    idle.push_back(*connection);
     read(connection);
 }
 
@@ -112,29 +143,44 @@
             socket = asio::ip::tcp::socket{self->context};
             self->acceptor.accept(socket, error);
         }
-        self->accept();
+        if (error == asio::error::would_block || error == asio::error::try_again || !error) {
+            self->accept();
+            return;
+        }
+        // Without descriptors every further attempt fails at once, so the next one waits.
+        constexpr duration pause = 50ms;
+        const auto timer = std::make_shared<asio::steady_timer>(self->context, pause);
+        timer->async_wait([self, timer](const asio::error_code& stopped) {
+            if (!stopped) self->accept();
+        });
     });
 }
 
 void edge_server::implementation::read(const connection_ptr& connection) {
-    connection->socket.async_read_some(
-        asio::buffer(connection->buffer),
-        [self = shared_from_this(), connection](const asio::error_code& error, std::size_t size) {
-            if (connection->closed) return;
-            if (error) {
-                self->close(connection, false);
-                return;
-            }
-            const std::string_view bytes{connection->buffer.data(), size};
-            if (connection->reply != reply_state::none) {
-                // The next request on this connection is kept until the present one is answered.
-                connection->early.append(bytes);
-                if (connection->early.size() > self->settings.header_limit) return;
-            } else {
-                self->parse(connection, bytes);
-            }
-            if (!connection->closed) self->read(connection);
-        });
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this(), connection](
+                                                                        const asio::error_code& failed) {
+        if (connection->closed) return;
+        asio::error_code error = failed;
+        std::size_t size = 0;
+        if (!error) size = connection->socket.read_some(asio::buffer(self->buffer), error);
+        if (error && error != asio::error::would_block) {
+            self->close(connection, false);
+            return;
+        }
+        if (size > 0) self->take_bytes(connection, {self->buffer.data(), size});
+        const bool too_early = connection->early.size() > self->settings.header_limit;
+        if (!connection->closed && !too_early) self->read(connection);
+    });
+}
+
+void edge_server::implementation::take_bytes(const connection_ptr& connection, std::string_view bytes) {
+    connection->unlink();
+    if (connection->reply == reply_state::none) {
+        parse(connection, bytes);
+    } else {
+        // The next request on this connection is kept until the present one is answered.
+        connection->early.append(bytes);
+    }
 }
 
 //-----------------------------------------------------------------------------
@@ -332,6 +378,7 @@
     asio::error_code ignored;
     if (reset) connection->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
     connection->socket.close(ignored);
+    connection->unlink();
     connections.erase(connection);
     if (connection->reply == reply_state::none) return;
     connection->reply = reply_state::none;
@@ -345,7 +392,10 @@
     if (connection->ends || closing) connection->close_after_write = true;
     write(connection);
     if (connection->closed || connection->close_after_write) return;
-    if (connection->early.empty()) return;
+    if (connection->early.empty()) {
+        idle.push_back(*connection);
+        return;
+    }
     asio::post(context, [self = shared_from_this(), connection] {
         if (connection->closed || connection->reply != reply_state::none) return;
         const std::string bytes = std::move(connection->early);
@@ -426,6 +476,10 @@
     impl_->write(connection);
 }
 
+edge_server_counts edge_server::counts() const {
+    return {impl_->connections.size(), impl_->idle_closed, impl_->turned_down};
+}
+
 void edge_server::set_turning_away(bool turning_away) { impl_->turning_away = turning_away; }
 
 void edge_server::begin_closing(duration idle_close_delay) {
--- a/backends/damaskhill_impl_edge_server.hpp
+++ b/backends/damaskhill_impl_edge_server.hpp
@@ -21,7 +21,13 @@
     std::size_t header_limit{64U << 10U}; // bytes of a head
     std::size_t body_limit{8U << 20U};    // bytes of a body
     std::size_t unsent_limit{4U << 20U};  // bytes that a slow reader may leave unsent
-    std::size_t connection_limit{3000};   // open connections; further ones are closed at once
+    std::size_t connection_limit{3000};   // open connections; at the limit those that rest longest are closed
+};
+
+struct edge_server_counts {
+    std::size_t open{};          // connections
+    std::uint64_t idle_closed{}; // to make room for new ones
+    std::uint64_t turned_down{}; // new connections that found no room
 };
 
 /// One request has one exchange number, which its answer is addressed by. Answers to exchanges whose
@@ -50,6 +56,8 @@
     void end(std::uint64_t exchange);
     void abort(std::uint64_t exchange); // closes the connection without an end
 
+    [[nodiscard]] edge_server_counts counts() const;
+
     /// While set, every answer ends its connection, so that callers come back through the balancer.
     void set_turning_away(bool turning_away);
     /// From now on every answer ends its connection; idle connections close after the delay.
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -37,9 +37,8 @@
     duration target_latency{1s}; // until the first byte of a timely answer
     duration longest_pause{1s};  // between two events of a timely stream
     std::uint32_t max_attempts{1};
-    std::uint32_t priority{}; // 0 is the highest
-    bool is_public{};         // served without a key
-    bool resumable{};         // streams may go on at another target after Last-Event-Id
+    bool is_public{}; // served without a key
+    bool resumable{}; // streams may go on at another target after Last-Event-Id
     std::vector<weighted_service> services;
 };
 
@@ -53,7 +52,6 @@
     std::string name;
     double cold_per_s{}; // requests a second that a cold target bears, 0: never cold
     duration cold_start{0s};
-    std::uint32_t max_connections{100}; // of all callers together
     std::optional<engine_declaration> engine;
 };
 
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -115,7 +115,6 @@
                       true});
     }
     target.entry = entry;
-    target.entry_seen = state.now;
     target.hash = stable_hash(entry.id);
     target.load.slots = std::max(1U, entry.slots);
     if (entry.cold_remaining > 0s) {
@@ -315,7 +314,7 @@
     void operator()(const store_reachable& event) const {
         if (event.reachable == state.store_up) return;
         state.store_up = event.reachable;
-        (event.reachable ? state.store_regained : state.store_lost) = state.now;
+        if (event.reachable) state.store_regained = state.now;
         out.emplace_back(log_event{event.reachable ? "store_regained" : "store_lost",
                                    "\"belief_age_ms\":" + belief_age(state), true});
     }
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -102,8 +102,6 @@
     bool not_executed{}; // the target says that it did not run the request
     bool other_target{}; // another target has the address
     bool sealed{};       // the target has proved that the answer is its own
-    bool event_stream{};
-    bool unframed{}; // no length: the end of the connection ends the answer
 };
 
 struct answer_data {
@@ -268,8 +266,8 @@
     std::string body; // of a whole answer, or the part of a stream that is no whole event yet
     std::uint64_t charged_kv{};
     // All attempts.
-    std::uint32_t sends{};    // that reached a target, or may have
-    std::uint32_t refusals{}; // by targets that did not run it
+    std::uint32_t sends{}; // that reached a target, or may have
+    bool charged{};        // to its account's share
     bool may_have_run{};
     // What the last decision on it rested on, for the log.
     double used_share{};  // of its account
@@ -290,8 +288,7 @@
 struct target_state {
     target_entry entry;
     std::uint64_t hash{}; // of its id
-    time_point entry_seen{};
-    bool missing{}; // not in the store's list at present
+    bool missing{};       // not in the store's list at present
     time_point missing_since{};
     target_load load;
     cold_gate cold;
@@ -299,7 +296,6 @@
     time_point lost_until{}; // left out of the choice
     std::uint32_t losses{};  // in a row
     double failure_share{};  // smoothed
-    double latency_ms{};     // smoothed time to the first byte, plain services
 };
 
 struct peer_router {
@@ -344,7 +340,6 @@
     std::uint64_t store_revision{};
     belief held;
     bool store_up{};
-    time_point store_lost{};
     time_point store_regained{};
 
     std::unordered_map<caller_id, request_ptr> requests;
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -296,7 +296,9 @@
         for (const prompt_part& part : item->input.prompt.parts)
             load.parts.use(part.id, state.now, state.settings.engine.parts_kept);
     }
-    if (item->sends == 0) state.shares.on_served(item->account_hash, item->tokens, state.now);
+    // A send that found no connection is taken back from `sends`, but has been charged all the same.
+    if (!item->charged) state.shares.on_served(item->account_hash, item->tokens, state.now);
+    item->charged = true;
     ++item->sends;
     if (item->route.rule == repeat_rule::idempotent)
         state.attempt_limits.emplace(item->sent_at + state.settings.service_attempt_limit,
@@ -322,24 +324,27 @@
                        state.now);
 }
 
+/// Ends the present attempt, if there is one, and sends the request to another target. False, with nothing
+/// changed, if no target has room or the limits allow no further send.
+bool send_again(router_state& state, const request_ptr& item, std::string_view reason, effects& out) {
+    if (item->deadline - state.now <= state.settings.answer_margin) return false;
+    const placement_outcome found = place(state, *item);
+    if (found.target == nullptr || !take_another_send(state, *item)) return false;
+    out.emplace_back(log_event{"repeat",
+                               "\"id\":" + quoted(item->input.attempt) + ",\"reason\":" + quoted(reason) +
+                                   ",\"from\":" + quoted(item->target) +
+                                   ",\"to\":" + quoted(found.target->entry.id) +
+                                   ",\"after_event\":" + quoted(item->last_event_id),
+                               false});
+    cancel_attempt(state, *item, out);
+    start_attempt(state, item, *found.target, found.choice, out);
+    return true;
+}
+
 /// Sends a request once more, or ends it with the answer that says what is known of it.
 void repeat_or_fail(router_state& state, const request_ptr& item, std::uint32_t status,
                     std::string_view reason, effects& out) {
-    const bool time_left = item->deadline - state.now > state.settings.answer_margin;
-    if (time_left) {
-        const placement_outcome found = place(state, *item);
-        if (found.target != nullptr && take_another_send(state, *item)) {
-            out.emplace_back(log_event{
-                "repeat",
-                "\"id\":" + quoted(item->input.attempt) + ",\"reason\":" + quoted(reason) +
-                    ",\"from\":" + quoted(item->target) + ",\"to\":" + quoted(found.target->entry.id) +
-                    ",\"after_event\":" + quoted(item->last_event_id),
-                false});
-            start_attempt(state, item, *found.target, found.choice, out);
-            return;
-        }
-    }
-    fail(state, item, status, reason, out);
+    if (!send_again(state, item, reason, out)) fail(state, item, status, reason, out);
 }
 
 } // namespace
@@ -477,7 +482,6 @@
     if (target != nullptr && event.other_target) on_target_lost(state, *target, out);
     out.emplace_back(count{"target_refusals_total", item->service, 1});
     cancel_attempt(state, *item, out);
-    ++item->refusals;
     repeat_or_fail(state, item, status_unavailable, "target_refused", out);
 }
 
@@ -508,10 +512,6 @@
 void note_first_byte(router_state& state, request& item, effects& out) {
     item.first_byte_seen = true;
     out.emplace_back(observe{"first_byte_seconds", item.service, to_seconds(state.now - item.arrived)});
-    target_state* target = find_target(state, item.target);
-    if (target == nullptr) return;
-    constexpr double weight = 0.1; // of the newest answer
-    target->latency_ms += weight * (to_milliseconds(state.now - item.sent_at) - target->latency_ms);
 }
 
 bool is_stream(const request& item) {
@@ -542,14 +542,7 @@
     }
     const bool another =
         failed && !item->reply_begun && may_repeat_rule(*item) && item->sends < item->route.max_attempts;
-    if (another) {
-        const placement_outcome found = place(state, *item);
-        if (found.target != nullptr && take_another_send(state, *item)) {
-            cancel_attempt(state, *item, out);
-            start_attempt(state, item, *found.target, found.choice, out);
-            return;
-        }
-    }
+    if (another && send_again(state, item, "target_failed", out)) return;
     if (item->reply_begun && event.status >= 300) {
         cancel_attempt(state, *item, out);
         fail(state, item, status_bad_gateway, "resume_failed", out);
@@ -707,12 +700,10 @@
         state.attempt_limits.erase(state.attempt_limits.begin());
         if (found == state.requests.end() || found->second->head_seen) continue;
         const request_ptr item = found->second;
-        const placement_outcome other = place(state, *item);
-        if (other.target == nullptr || !take_another_send(state, *item)) continue;
-        if (target_state* silent = find_target(state, item->target)) on_target_answered(*silent, true);
+        const std::string silent = item->target;
+        if (!send_again(state, item, "target_silent", out)) continue;
+        if (target_state* target = find_target(state, silent)) on_target_answered(*target, true);
         item->may_have_run = true;
-        cancel_attempt(state, *item, out);
-        start_attempt(state, item, *other.target, other.choice, out);
     }
 }
 
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -29,7 +29,7 @@
     direct_host(event_loop& loop, const direct_daemon_settings& settings)
         : loop_(loop),
           state_(core_settings(settings, system_random())),
-          edge_(loop, {},
+          edge_(loop, edge_settings_of(settings),
                 {[this](std::uint64_t exchange, http_request&& request) {
                      submit(platform::decode_request(exchange, std::move(request)));
                  },
@@ -48,12 +48,17 @@
     [[nodiscard]] std::optional<bool> start(const direct_daemon_settings& settings, failure& why);
     void stop();
     void submit(const direct::input& event);
-    void flush_log() { log_.flush(); }
+    void flush_log();
     void log_start(const direct_daemon_settings& settings);
     /// Reads the settings again; a file that cannot be read changes nothing.
     void reload(const std::string& settings_file);
 
 private:
+    static edge_server_settings edge_settings_of(const direct_daemon_settings& settings) {
+        edge_server_settings edge;
+        edge.connection_limit = caller_connection_limit(settings);
+        return edge;
+    }
     static platform::store_settings store_settings_of(const direct_daemon_settings& settings) {
         platform::store_settings store;
         store.address = settings.store_address;
@@ -74,6 +79,7 @@
     platform::store_mirror store_;
     asio::steady_timer wake_timer_;
     time_point armed_{};
+    edge_server_counts told_; // of callers' connections, by the last log line on them
     std::unordered_map<std::uint64_t, std::uint64_t> calls_; // client's number by send
     std::vector<direct::effects> spare_;                     // lists of effects, kept for their memory
     std::unique_ptr<edge_server> ready_;
@@ -107,6 +113,10 @@
         control_->whole(exchange, 200, {{"Content-Type", "application/json"}}, store_.snapshot());
     } else if (request.target == "/metrics") {
         metrics_.set(gauge{"log_lines_dropped", "", static_cast<double>(log_.dropped())});
+        const edge_server_counts callers = edge_.counts();
+        metrics_.set(gauge{"caller_connections", "", static_cast<double>(callers.open)});
+        metrics_.set(gauge{"caller_connections_closed_idle", "", static_cast<double>(callers.idle_closed)});
+        metrics_.set(gauge{"caller_connections_turned_down", "", static_cast<double>(callers.turned_down)});
         metrics_.set(gauge{"connections_opened", "", static_cast<double>(client_.connections_opened())});
         metrics_.set(gauge{"reports_unsent", "", static_cast<double>(reports_.unsent())});
         metrics_.set(gauge{"reports_rejected", "", static_cast<double>(reports_.rejected())});
@@ -126,6 +136,19 @@
                true, boot_clock());
 }
 
+void direct_host::flush_log() {
+    const edge_server_counts callers = edge_.counts();
+    if (callers.idle_closed != told_.idle_closed || callers.turned_down != told_.turned_down) {
+        log_.write("connections_full",
+                   "\"open\":" + std::to_string(callers.open) +
+                       ",\"idle_closed\":" + std::to_string(callers.idle_closed - told_.idle_closed) +
+                       ",\"turned_down\":" + std::to_string(callers.turned_down - told_.turned_down),
+                   true, boot_clock());
+        told_ = callers;
+    }
+    log_.flush();
+}
+
 void direct_host::stop() {
     submit(stop_requested{});
     // Callers that keep connections are told with their next answer; idle connections end a little later,
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -64,6 +64,21 @@
     BOOST_TEST(refusal->retry_after.has_value());
 }
 
+// Guards against an account that is charged twice for one request because its first target took no
+// connection.
+BOOST_AUTO_TEST_CASE(account_is_charged_once_for_a_request) {
+    test_router router;
+    router.ask("chat");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    const auto served = [&] { return router.state.shares.own_usage(router.now).begin()->second.served; };
+    const double charged = served();
+    BOOST_TEST(charged > 0);
+    router.give(answer_end{first->send, send_result::not_sent});
+    BOOST_REQUIRE(router.has<send_request>());
+    BOOST_TEST(served() == charged);
+}
+
 // Guards against an idempotent call that fails although another target would answer.
 BOOST_AUTO_TEST_CASE(lookup_is_repeated_after_a_failure) {
     test_router router;
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -56,6 +56,10 @@
     limit["key_limit_ms"] = 10;
     BOOST_TEST(!load(limit, why).has_value());
     BOOST_TEST((why.kind == failure_kind::out_of_range));
+    limit = good_settings();
+    limit["max_descriptors"] = 100;
+    BOOST_TEST(!load(limit, why).has_value());
+    BOOST_TEST((why.kind == failure_kind::out_of_range));
 }
 
 // Guards against seeds that are called on the wrong port, and against a stop that ends after the platform's
@@ -70,6 +74,7 @@
     BOOST_TEST((core.stop_limit < 8500ms));
     BOOST_TEST((core.belief.key_limit < 5s));
     BOOST_TEST(core.cold.senders == 5U);
+    BOOST_TEST(caller_connection_limit(*settings) < settings->max_descriptors);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -210,4 +210,33 @@
     BOOST_TEST(bytes.ends_with("ok"));
 }
 
+// Guards against new callers that are cut off because idle connections of earlier ones hold all descriptors.
+BOOST_AUTO_TEST_CASE(idle_connection_makes_room_for_a_new_one) {
+    event_loop loop;
+    edge_server* serving = nullptr;
+    edge_server_settings settings;
+    settings.connection_limit = 2;
+    edge_server server{
+        loop,
+        settings,
+        {[&](std::uint64_t exchange, http_request&&) { serving->whole(exchange, 200, {}, "ok"); },
+         [](std::uint64_t) {}}};
+    serving = &server;
+    failure why;
+    BOOST_REQUIRE(server.listen(server_address, why).has_value());
+    const auto parts = split_address(server_address, why);
+    std::vector<asio::ip::tcp::socket> idle;
+    for (int i = 0; i < 2; ++i) {
+        idle.emplace_back(*static_cast<asio::io_context*>(loop.native()));
+        idle.back().connect({asio::ip::make_address(parts->first), parts->second});
+        loop.after(50ms, [&] { loop.stop(); });
+        loop.run();
+    }
+    BOOST_TEST(server.counts().open == 2U);
+    const std::string bytes = read_all(loop, server_address);
+    BOOST_TEST(bytes.ends_with("ok"));
+    BOOST_TEST(server.counts().idle_closed == 1U);
+    BOOST_TEST(server.counts().turned_down == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -107,7 +107,6 @@
     const auto own = decode_answer(1, "9c41", edge_answer_head{head});
     BOOST_TEST(own.same_attempt);
     BOOST_TEST(own.head.sealed);
-    BOOST_TEST(own.head.event_stream);
     BOOST_TEST(find_header(own.head.headers, "Keep-Alive").empty());
     const auto other = decode_answer(1, "ffff", std::move(head));
     BOOST_TEST(other.other_attempt);
