Let prompts be read without a break for 600 ms

Cause: an engine reads a chunk, then makes one token for each running stream, so that a stream's event of 7 or 8 tokens comes every 460 to 560 ms while prompts are read without end; pauses up to 500 and 600 ms are in time. The limit of 400 ms refused prompts that would have been served. The log line of a request says how much reading of shared parts its placement expects.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -272,6 +272,7 @@
     // What the last decision on it rested on, for the log.
     double used_share{};  // of its account
     duration predicted{}; // first token, from the send
+    double again_ms{};    // expected reading of shared parts that other engines keep
     duration room_in{};   // if no target had room
     bool reply_begun{};
     std::vector<std::string> tried; // targets
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -34,15 +34,17 @@
 
 void log_outcome(router_state& state, const request& item, std::string_view outcome, std::uint32_t status,
                  effects& out) {
-    std::string fields =
-        "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
-        ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
-        ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
-        ",\"sends\":" + std::to_string(item.sends) +
-        ",\"used_share_percent\":" + in_percent(item.used_share) +
-        ",\"predicted_ms\":" + in_ms(item.predicted) + ",\"room_in_ms\":" + in_ms(item.room_in) +
-        ",\"ms\":" + in_ms(state.now - item.arrived) + ",\"belief_age_ms\":" + belief_age(state) +
-        ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
+    std::string fields = "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
+                         ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
+                         ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
+                         ",\"sends\":" + std::to_string(item.sends) +
+                         ",\"used_share_percent\":" + in_percent(item.used_share) +
+                         ",\"predicted_ms\":" + in_ms(item.predicted) +
+                         ",\"read_again_ms\":" + std::to_string(std::lround(item.again_ms)) +
+                         ",\"room_in_ms\":" + in_ms(item.room_in) +
+                         ",\"ms\":" + in_ms(state.now - item.arrived) +
+                         ",\"belief_age_ms\":" + belief_age(state) +
+                         ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
     out.emplace_back(log_event{"request", std::move(fields), false});
     out.emplace_back(count{"requests_total", std::string{outcome}, 1});
 }
@@ -282,6 +284,7 @@
     item->target = target.entry.id;
     item->sent_at = state.now;
     item->predicted = choice.first_token;
+    item->again_ms = choice.again_ms;
     item->body.clear();
     item->tried.push_back(target.entry.id);
     state.by_send[item->send] = item->input.caller;
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -219,7 +219,7 @@
         }
         if (result.chosen && best <= offer.rank) continue;
         best = offer.rank;
-        result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms};
+        result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms, offer.shared_ms};
     }
     if (!result.chosen && shortest >= 0)
         result.room_in = from_ms(std::max(1.0, shortest / settings.prompt_share));
@@ -239,7 +239,7 @@
         if (result.chosen && best <= rank) continue;
         best = rank;
         const std::uint32_t ahead = running < load.slots ? 0 : running - load.slots + 1;
-        result.chosen = placement_choice{option.target, settings.service_time * (1 + ahead), 0};
+        result.chosen = placement_choice{option.target, settings.service_time * (1 + ahead), 0, 0};
     }
     return result;
 }
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -35,7 +35,7 @@
     double work_weight{8.0};   // delay that is worth taking to avoid one ms of reading, within the limit, ms
     // While an engine reads, its running streams get one token for each chunk, so reading without a break
     // makes their events pause. Long prompts therefore go to a few engines that short requests avoid.
-    duration unbroken_reading{400ms}; // at an engine for short requests; a pause of 500 ms makes streams late
+    duration unbroken_reading{600ms}; // at an engine for short requests; a pause of 500 ms makes streams late
     duration long_prompt{300ms};      // reading time above which a prompt is long
     double long_engines{0.2};         // part of a service's engines that take long prompts
     duration long_engine_penalty{300ms}; // of these engines for short requests
@@ -159,6 +159,7 @@
     std::uint32_t target{};
     duration first_token{}; // predicted, from now
     double work_ms{};
+    double again_ms{}; // of the work: shared parts that are probably read although another engine keeps them
 };
 
 struct placement_result {
