Find all routers of a data centre that has no seed

The seeds stand in three of the four data centres. A router without one probed one random address a second, and in its first seconds the first eight addresses again and again; routers of klang-d heard each other after 0.6 to 42 s. Now every address of the own data centre that is not heard is probed, and a probed router names all that it hears. The new test fails before (35 checks) and passes after.

--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -181,11 +181,17 @@
 void add_routers(const router_state& state, router_report& report, bool all) {
     report.routers.push_back({state.settings.report_address, state.settings.data_centre});
     for (const auto& [address, peer] : state.peers) {
-        if (is_neighbour(state, peer)) report.routers.push_back({address, peer.data_centre});
+        // To be found, a router of a data centre without a seed depends on those that it has probed.
+        const bool named = all ? is_live(state, peer) : is_neighbour(state, peer);
+        if (named) report.routers.push_back({address, peer.data_centre});
     }
     if (!all) return;
     for (const auto& [data_centre, summary] : state.summaries)
         report.routers.insert(report.routers.end(), summary.last.routers.begin(), summary.last.routers.end());
+    // Those that are heard directly as well stand in the list twice.
+    std::ranges::sort(report.routers, {}, &router_row::address);
+    const auto twice = std::ranges::unique(report.routers, {}, &router_row::address);
+    report.routers.erase(twice.begin(), twice.end());
 }
 
 void add_identity(const router_state& state, router_report& report) {
@@ -326,7 +332,8 @@
     }
 }
 
-/// Reports to addresses that get none regularly, so that routers find each other again.
+/// Reports to addresses that get none regularly, so that routers find each other: all of this data centre
+/// that are not heard, and one of another data centre.
 void probe_others(router_state& state, std::span<const std::string> neighbours, effects& out) {
     for (const std::string& seed : state.settings.seeds) {
         if (seed != state.settings.report_address) state.peers.try_emplace(seed);
@@ -335,15 +342,15 @@
     constexpr duration eager_time = 3s; // after the start
     const bool eager = state.now - state.started < eager_time;
     state.next_probe = state.now + (eager ? state.settings.probe_period / 4 : state.settings.probe_period);
-    std::vector<std::string> others;
+    std::vector<std::string> probed;
+    std::vector<std::string> distant;
     for (const auto& [address, peer] : state.peers) {
-        if (std::ranges::find(neighbours, address) == neighbours.end()) others.push_back(address);
+        if (std::ranges::find(neighbours, address) != neighbours.end()) continue;
+        const bool near = peer.data_centre == state.settings.data_centre || peer.data_centre.empty();
+        (near ? probed : distant).push_back(address);
     }
-    if (others.empty()) return;
-    constexpr std::size_t eager_probes = 8; // at once; reaches the three seeds and who they name
-    if (!eager) others = {others[state.random.next() % others.size()]};
-    if (others.size() > eager_probes) others.resize(eager_probes);
-    out.emplace_back(send_report{std::move(others), report_of(state, true)});
+    if (!distant.empty()) probed.push_back(distant[state.random.next() % distant.size()]);
+    if (!probed.empty()) out.emplace_back(send_report{std::move(probed), report_of(state, true)});
 }
 
 } // namespace
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -219,7 +219,8 @@
         }
         if (result.chosen && best <= offer.rank) continue;
         best = offer.rank;
-        result.chosen = placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms, offer.shared_ms};
+        result.chosen =
+            placement_choice{option.target, from_ms(offer.wait_ms), offer.work_ms, offer.shared_ms};
     }
     if (!result.chosen && shortest >= 0)
         result.room_in = from_ms(std::max(1.0, shortest / settings.prompt_share));
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -451,6 +451,34 @@
     BOOST_TEST(running_everywhere(a2.state.targets.at(sent->target).load) == 0U);
 }
 
+// Guards against routers of a data centre without a seed that find each other late or never, and meanwhile
+// each grant an account its whole share.
+BOOST_AUTO_TEST_CASE(routers_of_a_data_centre_without_a_seed_find_each_other) {
+    constexpr int in_each = 6;
+    std::vector<std::unique_ptr<test_router>> routers;
+    for (const char* data_centre : {"dc-a", "dc-b", "dc-c", "dc-d"}) {
+        for (int i = 1; i <= in_each; ++i) {
+            const std::string address =
+                "10.0." + std::to_string(routers.size() / in_each) + "." + std::to_string(i) + ":7";
+            routers.push_back(std::make_unique<test_router>(address, data_centre));
+            routers.back()->state.settings.seeds = {"10.0.0.1:7", "10.0.1.1:7", "10.0.2.1:7"};
+        }
+    }
+    std::vector<test_router*> all;
+    for (const auto& router : routers)
+        all.push_back(router.get());
+    exchange_reports(all, 4s);
+    for (const test_router* router : all) {
+        std::size_t heard = 0;
+        for (const auto& [address, peer] : router->state.peers) {
+            const bool near = peer.data_centre == router->state.settings.data_centre;
+            if (near && peer.incarnation != 0 && router->now - peer.heard < 1s) ++heard;
+        }
+        BOOST_TEST(heard == in_each - 1U);
+        BOOST_TEST(routers_for_limits(router->state) == routers.size());
+    }
+}
+
 // Guards against a backlog that grows by the whole history of a router whenever its relay hears it again.
 BOOST_AUTO_TEST_CASE(neighbour_that_is_lost_and_heard_again_adds_no_backlog) {
     test_router a1{"10.0.0.1:7", "dc-a"};
