--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -271,10 +271,11 @@
     bool charged{};        // to its account's share
     bool may_have_run{};
     // What the last decision on it rested on, for the log.
-    double used_share{};  // of its account
-    duration predicted{}; // first token, from the send
-    double again_ms{};    // expected reading of shared parts that other engines keep
-    duration room_in{};   // if no target had room
+    double used_share{};         // of its account
+    duration predicted{};        // first token, from the send
+    duration first_byte_after{}; // the send, zero: none has come
+    double again_ms{};           // expected reading of shared parts that other engines keep
+    duration room_in{};          // if no target had room
     bool reply_begun{};
     std::vector<std::string> tried; // targets
     std::string last_event_id;      // that the caller has been sent
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -34,17 +34,17 @@
 
 void log_outcome(router_state& state, const request& item, std::string_view outcome, std::uint32_t status,
                  effects& out) {
-    std::string fields = "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
-                         ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
-                         ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
-                         ",\"sends\":" + std::to_string(item.sends) +
-                         ",\"used_share_percent\":" + in_percent(item.used_share) +
-                         ",\"predicted_ms\":" + in_ms(item.predicted) +
-                         ",\"read_again_ms\":" + std::to_string(std::lround(item.again_ms)) +
-                         ",\"room_in_ms\":" + in_ms(item.room_in) +
-                         ",\"ms\":" + in_ms(state.now - item.arrived) +
-                         ",\"belief_age_ms\":" + belief_age(state) +
-                         ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
+    std::string fields =
+        "\"id\":" + quoted(item.input.attempt) + ",\"account\":" + quoted(item.account) +
+        ",\"route\":" + quoted(item.route.name) + ",\"outcome\":" + quoted(outcome) +
+        ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
+        ",\"sends\":" + std::to_string(item.sends) +
+        ",\"used_share_percent\":" + in_percent(item.used_share) +
+        ",\"predicted_ms\":" + in_ms(item.predicted) + ",\"first_byte_ms\":" + in_ms(item.first_byte_after) +
+        ",\"read_again_ms\":" + std::to_string(std::lround(item.again_ms)) +
+        ",\"room_in_ms\":" + in_ms(item.room_in) + ",\"ms\":" + in_ms(state.now - item.arrived) +
+        ",\"belief_age_ms\":" + belief_age(state) +
+        ",\"declarations\":" + std::to_string(state.known ? state.known->version : 0);
     out.emplace_back(log_event{"request", std::move(fields), false});
     out.emplace_back(count{"requests_total", std::string{outcome}, 1});
 }
@@ -514,6 +514,7 @@
 
 void note_first_byte(router_state& state, request& item, effects& out) {
     item.first_byte_seen = true;
+    item.first_byte_after = state.now - item.sent_at;
     out.emplace_back(observe{"first_byte_seconds", item.service, to_seconds(state.now - item.arrived)});
 }
 
