Version moves: one verdict for all routers, counts of the present order only

Statuses are mirrored while orders stand, counts belong to the order's revision, rows carry the order's age, the old version gets nothing from 0.7 of the time on and the move is completed when nothing runs there, and failures are compared with three deviations of a binomial count.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -322,7 +322,8 @@
 };
 
 struct rollout_progress {
-    time_point seen{};
+    std::uint64_t order{}; // revision of the order that the counts belong to
+    time_point seen{};     // when the first router saw the order
     version_counts on_new; // of this router
     version_counts on_old;
     time_point next_write{};
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -57,11 +57,15 @@
     std::uint32_t answers{};
     std::uint32_t failures{};
     std::uint64_t latency_ms_total{}; // of the successful answers
+    std::uint64_t order_age_us{};     // since a router first saw the order, when this was sent
     static constexpr auto fields() {
         using t = version_row;
-        return std::tuple{field{1, "order", &t::order}, field{2, "is_new", &t::is_new},
-                          field{3, "answers", &t::answers}, field{4, "failures", &t::failures},
-                          field{5, "latency_ms_total", &t::latency_ms_total}};
+        return std::tuple{field{1, "order", &t::order},
+                          field{2, "is_new", &t::is_new},
+                          field{3, "answers", &t::answers},
+                          field{4, "failures", &t::failures},
+                          field{5, "latency_ms_total", &t::latency_ms_total},
+                          field{6, "order_age_us", &t::order_age_us}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -71,6 +71,16 @@
         forget_peer_load(target.load, sender);
 }
 
+// A router that starts during a move goes on with it where the others are.
+void learn_order_ages(router_state& state, const router_report& report) {
+    for (const version_row& row : report.versions) {
+        for (auto& [service, progress] : state.rollouts) {
+            if (progress.order == row.order)
+                progress.seen = std::min(progress.seen, state.now - since_epoch_of(row.order_age_us));
+        }
+    }
+}
+
 constexpr duration snapshot_period = 300ms; // between two fetches of peers' copies
 
 void fetch_newer_copy(router_state& state, const router_report& report, effects& out) {
@@ -136,6 +146,7 @@
     } else {
         on_own_report(state, report, out);
     }
+    learn_order_ages(state, report);
     take_belief(state, report);
     fetch_newer_copy(state, report, out);
 }
@@ -169,9 +180,11 @@
     for (const auto& [service, progress] : state.rollouts) {
         const auto order = state.known->rollouts.find(service);
         if (order == state.known->rollouts.end()) continue;
+        if (progress.order != order->second.revision) continue;
+        const auto age = static_cast<std::uint64_t>((state.now - progress.seen).count());
         const auto add = [&](bool is_new, const version_counts& counts) {
             report.versions.push_back(
-                {order->second.revision, is_new, counts.answers, counts.failures, counts.latency_ms_total});
+                {progress.order, is_new, counts.answers, counts.failures, counts.latency_ms_total, age});
         };
         add(true, progress.on_new);
         add(false, progress.on_old);
@@ -252,8 +265,12 @@
         }
         for (const version_row& row : report.versions) {
             version_row& sum = versions[{row.order, row.is_new}];
-            sum = {row.order, row.is_new, sum.answers + row.answers, sum.failures + row.failures,
-                   sum.latency_ms_total + row.latency_ms_total};
+            sum = {row.order,
+                   row.is_new,
+                   sum.answers + row.answers,
+                   sum.failures + row.failures,
+                   sum.latency_ms_total + row.latency_ms_total,
+                   std::max(sum.order_age_us, row.order_age_us)};
         }
     }
 };
@@ -471,20 +488,27 @@
 
 // A version is bad if it fails clearly more often than the old one, or answers several times slower.
 constexpr std::uint32_t least_answers = 12;
-constexpr double failure_margin = 0.12;
+constexpr double failure_margin = 0.05;     // part of the answers
+constexpr double failure_deviations = 3;    // of a binomial count: false alarms in one of 700 looks
+constexpr double least_failure_rate = 0.05; // assumed of an old version that has hardly answered
 constexpr double slow_factor = 2.5;
 constexpr double slow_floor_ms = 40;
 
 bool is_bad(const rollout_evidence& evidence) {
     if (evidence.on_new.answers < least_answers) return false;
-    if (failure_rate(evidence.on_new) > failure_rate(evidence.on_old) + failure_margin) return true;
+    const double answers = evidence.on_new.answers;
+    const double rate = std::clamp(failure_rate(evidence.on_old), least_failure_rate, 1.0);
+    const double expected = answers * (failure_rate(evidence.on_old) + failure_margin);
+    const double deviation = std::sqrt(answers * rate * (1 - rate));
+    if (evidence.on_new.failures > expected + failure_deviations * deviation) return true;
     const double old_ms = mean_latency_ms(evidence.on_old);
     return old_ms > 0 && mean_latency_ms(evidence.on_new) > slow_factor * old_ms + slow_floor_ms;
 }
 
 // Part of the time limit after which the new version gets all traffic if it has proved good.
 constexpr double canary_part = 0.45;
-constexpr double complete_part = 0.75;
+constexpr double full_part = 0.7; // from which on the old version gets nothing
+constexpr double last_part = 0.9; // at which the move is completed although requests still run on the old one
 constexpr double canary_share = 0.06; // below the exposure that is allowed to a bad version
 constexpr duration write_period = 700ms;
 
@@ -541,21 +565,40 @@
     if (is_bad(evidence)) return is_new ? 0.0 : 1.0;
     const bool proven = evidence.on_new.answers >= least_answers;
     const double part = part_of(state, progress->second, order->second);
-    const double share =
-        !proven || part < canary_part
-            ? canary_share
-            : std::min(1.0, canary_share + (part - canary_part) / (complete_part - canary_part));
+    const double share = !proven || part < canary_part
+                             ? canary_share
+                             : std::min(1.0, canary_share + (part - canary_part) / (full_part - canary_part));
     return is_new ? share : 1.0 - share;
 }
 
+namespace {
+
+/// Whether requests of any router run on a version that is not the order's. Its targets stop at once when the
+/// move is completed.
+bool old_version_runs(const router_state& state, const rollout_order& order) {
+    const auto targets = state.by_service.find(order.service);
+    return targets != state.by_service.end() &&
+           std::ranges::any_of(targets->second, [&](const target_state* target) {
+               return target->entry.version != order.version && running_everywhere(target->load) > 0;
+           });
+}
+
+bool may_complete(const router_state& state, const rollout_progress& progress, const rollout_order& order,
+                  const rollout_evidence& evidence) {
+    const double part = part_of(state, progress, order);
+    if (part < full_part || evidence.on_new.answers < least_answers) return false;
+    return part >= last_part || !old_version_runs(state, order);
+}
+
+} // namespace
+
 void drive_rollouts(router_state& state, effects& out) {
     if (!state.known) return;
     std::erase_if(state.rollouts,
                   [&](const auto& item) { return !state.known->rollouts.contains(item.first); });
     for (const auto& [service, order] : state.known->rollouts) {
-        const auto [found, fresh] = state.rollouts.try_emplace(service);
-        rollout_progress& progress = found->second;
-        if (fresh) progress.seen = state.now;
+        rollout_progress& progress = state.rollouts[service];
+        if (progress.order != order.revision) progress = {order.revision, state.now, {}, {}, {}};
         const rollout_status* status = current_status(state, order);
         if (status != nullptr && status->phase != rollout_phase::running) continue;
         if (!drives(state) || !state.store_up || state.now < progress.next_write) continue;
@@ -563,8 +606,7 @@
         const rollout_evidence evidence = evidence_of(state, progress, order);
         if (is_bad(evidence)) {
             phase = rollout_phase::rolled_back;
-        } else if (part_of(state, progress, order) >= complete_part &&
-                   evidence.on_new.answers >= least_answers) {
+        } else if (may_complete(state, progress, order, evidence)) {
             phase = rollout_phase::completed;
         }
         if (status != nullptr && phase == rollout_phase::running) continue;
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -5,7 +5,9 @@
 // [SECTION] Targets
 // [SECTION] Stops and overload
 // [SECTION] Reports
+// [SECTION] Version moves
 
+#include "damaskhill_direct_internal.hpp"
 #include "direct_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -542,4 +544,140 @@
     BOOST_TEST(!may_use_key(a2.state.held, a2.state.settings.belief, a2.now));
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Version moves
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr duration move_time = 20s;
+
+catalog catalog_with_move(std::uint64_t order_revision) {
+    catalog known = make_catalog();
+    for (const char* id : {"b-1", "b-2"}) {
+        known.targets[id] = make_target(id, "app", 6);
+        known.targets[id].version = "v2";
+    }
+    known.rollouts["app"] = {"app", "v2", move_time, order_revision};
+    return known;
+}
+
+/// Asks for orders for some time and answers them; those of the new version with the status. Returns the
+/// sends to the new version.
+std::size_t run_orders(test_router& router, duration time, std::uint32_t status_of_new) {
+    std::size_t on_new = 0;
+    for (const time_point end = router.now + time; router.now < end;) {
+        router.confirm_now();
+        router.ask("order");
+        for (const auto& sent : router.take<send_request>()) {
+            const bool is_new = sent.target.starts_with("b-");
+            on_new += is_new ? 1 : 0;
+            router.give(router.head(sent.send, is_new ? status_of_new : 200));
+            router.give(answer_end{sent.send, send_result::complete});
+        }
+        router.now += 20ms;
+        router.give(timer_fired{});
+    }
+    return on_new;
+}
+
+rollout_phase last_phase(const test_router& router) {
+    rollout_phase phase = rollout_phase::running;
+    for (const auto& item : router.out) {
+        if (const auto* written = std::get_if<write_rollout_status>(&item)) phase = written->status.phase;
+    }
+    return phase;
+}
+
+} // namespace
+
+// Guards against a bad version that goes on getting traffic, or gets more than its part before it is seen.
+BOOST_AUTO_TEST_CASE(bad_version_is_taken_back) {
+    test_router router;
+    router.state.store_up = true;
+    router.publish(catalog_with_move(5));
+    const std::size_t on_new = run_orders(router, 9s, 500);
+    BOOST_TEST(on_new > 0U);
+    BOOST_TEST(on_new < 45U); // a tenth of 450 requests
+    BOOST_TEST(version_share(router.state, "app", "v2") == 0.0);
+    router.out.clear();
+    router.pass(1s);
+    BOOST_TEST((last_phase(router) == rollout_phase::rolled_back));
+}
+
+// Guards against a good version that is not completed in time, and against requests on the old targets when
+// they are stopped.
+BOOST_AUTO_TEST_CASE(good_version_is_completed_in_time) {
+    test_router router;
+    router.state.store_up = true;
+    router.publish(catalog_with_move(5));
+    run_orders(router, move_time * 3 / 4, 200);
+    BOOST_TEST(version_share(router.state, "app", "v2") == 1.0);
+    router.out.clear();
+    router.pass(1s);
+    BOOST_TEST((last_phase(router) == rollout_phase::completed));
+}
+
+// Guards against outcomes of an earlier order that condemn the next one.
+BOOST_AUTO_TEST_CASE(next_order_begins_without_evidence) {
+    test_router router;
+    router.publish(catalog_with_move(5));
+    run_orders(router, 9s, 500);
+    BOOST_REQUIRE(version_share(router.state, "app", "v2") == 0.0);
+    router.publish(catalog_with_move(9));
+    router.pass(400ms);
+    BOOST_TEST(version_share(router.state, "app", "v2") > 0.0);
+}
+
+// Guards against a restarted router that sends everything to the old version while the others have left it.
+BOOST_AUTO_TEST_CASE(restarted_router_goes_on_where_the_others_are) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    const std::vector<test_router*> all{&a1, &a2};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7", "10.0.0.2:7"};
+    a1.publish(catalog_with_move(5));
+    run_orders(a1, move_time * 3 / 4, 200);
+    a2.now = a1.now;
+    a2.publish(catalog_with_move(5));
+    exchange_reports(all, 2s);
+    BOOST_TEST(version_share(a2.state, "app", "v2") == 1.0);
+}
+
+// Guards against a verdict of another router that is not followed.
+BOOST_AUTO_TEST_CASE(status_that_another_router_has_written_holds) {
+    test_router router;
+    catalog known = catalog_with_move(5);
+    known.rollout_states["app"] = {"v2", rollout_phase::completed, 6};
+    router.publish(known);
+    router.pass(400ms);
+    BOOST_TEST(version_share(router.state, "app", "v2") == 1.0);
+    BOOST_TEST(!router.has<write_rollout_status>());
+}
+
+// Guards against a service of which a seventh of the answers always fails: chance condemns no version.
+BOOST_AUTO_TEST_CASE(usual_failures_do_not_condemn_a_version) {
+    std::size_t condemned = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        test_router router;
+        random_source random{seed};
+        router.publish(catalog_with_move(5));
+        for (int i = 0; i < 400; ++i) {
+            router.confirm_now();
+            router.ask("order");
+            for (const auto& sent : router.take<send_request>()) {
+                router.give(router.head(sent.send, random.next() % 7 == 0 ? 500 : 200));
+                router.give(answer_end{sent.send, send_result::complete});
+            }
+            router.now += 20ms;
+            router.give(timer_fired{});
+            if (i > 20 && version_share(router.state, "app", "v2") == 0.0) {
+                ++condemned;
+                break;
+            }
+        }
+    }
+    BOOST_TEST(condemned == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
