--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -432,6 +432,34 @@
            found.any ? "no_room" : "no_target", out);
 }
 
+/// Order of waiting: accounts within their share first, then by the time left for a timely answer, where long
+/// prompts count as having less need to be first.
+struct waiting_rank {
+    bool beyond_share{};
+    double due_ms{};
+    friend auto operator<=>(const waiting_rank&, const waiting_rank&) = default;
+};
+
+waiting_rank rank_of(const router_state& state, const request& item) {
+    constexpr double work_weight = 2.0; // ms of due time for each ms of reading
+    const double work_ms = item.input.prompt.tokens / state.settings.engine.prompt_tokens_per_ms;
+    return {!item.account.empty() && !state.shares.within_share(item.account_hash, state.now),
+            to_milliseconds(item.timely.time_since_epoch()) + work_weight * work_ms};
+}
+
+constexpr std::size_t waiting_tries = 24;                // requests that wait and are tried in one turn
+constexpr std::size_t waiting_limit = 2 * waiting_tries; // a later one would hardly be tried in its time
+
+/// Lets a request wait. If too many do, the one that would be served last is refused at once.
+void start_waiting(router_state& state, const request_ptr& item, const placement_outcome& found,
+                   effects& out) {
+    state.waiting.push_back(item);
+    if (state.waiting.size() <= waiting_limit) return;
+    const auto last = std::ranges::max_element(
+        state.waiting, {}, [&](const request_ptr& waiting) { return rank_of(state, *waiting); });
+    refuse_for_room(state, request_ptr{*last}, found, out);
+}
+
 } // namespace
 
 void on_request(router_state& state, const request_arrived& event, effects& out) {
@@ -452,7 +480,7 @@
     } else if (!found.any || state.now + found.room_in > item->hold_until) {
         refuse_for_room(state, item, found, out);
     } else {
-        state.waiting.push_back(item);
+        start_waiting(state, item, found, out);
     }
 }
 
@@ -642,36 +670,17 @@
 // [SECTION] Waiting
 //-----------------------------------------------------------------------------
 
-namespace {
-
-/// Order of waiting: accounts within their share first, then by the time left for a timely answer, where long
-/// prompts count as having less need to be first.
-struct waiting_rank {
-    bool beyond_share{};
-    double due_ms{};
-    friend auto operator<=>(const waiting_rank&, const waiting_rank&) = default;
-};
-
-waiting_rank rank_of(const router_state& state, const request& item) {
-    constexpr double work_weight = 2.0; // ms of due time for each ms of reading
-    const double work_ms = item.input.prompt.tokens / state.settings.engine.prompt_tokens_per_ms;
-    return {!item.account.empty() && !state.shares.within_share(item.account_hash, state.now),
-            to_milliseconds(item.timely.time_since_epoch()) + work_weight * work_ms};
-}
-
-} // namespace
-
 void serve_waiting(router_state& state, effects& out) {
     if (state.waiting.empty() || !state.known) return;
-    constexpr std::size_t tries = 24; // at most in one call, so that its cost is bounded
     std::vector<std::pair<waiting_rank, request_ptr>> order;
     for (const request_ptr& item : state.waiting)
         order.emplace_back(rank_of(state, *item), item);
     std::ranges::sort(order, {}, [](const auto& entry) { return entry.first; });
     std::size_t tried = 0;
     for (const auto& [rank, item] : order) {
-        placement_outcome found;
-        if (tried++ < tries) found = place(state, *item);
+        // One that is not tried in this turn has not been found without a target.
+        placement_outcome found{nullptr, {}, state.settings.least_retry_after, true};
+        if (tried++ < waiting_tries) found = place(state, *item);
         if (found.target != nullptr) {
             std::erase(state.waiting, item);
             start_attempt(state, item, *found.target, found.choice, out);
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -413,6 +413,23 @@
     BOOST_TEST((router.state.next_wake == due));
 }
 
+// Load: more requests than can be tried while they wait. Guards against those that are held for their whole
+// time, never tried, and then told that there is no target.
+BOOST_AUTO_TEST_CASE(requests_beyond_what_can_be_tried_are_refused_at_once) {
+    test_router router;
+    for (auto& [id, target] : router.state.targets)
+        target.load.backlog = {350, router.now}; // room comes within the time that a request may wait
+    for (int i = 0; i < 200; ++i)
+        router.ask("review");
+    const std::size_t at_once = router.take<reply_refused>().size();
+    BOOST_TEST(at_once >= 100U);
+    for (auto& [id, target] : router.state.targets)
+        target.load.backlog = {1e6, router.now};
+    router.pass(300ms);
+    for (const auto& refusal : router.take<reply_refused>())
+        BOOST_TEST(refusal.reason == "no_room");
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Reports
 //-----------------------------------------------------------------------------
