--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -124,7 +124,7 @@
         target.cold_until = std::max(target.cold_until, state.now + entry.cold_remaining);
         target.load.parts.clear();
     }
-    state.target_by_hash[target.hash] = entry.id;
+    state.target_by_hash[target.hash] = &target;
 }
 
 void index_targets(router_state& state) {
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -355,8 +355,8 @@
 
     std::map<std::string, target_state, std::less<>> targets; // by id
     std::map<std::string, std::vector<target_state*>, std::less<>> by_service;
-    std::unordered_map<std::uint64_t, std::string> target_by_hash;
-    std::map<std::string, repeat_window, std::less<>> repeats; // by service
+    std::unordered_map<std::uint64_t, target_state*> target_by_hash; // into `targets`, whose nodes stay
+    std::map<std::string, repeat_window, std::less<>> repeats;       // by service
     account_shares shares;
     std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -52,9 +52,9 @@
     for (auto& [id, target] : state.targets)
         clear_peer_load(target.load, sender);
     for (const target_load_row& row : report.targets) {
-        const auto id = state.target_by_hash.find(row.target);
-        target_state* target = id == state.target_by_hash.end() ? nullptr : find_target(state, id->second);
-        if (target == nullptr) continue;
+        const auto found = state.target_by_hash.find(row.target);
+        if (found == state.target_by_hash.end()) continue;
+        target_state* const target = found->second;
         const std::uint64_t growth =
             take_peer_load(target->load, state.settings.engine, sender,
                            {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
@@ -284,12 +284,10 @@
     // A sum of the neighbours' own totals would fall and rise with who is heard at the moment, and each rise
     // would look like new work. The relay therefore sends what it has seen their totals grow by.
     for (auto& [hash, row] : sums.targets) {
-        const auto id = state.target_by_hash.find(hash);
-        const auto target =
-            id == state.target_by_hash.end() ? state.targets.end() : state.targets.find(id->second);
-        row.prompt_ms_total = target == state.targets.end()
-                                  ? 0
-                                  : target->second.load.prompt_ms_total + target->second.load.peers_prompt_ms;
+        const auto target = state.target_by_hash.find(hash);
+        row.prompt_ms_total = target == state.target_by_hash.end() ? 0
+                                                                   : target->second->load.prompt_ms_total +
+                                                                         target->second->load.peers_prompt_ms;
     }
     auto summary = std::make_shared<router_report>();
     add_identity(state, *summary);
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -179,6 +179,11 @@
         list.options[order[i].second].for_long_prompts = true;
 }
 
+bool is_generation(const router_state& state, const request& item) {
+    const auto service = state.known->services.find(item.service);
+    return service != state.known->services.end() && service->second.engine && item.input.prompt.tokens > 0;
+}
+
 candidate_list candidates_for(router_state& state, const request& item) {
     candidate_list list;
     const auto found = state.by_service.find(item.service);
@@ -207,7 +212,7 @@
         list.options.push_back(option);
         list.targets.push_back(&target);
     }
-    mark_long_engines(state, list);
+    if (is_generation(state, item)) mark_long_engines(state, list);
     for (std::size_t i = 0; i < best.size(); ++i) {
         if (best.at(i).first > 0) list.options[best.at(i).second].affinity = affinity_by_rank.at(i);
     }
@@ -225,11 +230,6 @@
     return list;
 }
 
-bool is_generation(const router_state& state, const request& item) {
-    const auto service = state.known->services.find(item.service);
-    return service != state.known->services.end() && service->second.engine && item.input.prompt.tokens > 0;
-}
-
 /// Part of the limits that an account may use. It falls with what the account has had of its share, so that
 /// the accounts that have had least get the room that becomes free, whatever the length of their prompts.
 double share_factor(double used_share) {
