Bound crash records and let them expire

Each connection that broke before its answer left a record for good, in every report and in the search of every request. At most 512 are kept, for 120 s.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -274,6 +274,7 @@
         state.next_share_update = state.now + state.settings.share_period;
         if (state.known) state.shares.update(static_cast<double>(state.known->tokens_per_second), state.now);
         forget_missing_targets(state);
+        forget_crashes(state);
         drive_rollouts(state, out);
     }
     if (state.now >= state.next_report) send_reports(state, out);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -69,7 +69,9 @@
     duration overload_time{4s};   // an overload lasts at least so long: callers move within about 2 s
     duration shed_lag{
         90ms}; // above, new requests are refused at once; a full round takes 100 ms at 0.09 cores
-    std::uint32_t poison_limit{2}; // targets lost while running a request after which it is not sent again
+    duration crash_lifetime{120s};  // after which a request that broke a connection is no longer suspected
+    std::size_t crash_records{512}; // kept at most; each is a row of every report
+    std::uint32_t poison_limit{2};  // targets lost while running a request after which it is not sent again
 };
 
 //-----------------------------------------------------------------------------
@@ -333,6 +335,12 @@
 // [SECTION] State
 //-----------------------------------------------------------------------------
 
+/// Targets that were lost while they ran one request.
+struct crash_record {
+    std::uint32_t crashes{};
+    time_point last{};
+};
+
 struct router_state {
     explicit router_state(router_settings s);
 
@@ -361,7 +369,7 @@
     std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
     time_point next_probe{};                                       // of addresses that are not reported to
-    std::unordered_map<std::uint64_t, std::uint32_t> crashes;      // own, by poison hash
+    std::unordered_map<std::uint64_t, crash_record> crashes;       // own, by poison hash
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -53,6 +53,8 @@
 /// Rank of this router among the routers for a target, 0 for the first.
 [[nodiscard]] std::size_t rank_for_target(const router_state& state, std::uint64_t target_hash);
 /// Crashes of a request as all routers have counted them.
+/// Drops old crash records, and the oldest ones beyond the limit.
+void forget_crashes(router_state& state);
 [[nodiscard]] std::uint32_t crashes_everywhere(const router_state& state, std::uint64_t poison_hash);
 void note_version_answer(router_state& state, const request& item, const target_state& target, bool failed);
 void drive_rollouts(router_state& state, effects& out);
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -237,8 +237,8 @@
         report->accounts.push_back(
             {account, static_cast<std::uint32_t>(usage.asked), static_cast<std::uint32_t>(usage.served)});
     }
-    for (const auto& [hash, crashes] : state.crashes)
-        report->crashes.push_back({hash, crashes});
+    for (const auto& [hash, record] : state.crashes)
+        report->crashes.push_back({hash, record.crashes});
     add_own_versions(state, *report);
     return report;
 }
@@ -434,9 +434,20 @@
 
 } // namespace
 
+void forget_crashes(router_state& state) {
+    std::erase_if(state.crashes, [&](const auto& entry) {
+        return state.now - entry.second.last > state.settings.crash_lifetime;
+    });
+    // One target that ends breaks off all that it runs, so most records are of harmless requests.
+    while (state.crashes.size() > state.settings.crash_records) {
+        state.crashes.erase(
+            std::ranges::min_element(state.crashes, {}, [](const auto& entry) { return entry.second.last; }));
+    }
+}
+
 std::uint32_t crashes_everywhere(const router_state& state, std::uint64_t poison_hash) {
     const auto own = state.crashes.find(poison_hash);
-    std::uint32_t sum = own == state.crashes.end() ? 0 : own->second;
+    std::uint32_t sum = own == state.crashes.end() ? 0 : own->second.crashes;
     for_each_report(state, [&](const router_report& report) {
         for (const crash_row& row : report.crashes) {
             if (row.request == poison_hash) sum += row.crashes;
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -638,7 +638,9 @@
     if (target_state* target = find_target(state, item->target)) {
         if (!item->head_seen && result == send_result::broken) {
             on_target_answered(*target, true);
-            ++state.crashes[item->poison_hash];
+            crash_record& record = state.crashes[item->poison_hash];
+            ++record.crashes;
+            record.last = state.now;
         }
         note_version_answer(state, *item, *target, true);
     }
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -112,6 +112,23 @@
     BOOST_TEST(second->target != first->target);
 }
 
+// Guards against reports that grow with every connection that ever broke.
+BOOST_AUTO_TEST_CASE(crash_records_are_bounded_and_expire) {
+    test_router router;
+    const std::size_t most = router.state.settings.crash_records;
+    for (std::size_t i = 0; i < 2 * most; ++i) {
+        router.confirm_now();
+        router.ask("order");
+        for (const auto& sent : router.take<send_request>())
+            router.give(answer_end{sent.send, send_result::broken});
+        router.now += 1ms;
+    }
+    router.pass(400ms);
+    BOOST_TEST(router.state.crashes.size() == most);
+    router.pass(router.state.settings.crash_lifetime);
+    BOOST_TEST(router.state.crashes.empty());
+}
+
 // Guards against requests that crash each target which runs them: the third caller's repeat is not sent.
 BOOST_AUTO_TEST_CASE(request_that_crashes_targets_is_not_sent_again) {
     test_router router;
