--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -177,10 +177,10 @@
 }
 
 void add_own_versions(const router_state& state, router_report& report) {
-    for (const auto& [service, progress] : state.rollouts) {
-        const auto order = state.known->rollouts.find(service);
-        if (order == state.known->rollouts.end()) continue;
-        if (progress.order != order->second.revision) continue;
+    for (const auto& item : state.rollouts) {
+        const rollout_progress& progress = item.second;
+        const auto order = state.known->rollouts.find(item.first);
+        if (order == state.known->rollouts.end() || progress.order != order->second.revision) continue;
         const auto age = static_cast<std::uint64_t>((state.now - progress.seen).count());
         const auto add = [&](bool is_new, const version_counts& counts) {
             report.versions.push_back(
@@ -202,9 +202,10 @@
     for (const auto& [data_centre, summary] : state.summaries)
         report.routers.insert(report.routers.end(), summary.last.routers.begin(), summary.last.routers.end());
     // Those that are heard directly as well stand in the list twice.
+    const auto same_address = [](const router_row& a, const router_row& b) { return a.address == b.address; };
     std::ranges::sort(report.routers, {}, &router_row::address);
-    const auto twice = std::ranges::unique(report.routers, {}, &router_row::address);
-    report.routers.erase(twice.begin(), twice.end());
+    report.routers.erase(std::unique(report.routers.begin(), report.routers.end(), same_address),
+                         report.routers.end());
 }
 
 void add_identity(const router_state& state, router_report& report) {
--- a/soak/damaskhill_soak_proxy.cpp
+++ b/soak/damaskhill_soak_proxy.cpp
@@ -29,6 +29,8 @@
         : client(std::move(accepted)), server(client.get_executor()) {}
     asio::ip::tcp::socket client;
     asio::ip::tcp::socket server;
+    std::array<char, 16384> forward_bytes{};
+    std::array<char, 16384> backward_bytes{};
     void reset() {
         asio::error_code ignored;
         for (auto* socket : {&client, &server}) {
@@ -38,40 +40,59 @@
     }
 };
 
-namespace {
-
-constexpr duration look_period = 10ms; // between two looks at whether a silence has ended
+struct fault_proxy::piece {
+    bool forward{};
+    std::size_t size{};
+    asio::error_code error; // of the read: the end or a reset is passed on as well
+    bool delayed{};
+};
 
-asio::awaitable<void> pause(asio::any_io_executor executor, duration time) {
-    asio::steady_timer timer{executor, time};
-    co_await timer.async_wait(asio::use_awaitable);
+void fault_proxy::wait(duration time, std::function<void()> then) {
+    const auto timer = std::make_shared<asio::steady_timer>(context_, time);
+    timer->async_wait([timer, then = std::move(then)](const asio::error_code& error) {
+        if (!error) then();
+    });
 }
 
-} // namespace
-
-asio::awaitable<void> fault_proxy::pump(std::shared_ptr<path> pair, bool forward) {
+void fault_proxy::read(const std::shared_ptr<path>& pair, bool forward) {
     asio::ip::tcp::socket& from = forward ? pair->client : pair->server;
-    asio::ip::tcp::socket& to = forward ? pair->server : pair->client;
-    std::array<char, 16384> buffer{};
-    try {
-        for (;;) {
-            asio::error_code error;
-            const std::size_t size = co_await from.async_read_some(
-                asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-            while (forward ? harm.silent_forward : harm.silent_backward)
-                co_await pause(from.get_executor(), look_period);
-            if (harm.delay > 0s) co_await pause(from.get_executor(), harm.delay);
-            if (error == asio::error::eof) {
-                to.shutdown(asio::socket_base::shutdown_send);
-                co_return;
-            }
-            if (error) break;
-            co_await asio::async_write(to, asio::buffer(buffer, size), asio::use_awaitable);
-        }
-    } catch (const std::system_error&) {
-        // The other side has gone; this side learns it by the reset below.
+    auto& bytes = forward ? pair->forward_bytes : pair->backward_bytes;
+    from.async_read_some(asio::buffer(bytes),
+                         [this, pair, forward](const asio::error_code& error, std::size_t size) {
+                             pass_on(pair, {forward, size, error, false});
+                         });
+}
+
+void fault_proxy::pass_on(const std::shared_ptr<path>& pair, piece read) {
+    if (read.forward ? harm.silent_forward : harm.silent_backward) {
+        constexpr duration look_period = 10ms; // between two looks at whether the silence has ended
+        wait(look_period, [this, pair, read] { pass_on(pair, read); });
+        return;
+    }
+    if (harm.delay > 0s && !read.delayed) {
+        read.delayed = true;
+        wait(harm.delay, [this, pair, read] { pass_on(pair, read); });
+        return;
+    }
+    asio::ip::tcp::socket& to = read.forward ? pair->server : pair->client;
+    if (read.error == asio::error::eof) {
+        asio::error_code ignored;
+        to.shutdown(asio::socket_base::shutdown_send, ignored);
+        return;
     }
-    pair->reset();
+    if (read.error) {
+        pair->reset();
+        return;
+    }
+    const auto& bytes = read.forward ? pair->forward_bytes : pair->backward_bytes;
+    asio::async_write(to, asio::buffer(bytes, read.size),
+                      [this, pair, forward = read.forward](const asio::error_code& error, std::size_t) {
+                          if (error) {
+                              pair->reset();
+                          } else {
+                              this->read(pair, forward);
+                          }
+                      });
 }
 
 //-----------------------------------------------------------------------------
@@ -83,43 +104,41 @@
       address_(listen_address),
       server_address_(std::move(server_address)),
       acceptor_(context_, endpoint_of(listen_address)) {
-    asio::co_spawn(context_, accept(), asio::detached);
+    accept();
 }
 
-asio::awaitable<void> fault_proxy::serve(std::shared_ptr<path> pair) {
-    asio::error_code error;
-    co_await pair->server.async_connect(endpoint_of(server_address_),
-                                        asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        pair->reset();
-        co_return;
-    }
-    asio::error_code ignored;
-    pair->client.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    pair->server.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    asio::co_spawn(context_, pump(pair, true), asio::detached);
-    asio::co_spawn(context_, pump(pair, false), asio::detached);
+void fault_proxy::serve(const std::shared_ptr<path>& pair) {
+    pair->server.async_connect(endpoint_of(server_address_), [this, pair](const asio::error_code& error) {
+        if (error) {
+            pair->reset();
+            return;
+        }
+        asio::error_code ignored;
+        pair->client.set_option(asio::ip::tcp::no_delay{true}, ignored);
+        pair->server.set_option(asio::ip::tcp::no_delay{true}, ignored);
+        read(pair, true);
+        read(pair, false);
+    });
 }
 
-asio::awaitable<void> fault_proxy::accept() {
-    for (;;) {
-        asio::error_code error;
-        asio::ip::tcp::socket socket =
-            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted) co_return;
+void fault_proxy::accept() {
+    acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
         if (error) {
-            co_await pause(acceptor_.get_executor(), look_period);
-            continue;
+            constexpr duration pause = 10ms; // without descriptors every attempt fails at once
+            wait(pause, [this] { accept(); });
+            return;
         }
-        auto pair = std::make_shared<path>(std::move(socket));
+        const auto pair = std::make_shared<path>(std::move(socket));
         if (harm.refused) {
             pair->reset();
-            continue;
+        } else {
+            std::erase_if(paths_, [](const auto& known) { return known.expired(); });
+            paths_.push_back(pair);
+            serve(pair);
         }
-        std::erase_if(paths_, [](const auto& known) { return known.expired(); });
-        paths_.push_back(pair);
-        asio::co_spawn(context_, serve(std::move(pair)), asio::detached);
-    }
+        accept();
+    });
 }
 
 void fault_proxy::reset_all() {
--- a/soak/damaskhill_soak_proxy.hpp
+++ b/soak/damaskhill_soak_proxy.hpp
@@ -41,9 +41,12 @@
 
 private:
     struct path;
-    asio::awaitable<void> accept();
-    asio::awaitable<void> serve(std::shared_ptr<path> pair);
-    asio::awaitable<void> pump(std::shared_ptr<path> pair, bool forward);
+    struct piece; // bytes on their way in one direction
+    void accept();
+    void serve(const std::shared_ptr<path>& pair);
+    void read(const std::shared_ptr<path>& pair, bool forward);
+    void pass_on(const std::shared_ptr<path>& pair, piece read);
+    void wait(duration time, std::function<void()> then);
 
     asio::io_context& context_;
     std::string address_;
