--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -124,6 +124,7 @@
 // Costs a tenth of the usual way, so that a processor that is behind catches up. Without it, new connections
 // wait in the queue of the listening socket for seconds, where they can be neither served nor refused.
 bool edge_server::implementation::shed(asio::ip::tcp::socket& socket) {
+    // Half a second: the balancer looks once a second at whether this process takes new connections.
     static constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
                                                 "Content-Length: 0\r\nConnection: close\r\n\r\n";
     asio::error_code error;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -35,9 +35,10 @@
     double work_weight{8.0};   // delay that is worth taking to avoid one ms of reading, within the limit, ms
     // While an engine reads, its running streams get one token for each chunk, so reading without a break
     // makes their events pause. Long prompts therefore go to a few engines that short requests avoid.
-    duration unbroken_reading{600ms}; // at an engine for short requests; a pause of 500 ms makes streams late
-    duration long_prompt{600ms};      // reading time above which a prompt is long
-    double long_engines{0.1};         // part of a service's engines that take long prompts
+    // Events of 7 or 8 tokens then come every 460 to 560 ms, and may pause for 500 to 600 ms.
+    duration unbroken_reading{600ms};    // at an engine for short requests
+    duration long_prompt{600ms};         // reading time above which a prompt is long
+    double long_engines{0.1};            // part of a service's engines that take long prompts
     duration long_engine_penalty{300ms}; // of these engines for short requests
     double long_prompt_allowance{1.5};   // factor of the limit for long prompts, which fit into few gaps
     duration full_batch_penalty{250ms};  // of an engine whose slots are all taken; falls with the square
