Let accounts beyond their share lead by 1.3 instead of 1.5

Routers pace what they send, and runs begin later at engines with longer queues, so that 1.5 at the sends left too little to the rule's 2.

--- a/core/damaskhill_account_share.hpp
+++ b/core/damaskhill_account_share.hpp
@@ -26,7 +26,7 @@
     duration peer_lifetime{1500ms};            // after which a silent router's rows no longer count
     double default_tokens_per_second{290'000}; // where the operator declares none
     double backlog_factor{2.0}; // an account that asks for more than this times what it gets is backlogged
-    double lead{1.5}; // by which an account beyond its share may be ahead of the least served backlogged one
+    double lead{1.3}; // by which an account beyond its share may be ahead of the least served backlogged one
     duration pace_burst{300ms}; // of its rate that an account held to a pace may have saved, or be in debt
 };
 
