One main function for the daemons, one timing loop for the benches

Read-through of the whole change: the direct router had the third copy of the daemons' main function, and the bench hot_path a second copy of the timing loop of decision_cost. daemon_main and least_nanoseconds serve them all; exit codes and messages are the same for a missing and a wrong settings file. The bench no longer uses the platform's header names. Behaviour is unchanged.

--- a/backends/damaskhill_impl_program.hpp
+++ b/backends/damaskhill_impl_program.hpp
@@ -13,6 +13,7 @@
 #include "damaskhill_impl_json.hpp"
 #include "damaskhill_impl_metrics.hpp"
 
+#include <cstdio>
 #include <deque>
 #include <fstream>
 
@@ -43,6 +44,27 @@
 [[nodiscard]] std::optional<daemon_options> parse_daemon_options(std::span<char*> arguments,
                                                                  std::string_view about, exit_code& code);
 
+/// The main function of a daemon: parses the command line, loads the settings and runs. `load` takes a file
+/// and a failure, and returns the settings if they are right; `run` takes them and the options.
+template <class Load, class Run>
+[[nodiscard]] int daemon_main(std::span<char*> arguments, const char* name, std::string_view about,
+                              Load&& load, Run&& run) {
+    auto code = exit_code::ok;
+    const auto options = parse_daemon_options(arguments, about, code);
+    if (!options) return static_cast<int>(code);
+    failure why;
+    const auto settings = load(options->settings_file, why);
+    if (!settings) {
+        std::fprintf(stderr, "%s: %s\n", name, describe(why).c_str());
+        return static_cast<int>(exit_code::settings);
+    }
+    if (options->check_only) {
+        std::printf("%s: ok\n", options->settings_file.c_str());
+        return 0;
+    }
+    return static_cast<int>(run(*settings, *options));
+}
+
 /// Logs to standard error, one line for each change of state.
 void start_logging(const char* program);
 void log_line(std::string_view text);
--- a/bench/damaskhill_bench.hpp
+++ b/bench/damaskhill_bench.hpp
@@ -3,9 +3,12 @@
 // Index of this file:
 // [SECTION] Rows
 // [SECTION] Registration
+// [SECTION] Measurement
 
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -48,4 +51,23 @@
     }
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Measurement
+//-----------------------------------------------------------------------------
+
+/// Nanoseconds of one call: the least mean of several rounds, so that other load on the machine does not
+/// count.
+template <class F>
+double least_nanoseconds(int rounds, int calls, F&& work) {
+    double least = 1e18;
+    for (int r = 0; r < rounds; ++r) {
+        const auto before = std::chrono::steady_clock::now();
+        for (int i = 0; i < calls; ++i)
+            work();
+        const std::chrono::duration<double, std::nano> taken = std::chrono::steady_clock::now() - before;
+        least = std::min(least, taken.count() / calls);
+    }
+    return least;
+}
+
 } // namespace damaskhill::bench
--- a/bench/damaskhill_bench_decision_cost.cpp
+++ b/bench/damaskhill_bench_decision_cost.cpp
@@ -27,20 +27,11 @@
 
 constexpr time_point start{std::chrono::hours{1000}};
 
-// Least time of several rounds, so that other load on the machine does not count. Nanoseconds for each call.
 template <class F>
 double nanoseconds(F&& decision) {
     constexpr int rounds = 15;
     constexpr int calls = 2000;
-    double least = 1e18;
-    for (int r = 0; r < rounds; ++r) {
-        const auto before = std::chrono::steady_clock::now();
-        for (int i = 0; i < calls; ++i)
-            decision();
-        const std::chrono::duration<double, std::nano> taken = std::chrono::steady_clock::now() - before;
-        least = std::min(least, taken.count() / calls);
-    }
-    return least;
+    return least_nanoseconds(rounds, calls, decision);
 }
 
 std::size_t heap_bytes() { return mallinfo2().uordblks; }
--- a/bench/damaskhill_bench_hot_path.cpp
+++ b/bench/damaskhill_bench_hot_path.cpp
@@ -86,7 +86,7 @@
         request.api_key = "key-" + std::to_string(random.next() % 30);
         request.remaining = 8s;
         request.body.assign(2000, 'b');
-        request.headers = {{"Damaskhill-Attempt-Id", request.attempt}, {"Damaskhill-Model", "m"}};
+        request.headers = {{"X-Attempt-Identifier", request.attempt}, {"X-Model-Version", "m"}};
         const std::uint64_t subject = random.next() % 1000;
         request.prompt = {
             2400, 100, 0, {{subject % 16, 340}, {subject + 100, 230}, {request.caller + 2000, 1800}}};
@@ -131,20 +131,11 @@
     double report_us{};
 };
 
-// Least mean of several rounds, so that other load on the machine does not count.
 template <class F>
 double microseconds(F&& work) {
     constexpr int rounds = 10;
     constexpr int calls = 200;
-    double least = 1e18;
-    for (int r = 0; r < rounds; ++r) {
-        const auto before = std::chrono::steady_clock::now();
-        for (int i = 0; i < calls; ++i)
-            work();
-        const std::chrono::duration<double, std::micro> taken = std::chrono::steady_clock::now() - before;
-        least = std::min(least, taken.count() / calls);
-    }
-    return least;
+    return least_nanoseconds(rounds, calls, work) / 1e3;
 }
 
 hot_path_figures measure(std::size_t targets, std::size_t services, std::uint64_t seed) {
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -292,20 +292,9 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    auto code = exit_code::ok;
-    const auto options =
-        parse_daemon_options({argv, static_cast<std::size_t>(argc)},
-                             "Sends callers' requests to targets that have no sidecar.", code);
-    if (!options) return static_cast<int>(code);
-    failure why;
-    const auto settings = load_direct_settings(options->settings_file, why);
-    if (!settings) {
-        std::fprintf(stderr, "damaskhill_direct_router: %s\n", describe(why).c_str());
-        return static_cast<int>(exit_code::settings);
-    }
-    if (options->check_only) {
-        std::printf("%s: ok\n", options->settings_file.c_str());
-        return 0;
-    }
-    return static_cast<int>(run(*settings, options->settings_file));
+    return daemon_main({argv, static_cast<std::size_t>(argc)}, "damaskhill_direct_router",
+                       "Sends callers' requests to targets that have no sidecar.", load_direct_settings,
+                       [](const direct_daemon_settings& settings, const daemon_options& options) {
+                           return run(settings, options.settings_file);
+                       });
 }
--- a/programs/damaskhill_router.cpp
+++ b/programs/damaskhill_router.cpp
@@ -114,21 +114,10 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    auto code = exit_code::ok;
-    const auto options =
-        parse_daemon_options({argv, static_cast<std::size_t>(argc)},
-                             "Ends callers' requests and hands them to sidecars that pull.", code);
-    if (!options) return static_cast<int>(code);
-    failure why;
-    const auto settings = load_router_settings(options->settings_file, why);
-    if (!settings) {
-        std::fprintf(stderr, "damaskhill_router: %s\n", describe(why).c_str());
-        return static_cast<int>(exit_code::settings);
-    }
-    if (options->check_only) {
-        std::printf("%s: ok\n", options->settings_file.c_str());
-        return 0;
-    }
-    start_logging(argv[0]);
-    return static_cast<int>(run(*settings, options->record_file));
+    return daemon_main({argv, static_cast<std::size_t>(argc)}, "damaskhill_router",
+                       "Ends callers' requests and hands them to sidecars that pull.", load_router_settings,
+                       [&](const router_daemon_settings& settings, const daemon_options& options) {
+                           start_logging(argv[0]);
+                           return run(settings, options.record_file);
+                       });
 }
