Estimate the speed of engines and services from first bytes; admit by size relative to the route

Cause: placement assumed 60 prompt tokens a ms, 0.3 ms a million pairs, 25 ms to a first token and 60 ms for a plain call. A prompt between the first-token limit and the fixed threshold of 600 ms fitted neither kind of engine. An account's share shrank the backlog that a long prompt may find to almost nothing.

Change: engine_model fits base, time per token and per million pairs with weights that decay with time and distance; slower samples count less, because unknown queues only add time. A factor for each target follows slow ones. Reports pass trusted estimates on. A prompt is long if an ordinary engine cannot prefill it in time; on the engines for long prompts it waits for an idle moment instead of being refused. Idempotent calls are retried after twice the route's latency target (at most 600 ms, as before).

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -44,6 +44,8 @@
     std::uint64_t incarnation{1};
     freshness_settings freshness;
     engine_settings engine;
+    engine_model_settings engine_model;
+    engine_model_settings service_model{service_model_defaults()}; // of plain services
     account_share_settings shares;
     cold_limit_settings cold_limits;
     retry_window_settings retries;
@@ -67,8 +69,10 @@
     duration deadline_margin{30ms};
     // A target that accepts no connection for this long counts as unreachable.
     duration connect_timeout{400ms};
-    // An idempotent call without a response head is retried after this time.
-    duration idempotent_attempt_timeout{600ms};
+    // An idempotent call without a response head is retried after this multiple of its route's latency
+    // target, but at the latest after max_attempt_timeout.
+    double attempt_timeout_factor{2.0};
+    duration max_attempt_timeout{600ms};
     // An unreachable target is ejected for this long; doubles with each further failure up to max_ejection.
     duration ejection_base{400ms};
     duration max_ejection{3s};
@@ -304,6 +308,9 @@
     double used_share{};              // of the account
     duration predicted_first_token{}; // from the start of the attempt
     duration first_byte_delay{};      // measured from the start of the attempt; 0 until the first byte
+    prefill_work predicted_work;      // of the current attempt
+    double predicted_backlog_ms{};    // at the start of the attempt
+    bool measures_speed{};            // the current attempt is a sample for the service's engine model
     double recompute_ms{};            // expected prefill of shared segments that other engines have cached
     duration capacity_in{};           // estimated time until capacity, if no target had any
     // Progress over all attempts.
@@ -318,6 +325,12 @@
 // [SECTION] Targets
 //-----------------------------------------------------------------------------
 
+/// Speed of a service's targets, as estimated by this router.
+struct service_speed {
+    engine_model model;
+    engine_speed logged; // estimate in the last log line
+};
+
 /// Catalog entry of a target with the state that this router keeps for it.
 struct target_state {
     target_entry entry;
@@ -397,6 +410,7 @@
     std::map<std::string, std::vector<target_state*>, std::less<>> targets_by_service;
     std::unordered_map<std::uint64_t, target_state*> target_by_hash; // into `targets`, whose nodes are stable
     std::map<std::string, retry_window, std::less<>> retry_windows;  // by service
+    std::map<std::string, service_speed, std::less<>> speeds;        // by service
     account_shares shares;
     std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Requests
 // [SECTION] Targets
+// [SECTION] Speed of services
 // [SECTION] Peers
 // [SECTION] Log lines
 
@@ -47,6 +48,20 @@
 /// Whether the target is still in its cold start.
 [[nodiscard]] bool is_cold(const router_state& state, const target_state& target);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Speed of services
+//-----------------------------------------------------------------------------
+
+[[nodiscard]] bool is_engine_service(const router_state& state, std::string_view name);
+/// Estimated speed of a service; starts with the prior of its kind.
+[[nodiscard]] service_speed& speed_of(router_state& state, const std::string& service);
+/// Updates the estimated speed of the service and of the target with the first byte of the current attempt.
+void record_speed_sample(router_state& state, const request& item, effects& out);
+/// Adds this router's trusted estimates to a report.
+void add_speed_rows(const router_state& state, router_report& report);
+/// Adopts a peer's estimates for services of which this router has too few samples.
+void adopt_speeds(router_state& state, const router_report& report);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -71,6 +71,20 @@
     }
 };
 
+/// Speed of a service's targets as the sender has measured it.
+struct speed_row {
+    std::uint64_t service{};              // hash of its name
+    std::uint64_t base_ns{};              // time to the first byte without prefill
+    std::uint64_t ns_per_token{};         // of the prompt
+    std::uint64_t ns_per_million_pairs{}; // of prompt tokens with those before them
+    static constexpr auto fields() {
+        using t = speed_row;
+        return std::tuple{field{1, "service", &t::service}, field{2, "base_ns", &t::base_ns},
+                          field{3, "ns_per_token", &t::ns_per_token},
+                          field{4, "ns_per_million_pairs", &t::ns_per_million_pairs}};
+    }
+};
+
 /// A router that the sender receives reports from.
 struct router_row {
     std::string address; // "IP:port" of its report datagrams
@@ -117,6 +131,7 @@
     std::vector<account_usage_row> accounts;
     std::vector<crash_row> crashes;
     std::vector<version_row> versions;
+    std::vector<speed_row> speeds; // estimates with enough samples only
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -137,7 +152,8 @@
                           field{16, "accounts", &t::accounts},
                           field{17, "crashes", &t::crashes},
                           field{18, "versions", &t::versions},
-                          field{19, "operator_changed_at", &t::operator_changed_at}};
+                          field{19, "operator_changed_at", &t::operator_changed_at},
+                          field{20, "speeds", &t::speeds}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -148,6 +148,7 @@
 void on_report(router_state& state, const router_report& report, effects& out) {
     if (report.router == state.settings.incarnation) return;
     add_peer_addresses(state, report);
+    adopt_speeds(state, report);
     if (report.is_summary) {
         on_summary(state, report);
         if (report.relayed) return;
@@ -236,6 +237,7 @@
     report.catalog_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
     report.stopping = state.stopping;
     report.overloaded = state.overloaded;
+    add_speed_rows(state, report);
     for (const auto& [address, peer] : state.peers) {
         if (peer.incarnation != 0) report.echoes.push_back({peer.incarnation, peer.last_report.sent_us});
     }
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -42,6 +42,9 @@
         ",\"status\":" + std::to_string(status) + ",\"target\":" + quoted(item.target) +
         ",\"sends\":" + std::to_string(item.sends) +
         ",\"used_share_percent\":" + format_percent(item.used_share) +
+        ",\"prompt_tokens\":" + std::to_string(item.input.prompt.tokens) +
+        ",\"uncached_tokens\":" + std::to_string(std::lround(item.predicted_work.tokens)) +
+        ",\"backlog_ms\":" + std::to_string(std::lround(item.predicted_backlog_ms)) +
         ",\"predicted_ms\":" + format_ms(item.predicted_first_token) +
         ",\"first_byte_ms\":" + format_ms(item.first_byte_delay) +
         ",\"read_again_ms\":" + std::to_string(std::lround(item.recompute_ms)) +
@@ -52,10 +55,16 @@
     out.emplace_back(count{"requests_total", std::string{outcome}, 1});
 }
 
+/// Time at which the current attempt of an idempotent call is retried if it has no response head.
+time_point attempt_due(const router_state& state, const request& item) {
+    const auto latency_us = static_cast<double>(item.route.target_latency.count());
+    const duration timeout{static_cast<std::int64_t>(latency_us * state.settings.attempt_timeout_factor)};
+    return item.sent_at + std::min(timeout, state.settings.max_attempt_timeout);
+}
+
 void remove_request(router_state& state, const request_ptr& item) {
     state.deadlines.erase({item->deadline, item->input.caller});
-    state.attempt_deadlines.erase(
-        {item->sent_at + state.settings.idempotent_attempt_timeout, item->input.caller});
+    state.attempt_deadlines.erase({attempt_due(state, *item), item->input.caller});
     std::erase(state.waiting, item);
     state.requests.erase(item->input.caller);
 }
@@ -88,8 +97,7 @@
 void clear_attempt(router_state& state, request& item) {
     if (item.send_id == 0) return;
     state.caller_by_send.erase(item.send_id);
-    state.attempt_deadlines.erase(
-        {item.sent_at + state.settings.idempotent_attempt_timeout, item.input.caller});
+    state.attempt_deadlines.erase({attempt_due(state, item), item.input.caller});
     if (target_state* target = find_target(state, item.target)) {
         target->load.running -= std::min(target->load.running, 1U);
         target->load.kv_tokens -= std::min(target->load.kv_tokens, item.charged_kv_tokens);
@@ -193,9 +201,7 @@
 }
 
 bool is_generation(const router_state& state, const request& item) {
-    const auto service = state.active_catalog->services.find(item.service);
-    return service != state.active_catalog->services.end() && service->second.engine &&
-           item.input.prompt.tokens > 0;
+    return is_engine_service(state, item.service) && item.input.prompt.tokens > 0;
 }
 
 /// Targets to which the request may be sent now, whatever their load.
@@ -287,8 +293,9 @@
     const placement_result result =
         is_generation(state, item)
             ? place_prompt(list.options, item.input.prompt, first_token_limits_of(state, item),
-                           state.settings.engine, state.now)
-            : place_call(list.options, state.settings.engine);
+                           speed_of(state, item.service).model.speed(), state.settings.engine, state.now)
+            : place_call(list.options, speed_of(state, item.service).model.speed(), state.settings.engine,
+                         state.now);
     outcome.capacity_in = result.capacity_in;
     item.capacity_in = result.chosen ? duration{} : result.capacity_in;
     if (!result.chosen) return outcome;
@@ -308,6 +315,13 @@
     item->sent_at = state.now;
     item->predicted_first_token = choice.predicted_first_token;
     item->recompute_ms = choice.recompute_ms;
+    item->predicted_work = choice.work;
+    item->predicted_backlog_ms = choice.backlog_ms;
+    // A resumed stream may find its prompt cached, and a cold target is slower than usual.
+    item->measures_speed = item->last_event_id.empty() &&
+                           is_generation(state, *item) == is_engine_service(state, item->service) &&
+                           !is_cold(state, target) &&
+                           choice.backlog_ms <= state.settings.engine_model.max_backlog_ms;
     item->body.clear();
     item->tried_targets.push_back(target.entry.id);
     state.caller_by_send[item->send_id] = item->input.caller;
@@ -327,8 +341,7 @@
     item->charged = true;
     ++item->sends;
     if (item->route.retry == retry_policy::idempotent)
-        state.attempt_deadlines.emplace(item->sent_at + state.settings.idempotent_attempt_timeout,
-                                        item->input.caller);
+        state.attempt_deadlines.emplace(attempt_due(state, *item), item->input.caller);
     send_request effect;
     effect.send_id = item->send_id;
     effect.address = target.entry.address;
@@ -471,9 +484,13 @@
 
 waiting_priority priority_of(const router_state& state, const request& item) {
     constexpr double prefill_weight = 2.0; // ms of due time per ms of prefill
-    const double prefill_ms = item.input.prompt.tokens / state.settings.engine.prefill_tokens_per_ms;
+    const auto speed = state.speeds.find(item.service);
+    const double full_prefill_ms =
+        speed == state.speeds.end()
+            ? 0.0
+            : prefill_ms(speed->second.model.speed(), work_of(item.input.prompt.tokens, item.input.prompt));
     return {!item.account.empty() && !state.shares.is_within_share(item.account_hash, state.now),
-            to_milliseconds(item.first_byte_due.time_since_epoch()) + prefill_weight * prefill_ms};
+            to_milliseconds(item.first_byte_due.time_since_epoch()) + prefill_weight * full_prefill_ms};
 }
 
 constexpr std::size_t max_placements_per_pass = 24;
@@ -576,6 +593,11 @@
     item.first_byte_received = true;
     item.first_byte_delay = state.now - item.sent_at;
     out.emplace_back(observe{"first_byte_seconds", item.service, to_seconds(state.now - item.arrived)});
+    if (item.predicted_first_token > 0s) {
+        out.emplace_back(observe{"first_byte_prediction_ratio", item.service,
+                                 to_seconds(item.first_byte_delay) / to_seconds(item.predicted_first_token)});
+    }
+    if (item.head.status < first_failure_status) record_speed_sample(state, item, out);
 }
 
 bool is_stream(const request& item) {
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -114,11 +114,10 @@
     return prompt.tokens > cached ? prompt.tokens - cached : 1;
 }
 
-double prefill_time_ms(std::uint32_t missing, const prompt_shape& prompt, const engine_settings& settings) {
+prefill_work work_of(std::uint32_t missing, const prompt_shape& prompt) {
     const double tokens = missing;
     const double cached_before = prompt.tokens - std::min(prompt.tokens, missing);
-    const double million_pairs = tokens * (cached_before + tokens / 2) / 1e6;
-    return tokens / settings.prefill_tokens_per_ms + million_pairs * settings.attention_ms_per_million_pairs;
+    return {tokens, tokens * (cached_before + tokens / 2) / 1e6};
 }
 
 std::uint64_t expected_kv_tokens(const prompt_shape& prompt) {
@@ -143,6 +142,9 @@
     bool is_long{};
     bool within_limit{};
     double excess_ms{}; // backlog above the allowed one
+    double backlog_ms{};
+    prefill_work work;
+    double base_ms{}; // of the first token, without prefill
     double predicted_first_token_ms{};
     double prefill_ms{};
     double recompute_ms{}; // part of prefill_ms: shared segments that are probably not cached
@@ -153,11 +155,13 @@
 double allowed_backlog_ms(const candidate_estimate& estimate, const placement_option& option,
                           const first_token_limits& limits, const engine_settings& settings) {
     const double first_token_ms = to_milliseconds(limits.limit);
-    const double base = to_milliseconds(settings.first_token_overhead);
-    double limit = first_token_ms - base;
+    double limit = first_token_ms - estimate.base_ms;
     if (estimate.is_long) {
         if (!option.for_long_prompts) return -1;
-        limit = first_token_ms * settings.long_prompt_limit_factor - base;
+        // A prompt that takes longer than that waits for an idle engine instead of being refused for its
+        // size.
+        limit = std::max(first_token_ms * settings.long_prompt_limit_factor - estimate.base_ms,
+                         estimate.prefill_ms + to_milliseconds(settings.max_idle_backlog));
     } else if (!option.for_long_prompts) {
         limit = std::min(limit, to_milliseconds(settings.max_prefill_run));
     }
@@ -168,13 +172,17 @@
     const double recompute_penalty =
         (settings.recompute_cost_base + settings.recompute_cost_weight * (1.0 - limits.backlog_share)) *
         estimate.recompute_ms;
-    return headroom * limits.backlog_share - recompute_penalty;
+    // A prompt that takes more than half of the limit counts as one that takes half. Otherwise the share
+    // would leave long prompts no backlog at all, while short ones keep most of it.
+    const double share_of_backlog = std::max(headroom, limit / 2) * limits.backlog_share;
+    return std::min(headroom, share_of_backlog - recompute_penalty);
 }
 
 candidate_estimate estimate_candidate(const placement_option& option, const prompt_shape& prompt,
-                                      const first_token_limits& limits, const engine_settings& settings,
-                                      time_point now) {
+                                      const first_token_limits& limits, const engine_speed& speed,
+                                      const engine_settings& settings, time_point now) {
     const target_load& load = *option.load;
+    const double slowdown = slowdown_factor(load.slowdown, now);
     const std::uint32_t running = total_running(load);
     const double used = static_cast<double>(running) / std::max(1U, load.slots);
     const auto kv_tokens = static_cast<double>(total_kv_tokens(load) + expected_kv_tokens(prompt));
@@ -183,14 +191,19 @@
     estimate.has_capacity = (running == 0 || used < settings.max_slot_share) &&
                             (load.kv_limit == 0 || running == 0 ||
                              kv_tokens <= settings.max_kv_share * static_cast<double>(load.kv_limit));
-    estimate.prefill_ms = prefill_time_ms(uncached_tokens(load, prompt, settings, now), prompt, settings);
-    estimate.is_long = estimate.prefill_ms > to_milliseconds(settings.long_prompt_threshold);
-    estimate.predicted_first_token_ms =
-        backlog + estimate.prefill_ms + to_milliseconds(settings.first_token_overhead);
+    estimate.backlog_ms = backlog;
+    estimate.work = work_of(uncached_tokens(load, prompt, settings, now), prompt);
+    const double full_speed_prefill_ms = prefill_ms(speed, estimate.work);
+    estimate.prefill_ms = slowdown * full_speed_prefill_ms;
+    estimate.base_ms = slowdown * speed.base_ms;
+    // Long prompts are those that an engine for short ones would not prefill in time, even without a backlog.
+    estimate.is_long = estimate.prefill_ms > std::min(to_milliseconds(limits.limit) - estimate.base_ms,
+                                                      to_milliseconds(settings.max_prefill_run));
+    estimate.predicted_first_token_ms = backlog + estimate.prefill_ms + estimate.base_ms;
     // Shared segments that other routers have sent there need no prefill. The last segment is not shared.
     const std::uint32_t own_tokens = prompt.segments.empty() ? prompt.tokens : prompt.segments.back().tokens;
-    const double own_ms = std::min(estimate.prefill_ms, prefill_time_ms(own_tokens, prompt, settings));
-    estimate.recompute_ms = (1.0 - option.affinity) * (estimate.prefill_ms - own_ms);
+    const double own_ms = std::min(full_speed_prefill_ms, prefill_ms(speed, work_of(own_tokens, prompt)));
+    estimate.recompute_ms = (1.0 - option.affinity) * (full_speed_prefill_ms - own_ms);
     estimate.idle = used < settings.idle_slot_share && backlog < to_milliseconds(settings.max_idle_backlog) &&
                     estimate.recompute_ms < to_milliseconds(settings.max_idle_backlog);
     const double allowed = allowed_backlog_ms(estimate, option, limits, settings);
@@ -208,14 +221,14 @@
 } // namespace
 
 placement_result place_prompt(std::span<const placement_option> options, const prompt_shape& prompt,
-                              const first_token_limits& limits, const engine_settings& settings,
-                              time_point now) {
+                              const first_token_limits& limits, const engine_speed& speed,
+                              const engine_settings& settings, time_point now) {
     placement_result result;
     result.capacity_in = slot_retry;
     double best_score = 0;
     double min_excess = -1;
     for (const placement_option& option : options) {
-        const candidate_estimate estimate = estimate_candidate(option, prompt, limits, settings, now);
+        const candidate_estimate estimate = estimate_candidate(option, prompt, limits, speed, settings, now);
         if (!estimate.has_capacity) continue;
         if (!estimate.within_limit) {
             if (min_excess < 0 || estimate.excess_ms < min_excess) min_excess = estimate.excess_ms;
@@ -223,28 +236,40 @@
         }
         if (result.chosen && best_score <= estimate.score) continue;
         best_score = estimate.score;
-        result.chosen = placement_choice{option.target, from_milliseconds(estimate.predicted_first_token_ms),
-                                         estimate.prefill_ms, estimate.recompute_ms};
+        result.chosen =
+            placement_choice{option.target,       from_milliseconds(estimate.predicted_first_token_ms),
+                             estimate.prefill_ms, estimate.recompute_ms,
+                             estimate.work,       estimate.backlog_ms};
     }
     if (!result.chosen && min_excess >= 0)
         result.capacity_in = from_milliseconds(std::max(1.0, min_excess / settings.prefill_time_share));
     return result;
 }
 
-placement_result place_call(std::span<const placement_option> options, const engine_settings& settings) {
+placement_result place_call(std::span<const placement_option> options, const engine_speed& speed,
+                            const engine_settings& settings, time_point now) {
+    constexpr double other_data_centre_cost = 0.1; // in units of the slot use
     placement_result result;
-    result.capacity_in = settings.service_time / 2;
+    result.capacity_in = from_milliseconds(speed.base_ms / 2);
     double best_score = 0;
     for (const placement_option& option : options) {
         const target_load& load = *option.load;
         const std::uint32_t running = total_running(load);
         if (running >= load.slots + settings.service_queue_limit) continue;
+        const double slots = std::max(1U, load.slots);
+        const double slowdown = slowdown_factor(load.slowdown, now);
         const double score =
-            static_cast<double>(running) / std::max(1U, load.slots) + (option.same_data_centre ? 0.0 : 0.1);
+            slowdown * (running + 1) / slots + (option.same_data_centre ? 0.0 : other_data_centre_cost);
         if (result.chosen && best_score <= score) continue;
         best_score = score;
-        const std::uint32_t queued = running < load.slots ? 0 : running - load.slots + 1;
-        result.chosen = placement_choice{option.target, settings.service_time * (1 + queued), 0, 0};
+        const double queued = running < load.slots ? 0 : running - load.slots + 1;
+        const double service_ms = slowdown * speed.base_ms;
+        result.chosen = placement_choice{option.target,
+                                         from_milliseconds(service_ms * (1 + queued / slots)),
+                                         0,
+                                         0,
+                                         {},
+                                         service_ms * queued / slots};
     }
     return result;
 }
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -13,7 +13,7 @@
 
 #pragma once
 
-#include "damaskhill_types.hpp"
+#include "damaskhill_engine_model.hpp"
 
 #include <list>
 #include <unordered_map>
@@ -25,14 +25,8 @@
 //-----------------------------------------------------------------------------
 
 struct engine_settings {
-    // Prefill speed of one engine; those of both deployments process 61 to 66 tokens per ms.
-    double prefill_tokens_per_ms{60.0};
-    // Attention cost per million pairs of a prompt token with itself or a token before it.
-    double attention_ms_per_million_pairs{0.3};
     // Fraction of an engine's time spent on prefill; the rest generates tokens of running streams.
-    double prefill_time_share{0.68};
-    // Duration of a step, batching and the network path to the engine.
-    duration first_token_overhead{25ms};
+    double prefill_time_share{0.85};
     // Usable fractions of an engine's slots and KV cache; the rest covers concurrent starts by other routers.
     double max_slot_share{0.94};
     double max_kv_share{0.92};
@@ -43,9 +37,8 @@
     // that short requests avoid. Events of 7 or 8 tokens then come every 460 to 560 ms; gaps of 500 to 600 ms
     // are allowed.
     duration max_prefill_run{600ms};
-    // A prompt with a longer prefill time is long.
-    duration long_prompt_threshold{600ms};
-    // Fraction of a service's engines that take long prompts.
+    // Fraction of a service's engines that take long prompts: those that no other engine could prefill in
+    // time.
     double long_prompt_engine_share{0.1};
     // Score penalty of these engines for short requests.
     duration long_prompt_engine_penalty{300ms};
@@ -68,8 +61,6 @@
     duration cached_segment_lifetime{30s};
     // Requests that may queue at a plain service's target beyond its slots.
     std::uint32_t service_queue_limit{3};
-    // Assumed service time of a plain service's request.
-    duration service_time{60ms};
 };
 
 //-----------------------------------------------------------------------------
@@ -120,6 +111,7 @@
     double peer_prompt_ms_per_s{};         // smoothed
     double unreported_ms{};                // estimated work that peers have started since their last reports
     prefix_cache_model cached_segments;
+    target_slowdown slowdown;
 };
 
 [[nodiscard]] double backlog_ms(const target_load& load, const engine_settings& settings, time_point now);
@@ -157,9 +149,8 @@
 /// Prompt tokens that the target has to prefill. A segment counts as cached only if all before it are cached.
 [[nodiscard]] std::uint32_t uncached_tokens(const target_load& load, const prompt_shape& prompt,
                                             const engine_settings& settings, time_point now);
-/// Time that an engine needs to prefill the `missing` (uncached) tokens of the prompt.
-[[nodiscard]] double prefill_time_ms(std::uint32_t missing, const prompt_shape& prompt,
-                                     const engine_settings& settings);
+/// Work of prefilling the `missing` (uncached) tokens of the prompt.
+[[nodiscard]] prefill_work work_of(std::uint32_t missing, const prompt_shape& prompt);
 /// Expected KV cache use of a request when it ends, tokens.
 [[nodiscard]] std::uint64_t expected_kv_tokens(const prompt_shape& prompt);
 
@@ -180,6 +171,8 @@
     duration predicted_first_token{}; // from now
     double prefill_ms{};
     double recompute_ms{}; // part of prefill_ms for shared segments that another engine probably has cached
+    prefill_work work;
+    double backlog_ms{};
 };
 
 struct placement_result {
@@ -197,9 +190,11 @@
 /// Selects the engine with the lowest score among those whose predicted first token is within the limits.
 [[nodiscard]] placement_result place_prompt(std::span<const placement_option> options,
                                             const prompt_shape& prompt, const first_token_limits& limits,
-                                            const engine_settings& settings, time_point now);
+                                            const engine_speed& speed, const engine_settings& settings,
+                                            time_point now);
 /// Selects the least loaded target of a plain service.
 [[nodiscard]] placement_result place_call(std::span<const placement_option> options,
-                                          const engine_settings& settings);
+                                          const engine_speed& speed, const engine_settings& settings,
+                                          time_point now);
 
 } // namespace damaskhill
--- a/tests/test_engine_load.cpp
+++ b/tests/test_engine_load.cpp
@@ -29,6 +29,7 @@
     std::vector<target_load> loads;
     std::vector<placement_option> options;
     engine_settings settings;
+    engine_speed speed{25.0, 1.0 / 60.0, 0.3};
 
     explicit fleet(std::size_t engines) : loads(engines) {
         for (std::size_t i = 0; i < engines; ++i) {
@@ -39,7 +40,7 @@
             options.push_back({static_cast<std::uint32_t>(i), &loads[i], true, false, 0.0});
     }
     placement_result place(const prompt_shape& prompt, duration limit, double backlog_share = 1.0) const {
-        return place_prompt(options, prompt, {limit, backlog_share}, settings, start);
+        return place_prompt(options, prompt, {limit, backlog_share}, speed, settings, start);
     }
     double max_prefill_run_ms() const { return to_milliseconds(settings.max_prefill_run); }
 };
@@ -174,6 +175,46 @@
     BOOST_TEST(result.capacity_in.count() < (2s / 1us));
 }
 
+// Load: accounts above their share, prompts of all lengths. Guards against refusing long prompts of an
+// account more often than short ones: the share limits the backlog that a request finds, not its own prefill.
+BOOST_AUTO_TEST_CASE(low_backlog_share_treats_all_lengths_alike) {
+    fleet engines{1};
+    engines.loads[0].running = 30; // not idle
+    engines.loads[0].cached_segments.use(7, start, engines.settings.max_cached_segments);
+    add_backlog(engines.loads[0], engines.settings, 100, start);
+    BOOST_TEST(engines.place(make_review_prompt(7, 500), 700ms, 0.4).chosen.has_value());
+    BOOST_TEST(engines.place(make_review_prompt(7, 16'000), 700ms, 0.4).chosen.has_value());
+}
+
+// Guards against refusing requests for their size alone: an idle fleet takes every prompt that fits into an
+// engine's KV cache, whatever the latency target and the speed of its engines.
+BOOST_AUTO_TEST_CASE(idle_fleet_takes_prompts_of_every_size) {
+    for (const double tokens_per_ms : {30.0, 61.0, 66.0, 112.0, 200.0}) {
+        for (const duration target : {300ms, 500ms, 600ms, 800ms, 1200ms}) {
+            fleet engines{9};
+            engines.speed = {45.0, 1.0 / tokens_per_ms, 0.2};
+            engines.options[4].for_long_prompts = true;
+            for (std::uint32_t tokens = 1; tokens <= 60'000; tokens += tokens / 8 + 1) {
+                BOOST_TEST_CONTEXT(tokens << " tokens at " << tokens_per_ms << " a ms, target "
+                                          << to_milliseconds(target) << " ms") {
+                    const prompt_shape prompt{tokens, 400, 0, {{tokens, tokens}}};
+                    BOOST_TEST(engines.place(prompt, target * 9 / 10).chosen.has_value());
+                }
+            }
+        }
+    }
+}
+
+// Guards against sending to a slow target while others are free: its measured slowdown counts.
+BOOST_AUTO_TEST_CASE(slow_engine_is_avoided) {
+    fleet engines{2};
+    engines.loads[0].slowdown = {3.0, start};
+    engines.loads[1].running = 10;
+    const auto result = engines.place(make_review_prompt(7, 4000), 700ms);
+    BOOST_REQUIRE(result.chosen.has_value());
+    BOOST_TEST(result.chosen->target == 1U);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peer load
 //-----------------------------------------------------------------------------
@@ -245,11 +286,12 @@
     const std::vector<placement_option> options{{0, &loads[0], true, false, 0},
                                                 {1, &loads[1], false, false, 0}};
     const engine_settings settings;
-    const auto result = place_call(options, settings);
+    const engine_speed speed{60.0, 0.0, 0.0};
+    const auto result = place_call(options, speed, settings, start);
     BOOST_REQUIRE(result.chosen.has_value());
     BOOST_TEST(result.chosen->target == 1U);
     loads[0].running = loads[1].running = 9;
-    BOOST_TEST(!place_call(options, settings).chosen.has_value());
+    BOOST_TEST(!place_call(options, speed, settings, start).chosen.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
