Let two routers of each data centre read the store; the others follow their reports

Change: plan_store_read() picks two routers of each data centre by rendezvous. A router reads the store itself before its catalog is too old for readiness, so that the limits on age hold when readers die or lose the store.

A router now reports only outages that it has seen itself.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -160,6 +160,8 @@
     state.store_revision = event.store_revision;
     state.operator_known_to = std::max(state.operator_known_to, event.operator_known_to);
     state.operator_changed_at = std::max(state.operator_changed_at, event.operator_changed_at);
+    state.targets_known_to = std::max(state.targets_known_to, event.targets_known_to);
+    state.targets_changed_at = std::max(state.targets_changed_at, event.targets_changed_at);
     if (!before || before->version != event.contents->version) {
         out.emplace_back(
             log_event{"declarations",
@@ -175,8 +177,9 @@
     for (auto& [id, target] : state.targets) {
         if (event.contents->targets.contains(id)) continue;
         if (target.missing_since == time_point{}) target.missing_since = state.now;
-        const bool after_outage = state.store_regained_at != time_point{} &&
-                                  state.now - state.store_regained_at < state.settings.missing_grace;
+        const time_point regained_at = std::max(state.store_regained_at, state.peer_store_regained_at);
+        const bool after_outage =
+            regained_at != time_point{} && state.now - regained_at < state.settings.missing_grace;
         if (!after_outage) target.missing = true;
     }
     for (const auto& [id, entry] : event.contents->targets)
@@ -326,6 +329,9 @@
         confirm(state.freshness, event.as_of);
         state.operator_known_to = std::max(state.operator_known_to, event.operator_known_to);
     }
+    void operator()(const targets_confirmed& event) const {
+        state.targets_known_to = std::max(state.targets_known_to, event.known_to);
+    }
     void operator()(const store_reachable& event) const {
         if (event.reachable == state.store_up) return;
         state.store_up = event.reachable;
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -55,6 +55,12 @@
     duration report_period_per_router{8ms};
     // Interval between reports to addresses that get no regular reports.
     duration probe_period{1s};
+    // Routers of each data centre that read the store; the others rely on their reports and snapshots.
+    std::size_t store_readers{2};
+    // Long poll of these routers on the declarations if others rely on them.
+    duration shared_read_wait{1s};
+    // Fraction of freshness.max_ready_age from which a router reads the store itself.
+    double own_read_age_share{0.85};
     // A router that has been silent for this long is ignored for placement.
     duration peer_timeout{1500ms};
     // A router that has been silent for this long is ignored for shared limits.
@@ -157,6 +163,8 @@
     std::uint64_t store_revision{};      // latest store revision that the catalog includes
     std::uint64_t operator_known_to{};   // the catalog includes all operator changes up to this revision
     std::uint64_t operator_changed_at{}; // revision of the latest operator change that it includes
+    std::uint64_t targets_known_to{};    // the catalog includes all registrations up to this revision
+    std::uint64_t targets_changed_at{};  // revision of the latest registration that it includes
 };
 
 /// The store or a peer has confirmed that the catalog was complete at this time.
@@ -165,6 +173,11 @@
     std::uint64_t operator_known_to{}; // see catalog_updated
 };
 
+/// The store has confirmed the registrations of targets up to this revision.
+struct targets_confirmed {
+    std::uint64_t known_to{};
+};
+
 struct store_reachable {
     bool reachable{};
 };
@@ -181,8 +194,8 @@
 };
 
 using input = std::variant<timer_fired, request_arrived, caller_closed, response_head, response_data,
-                           response_end, catalog_updated, catalog_confirmed, store_reachable, report_received,
-                           stop_requested, settings_changed>;
+                           response_end, catalog_updated, catalog_confirmed, targets_confirmed,
+                           store_reachable, report_received, stop_requested, settings_changed>;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Effects
@@ -395,9 +408,12 @@
     std::uint64_t store_revision{};
     std::uint64_t operator_known_to{};   // see catalog_updated
     std::uint64_t operator_changed_at{}; // see catalog_updated
+    std::uint64_t targets_known_to{};    // see catalog_updated
+    std::uint64_t targets_changed_at{};  // see catalog_updated
     catalog_freshness freshness;
     bool store_up{};
-    time_point store_regained_at{};
+    time_point store_regained_at{};      // by this router
+    time_point peer_store_regained_at{}; // latest that a peer has reported
 
     std::unordered_map<caller_id, request_ptr> requests;
     std::unordered_map<std::uint64_t, caller_id> caller_by_send;
@@ -449,6 +465,12 @@
 [[nodiscard]] std::string quoted(std::string_view text);
 /// Whether timer lag is so high that new requests must be refused immediately.
 [[nodiscard]] bool must_shed_load(const router_state& state);
+/// Whether this router reads the store itself, and how long it may wait for a change of the declarations.
+struct store_read_plan {
+    bool read{true};
+    std::optional<duration> max_wait; // none: the store client's default
+};
+[[nodiscard]] store_read_plan plan_store_read(const router_state& state, time_point now);
 /// Whether the load balancer may send new connections to this router.
 [[nodiscard]] bool is_ready(const router_state& state, time_point now);
 
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -131,7 +131,10 @@
     std::vector<account_usage_row> accounts;
     std::vector<crash_row> crashes;
     std::vector<version_row> versions;
-    std::vector<speed_row> speeds; // estimates with enough samples only
+    std::vector<speed_row> speeds;      // estimates with enough samples only
+    std::uint64_t targets_changed_at{}; // revision of the latest registration of a target in the catalog
+    // Time since the sender has reached the store again after an outage; 0 if it has seen none.
+    std::uint64_t store_regained_age_us{};
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -153,7 +156,9 @@
                           field{17, "crashes", &t::crashes},
                           field{18, "versions", &t::versions},
                           field{19, "operator_changed_at", &t::operator_changed_at},
-                          field{20, "speeds", &t::speeds}};
+                          field{20, "speeds", &t::speeds},
+                          field{21, "targets_changed_at", &t::targets_changed_at},
+                          field{22, "store_regained_age_us", &t::store_regained_age_us}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -1,6 +1,7 @@
 // Index of this file:
 // [SECTION] Report handling
 // [SECTION] Report sending
+// [SECTION] Store readers
 // [SECTION] Shared limits
 // [SECTION] Rollouts
 
@@ -89,12 +90,25 @@
 
 constexpr duration min_snapshot_interval = 300ms; // between two snapshot requests
 
+/// Registrations that lapsed during an outage of the store may come back. A router that did not read the
+/// store itself at the time learns of the outage from its peers. It doesn't pass on what it was told: each
+/// hop would add the delay of a report, and the outage would never end.
+void merge_store_outage(router_state& state, const router_report& report) {
+    if (report.store_regained_age_us == 0) return;
+    state.peer_store_regained_at =
+        std::max(state.peer_store_regained_at, state.now - microseconds(report.store_regained_age_us));
+}
+
 /// Requests the sender's snapshot of the store if it has newer declarations, or newer targets while this
 /// router cannot reach the store.
 void request_newer_snapshot(router_state& state, const router_report& report, effects& out) {
     if (!report.has_catalog) return;
     const bool lacks_declarations = report.operator_changed_at > state.operator_known_to;
-    const bool lacks_targets = !state.store_up && report.store_revision > state.store_revision;
+    // A router that reads the store learns of targets there. The copy of a router in the same data centre is
+    // the cheaper one while any is in reach.
+    const bool relies_on_peers = !state.store_up || (!plan_store_read(state, state.now).read &&
+                                                     report.data_centre == state.settings.data_centre);
+    const bool lacks_targets = relies_on_peers && report.targets_changed_at > state.targets_known_to;
     if (!lacks_declarations && !lacks_targets) return;
     if (state.now - state.snapshot_requested_at < min_snapshot_interval) return;
     state.snapshot_requested_at = state.now;
@@ -160,6 +174,7 @@
         on_router_report(state, report, out);
     }
     merge_order_ages(state, report);
+    merge_store_outage(state, report);
     apply_peer_confirmation(state, report);
     request_newer_snapshot(state, report, out);
 }
@@ -232,6 +247,10 @@
     report.sent_us = to_us(state.now);
     report.store_revision = state.store_revision;
     report.operator_changed_at = state.operator_changed_at;
+    report.targets_changed_at = state.targets_changed_at;
+    if (state.store_regained_at != time_point{})
+        report.store_regained_age_us = static_cast<std::uint64_t>(
+            std::max<std::int64_t>(1, (state.now - state.store_regained_at).count()));
     const auto age = catalog_age(state.freshness, state.now);
     report.has_catalog = age.has_value() && state.active_catalog;
     report.catalog_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
@@ -409,6 +428,37 @@
     send_probes(state, neighbours, out);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store readers
+//-----------------------------------------------------------------------------
+
+// Store calls are billed, and each router that watches the store costs as many as any other. A few routers of
+// each data centre therefore read it, by rendezvous, and pass on what they know together with its age. A
+// router whose catalog nobody confirms in time reads the store itself, so that the limits on age hold without
+// the readers.
+store_read_plan plan_store_read(const router_state& state, time_point now) {
+    const auto age = catalog_age(state.freshness, now);
+    const auto limit_us = static_cast<double>(state.settings.freshness.max_ready_age.count()) *
+                          state.settings.own_read_age_share;
+    if (!state.active_catalog || !age || static_cast<double>(age->count()) > limit_us) return {};
+    constexpr std::uint64_t reader_seed = 0x72656164;
+    const std::uint64_t own_weight = stable_hash(state.settings.report_address, reader_seed);
+    std::size_t neighbours = 0;
+    std::size_t before = 0;
+    for (const auto& [address, peer] : state.peers) {
+        if (peer.incarnation == 0 || peer.data_centre != state.settings.data_centre ||
+            now - peer.last_heard > state.settings.peer_timeout)
+            continue;
+        ++neighbours;
+        const bool can_read =
+            peer.last_report.has_catalog && !peer.last_report.stopping && !peer.last_report.overloaded;
+        if (can_read && stable_hash(address, reader_seed) > own_weight) ++before;
+    }
+    if (before >= state.settings.store_readers) return {false, std::nullopt};
+    if (neighbours < state.settings.store_readers) return {};
+    return {true, state.settings.shared_read_wait};
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Shared limits
 //-----------------------------------------------------------------------------
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -44,7 +44,8 @@
                   [this](const failure& error) {
                       log_.write("unreadable_item", "\"reason\":" + direct::quoted(describe(error)), true,
                                  boot_clock());
-                  }}),
+                  },
+                  [this] { return direct::plan_store_read(state_, boot_clock()); }}),
           wake_timer_(*static_cast<asio::io_context*>(loop.native())) {}
 
     [[nodiscard]] std::optional<bool> start(const direct_daemon_settings& settings, failure& error);
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -586,6 +586,98 @@
     BOOST_TEST(!may_accept_key(a2.state.freshness, a2.state.settings.freshness, a2.now));
 }
 
+// Guards against store calls that grow with the routers, and against a router that becomes unready or uses a
+// catalog that is too old because the readers died or lost the store: while a router in reach reads the
+// store, all stay ready.
+BOOST_AUTO_TEST_CASE(few_routers_read_the_store_and_others_take_over) {
+    constexpr std::size_t router_count = 12;
+    std::vector<std::unique_ptr<test_router>> routers;
+    for (std::size_t i = 0; i < router_count; ++i) {
+        routers.push_back(std::make_unique<test_router>("10.0.0." + std::to_string(i + 1) + ":7"));
+        routers.back()->state.settings.seeds = {"10.0.0.1:7"};
+    }
+    std::vector<test_router*> alive;
+    for (const auto& router : routers)
+        alive.push_back(router.get());
+    std::size_t reads = 0;
+    constexpr int seconds = 60;
+    for (int step = 0; step < seconds * 5; ++step) {
+        exchange_reports(alive, 200ms);
+        for (test_router* router : alive) {
+            if (!plan_store_read(router->state, router->now).read) continue;
+            router->confirm_now();
+            ++reads;
+        }
+        const bool warmed_up = step > 25;
+        for (test_router* router : alive) {
+            const auto age = catalog_age(router->state.freshness, router->now);
+            BOOST_REQUIRE(age.has_value());
+            if (warmed_up) BOOST_TEST(is_ready(router->state, router->now));
+        }
+        // Each 10 s one of the readers dies.
+        if (step % 50 == 49 && alive.size() > 4) {
+            const auto reader = std::ranges::find_if(alive, [](const test_router* router) {
+                return plan_store_read(router->state, router->now).read;
+            });
+            if (reader != alive.end()) alive.erase(reader);
+        }
+    }
+    // Two readers of twelve, and some more while a dead one is still believed to live.
+    BOOST_TEST(reads < 4U * seconds * 5U);
+}
+
+// Guards against a target that has left and is still used because routers tell each other of an outage of the
+// store again and again: the grace period ends once, counted from the end of the outage.
+BOOST_AUTO_TEST_CASE(outage_reported_by_peers_ends) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    test_router a3{"10.0.0.3:7"};
+    const std::vector<test_router*> all{&a1, &a2, &a3};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7"};
+    a1.process(store_reachable{true});
+    a1.process(store_reachable{false});
+    a1.process(store_reachable{true});
+    exchange_reports(all, 1s);
+    catalog without_target = make_catalog();
+    without_target.targets.erase("a-1");
+    a3.publish(without_target);
+    BOOST_TEST(!a3.state.targets.at("a-1").missing); // within the grace period, although a3 saw no outage
+    a3.publish(make_catalog());
+    for (int i = 0; i < 15; ++i) {
+        exchange_reports(all, 200ms);
+        for (test_router* router : all)
+            router->now += 15ms; // delay of reports
+    }
+    a3.publish(without_target);
+    BOOST_TEST(a3.state.targets.at("a-1").missing);
+}
+
+// Guards against relying on a reader that has itself lost the store: its age is passed on, and each router
+// reads the store itself before its catalog is too old for readiness.
+BOOST_AUTO_TEST_CASE(router_reads_the_store_when_readers_have_lost_it) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    test_router a3{"10.0.0.3:7"};
+    test_router a4{"10.0.0.4:7"};
+    const std::vector<test_router*> all{&a1, &a2, &a3, &a4};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7"};
+    for (int i = 0; i < 30; ++i) {
+        for (test_router* router : all)
+            router->confirm_now();
+        exchange_reports(all, 200ms);
+    }
+    std::vector<test_router*> passive;
+    for (test_router* router : all) {
+        if (!plan_store_read(router->state, router->now).read) passive.push_back(router);
+    }
+    BOOST_TEST(passive.size() == 2U);
+    exchange_reports(all, 5s); // nobody reaches the store
+    for (test_router* router : passive)
+        BOOST_TEST(plan_store_read(router->state, router->now).read);
+}
+
 // Guards against accepting a revoked key at a router whose watch of the declarations is stuck while it still
 // receives target changes: its store revision equals the peer's, but it lacks the peer's latest declarations.
 BOOST_AUTO_TEST_CASE(peer_does_not_confirm_unread_declarations) {
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -26,18 +26,20 @@
     std::optional<time_point> confirmed_at;
     bool reachable{};
     std::size_t decode_errors{};
+    direct::store_read_plan plan;
     platform::store_mirror mirror;
 
-    mirror_fixture()
-        : mirror(loop, http, settings(),
+    explicit mirror_fixture(const char* address = store_address)
+        : mirror(loop, http, settings(address),
                  {[this](direct::input&& event) { on_input(event); }, wall_clock,
-                  [this](const failure&) { ++decode_errors; }}) {
+                  [this](const failure&) { ++decode_errors; }, [this] { return plan; }}) {
         failure error;
-        BOOST_REQUIRE(store.listen(store_address, error).has_value());
+        BOOST_REQUIRE(store.listen(address, error).has_value());
     }
-    static platform::store_settings settings() {
+    static platform::store_settings settings(const char* address) {
         platform::store_settings settings;
-        settings.address = store_address;
+        settings.address = address;
+        settings.read_check_period = 20ms;
         settings.operator_watch_timeout = 100ms;
         settings.target_watch_timeout = 100ms;
         settings.target_watch_delay = 20ms;
@@ -141,6 +143,54 @@
     BOOST_TEST((test.catalog_seen->rollout_states.at("s").phase == rollout_phase::completed));
 }
 
+// Guards against store calls of a router that relies on others, and against one that does not notice changes
+// when it has to read the store again.
+BOOST_AUTO_TEST_CASE(mirror_pauses_while_other_routers_read) {
+    mirror_fixture test;
+    test.put_targets(0, 3);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.plan.read = false;
+    test.run_for(300ms); // the open long polls end
+    const std::uint64_t calls = test.store.calls();
+    test.put_targets(3, 5);
+    test.run_for(300ms);
+    BOOST_TEST(test.store.calls() == calls);
+    BOOST_TEST(test.catalog_seen->targets.size() == 3U);
+    test.plan.read = true;
+    test.run_for(300ms);
+    BOOST_TEST(test.store.calls() > calls);
+    BOOST_TEST(test.catalog_seen->targets.size() == 5U);
+}
+
+// Guards against a target that has left and is used again: the snapshot of a peer that has newer
+// declarations, but has not yet seen that the target left.
+BOOST_AUTO_TEST_CASE(snapshot_with_older_targets_does_not_restore_them) {
+    mirror_fixture test;
+    test.put_targets(0, 3);
+    test.mirror.start();
+    test.run_for(200ms);
+    const json stale = json::parse(test.mirror.snapshot());
+    test.store.remove("servers/i-1");
+    test.run_for(200ms);
+    BOOST_REQUIRE(!test.catalog_seen->targets.contains("i-1"));
+    json newer_declarations = stale;
+    newer_declarations["revision"] = stale["revision"].get<std::uint64_t>() + 1000;
+    newer_declarations["operator_known_to"] = stale["revision"].get<std::uint64_t>() + 1000;
+    edge_server peer{test.loop, edge_server_settings{},
+                     edge_server::handlers{[&](std::uint64_t exchange, http_request&&) {
+                                               peer.send_response(exchange, 200, {},
+                                                                  newer_declarations.dump());
+                                           },
+                                           [](std::uint64_t) {}}};
+    constexpr const char* peer_address = "127.0.0.1:18473";
+    failure error;
+    BOOST_REQUIRE(peer.listen(peer_address, error));
+    test.mirror.fetch_snapshot(peer_address);
+    test.run_for(200ms);
+    BOOST_TEST(!test.catalog_seen->targets.contains("i-1"));
+}
+
 // Guards against a malformed registration of another writer that keeps valid ones out of the catalog.
 BOOST_AUTO_TEST_CASE(malformed_registration_is_reported_and_skipped) {
     mirror_fixture test;
