Bound what a target may send without end; read event ids from their own line

Cause, by reading: request::body grew with every byte of a buffered answer, and a resumable stream's incomplete event with every byte that held no event's end, until the deadline. At 1,000 Mbit/s a router of 88 MB is over its memory in under a second.

While the sum is exceeded, the request with the most bytes is failed, so that small answers stay served.

Also: an id was taken from the last "id:" anywhere in the data, so data such as "paid: 3" hid the true id and a resume repeated events.

Tests: endless_responses_are_cut_and_memory_is_bounded, event_id_is_read_from_its_line.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -71,6 +71,11 @@
     double max_wait_share{0.25};
     // Fraction of the latency target within which the first token must be predicted to arrive.
     double first_token_share{0.9};
+    // Largest buffered response, and largest event of a stream. A target that sends more has failed.
+    std::size_t max_response_bytes{8U << 20U};
+    std::size_t max_event_bytes{1U << 20U};
+    // Sum over all requests. Above it, the request with the most buffered bytes is failed.
+    std::size_t max_buffered_bytes{16U << 20U};
     // Requests are not retried this close to their deadline, so that the final response reaches the caller.
     duration deadline_margin{30ms};
     // A target that accepts no connection for this long counts as unreachable.
@@ -311,7 +316,8 @@
     bool head_received{};
     bool first_byte_received{};
     response_head head;
-    std::string body; // buffered response, or the incomplete last event of a stream
+    std::string body;            // buffered response, or the incomplete last event of a stream
+    std::size_t counted_bytes{}; // of `body`, in router_state::buffered_bytes
     std::uint64_t charged_kv_tokens{};
     // All attempts.
     std::uint32_t sends{}; // attempts that reached a target or may have reached it
@@ -421,6 +427,7 @@
     std::set<std::pair<time_point, caller_id>> deadlines;
     std::set<std::pair<time_point, caller_id>> attempt_deadlines; // of idempotent calls only
     std::uint64_t next_send{1};
+    std::size_t buffered_bytes{}; // of all responses and incomplete events
 
     std::map<std::string, target_state, std::less<>> targets; // by id
     std::map<std::string, std::vector<target_state*>, std::less<>> targets_by_service;
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -62,7 +62,16 @@
     return item.sent_at + std::min(timeout, state.settings.max_attempt_timeout);
 }
 
+/// Updates the sum of buffered bytes after a change of the request's body.
+void count_buffered_bytes(router_state& state, request& item) {
+    state.buffered_bytes += item.body.size();
+    state.buffered_bytes -= item.counted_bytes;
+    item.counted_bytes = item.body.size();
+}
+
 void remove_request(router_state& state, const request_ptr& item) {
+    state.buffered_bytes -= item->counted_bytes;
+    item->counted_bytes = 0;
     state.deadlines.erase({item->deadline, item->input.caller});
     state.attempt_deadlines.erase({attempt_due(state, *item), item->input.caller});
     std::erase(state.waiting, item);
@@ -323,6 +332,7 @@
                            !is_cold(state, target) &&
                            choice.backlog_ms <= state.settings.engine_model.max_backlog_ms;
     item->body.clear();
+    count_buffered_bytes(state, *item);
     item->tried_targets.push_back(target.entry.id);
     state.caller_by_send[item->send_id] = item->input.caller;
     if (is_cold(state, target)) target.cold_limiter.last_send = state.now;
@@ -572,10 +582,15 @@
     if (end == std::string::npos) return {};
     std::string complete_events = partial.substr(0, end + 2);
     partial.erase(0, end + 2);
-    const auto id = complete_events.rfind("id:");
-    if (id != std::string::npos && (id == 0 || complete_events[id - 1] == '\n')) {
-        const auto line_end = complete_events.find('\n', id);
-        std::string_view value = std::string_view{complete_events}.substr(id + 3, line_end - id - 3);
+    // Only a line that begins with the field name holds an id; data may contain the same characters.
+    constexpr std::string_view field = "id:";
+    const auto line = complete_events.rfind("\nid:");
+    const bool in_first_line = line == std::string::npos && complete_events.starts_with(field);
+    if (line != std::string::npos || in_first_line) {
+        const std::size_t begin = (in_first_line ? 0 : line + 1) + field.size();
+        const auto line_end = complete_events.find('\n', begin);
+        std::string_view value = std::string_view{complete_events}.substr(begin, line_end - begin);
+        if (value.ends_with('\r')) value.remove_suffix(1);
         while (value.starts_with(' '))
             value.remove_prefix(1);
         last_id = value;
@@ -637,12 +652,44 @@
     if (!item->reply_started) item->head = event;
 }
 
+namespace {
+
+void on_connection_broken(router_state& state, const request_ptr& item, send_result result, effects& out);
+
+/// Ends the current attempt of a request whose target sends more than can be buffered.
+void fail_oversized(router_state& state, const request_ptr& item, effects& out) {
+    out.emplace_back(count{"answers_oversized_total", item->service, 1});
+    out.emplace_back(log_event{"answer_oversized",
+                               "\"id\":" + quoted(item->input.attempt) + ",\"target\":" +
+                                   quoted(item->target) + ",\"bytes\":" + std::to_string(item->body.size()) +
+                                   ",\"buffered\":" + std::to_string(state.buffered_bytes),
+                               false});
+    if (target_state* target = find_target(state, item->target)) record_target_result(*target, true);
+    out.emplace_back(cancel_send{item->send_id});
+    on_connection_broken(state, item, send_result::garbled, out);
+}
+
+/// Counts the bytes that the request has buffered. Fails it if it exceeds its limit, and the request with the
+/// most bytes while the sum exceeds the limit of the process.
+void limit_buffered_bytes(router_state& state, const request_ptr& item, std::size_t limit, effects& out) {
+    count_buffered_bytes(state, *item);
+    if (item->body.size() > limit) fail_oversized(state, item, out);
+    while (state.buffered_bytes > state.settings.max_buffered_bytes) {
+        const auto largest = std::ranges::max_element(
+            state.requests, {}, [](const auto& entry) { return entry.second->counted_bytes; });
+        fail_oversized(state, request_ptr{largest->second}, out);
+    }
+}
+
+} // namespace
+
 void on_response_data(router_state& state, const response_data& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item || !item->head_received || event.data.empty()) return;
     if (!item->first_byte_received) record_first_byte(state, *item, out);
     if (!is_stream(*item)) {
         item->body.append(event.data);
+        limit_buffered_bytes(state, item, state.settings.max_response_bytes, out);
         return;
     }
     if (!item->route.resumable) {
@@ -652,7 +699,11 @@
     }
     // Only complete events are forwarded, so that another target can resume after the last one.
     const std::string complete_events = extract_complete_events(item->body, event.data, item->last_event_id);
-    if (complete_events.empty()) return;
+    if (complete_events.empty()) {
+        limit_buffered_bytes(state, item, state.settings.max_event_bytes, out);
+        return;
+    }
+    count_buffered_bytes(state, *item);
     start_reply(*item, out);
     item->pending_reply = complete_events;
     out.emplace_back(reply_data{item->input.caller, item->pending_reply});
@@ -701,6 +752,7 @@
     out.emplace_back(count{"answers_broken_total", item->service, 1});
     clear_attempt(state, *item);
     item->body.clear();
+    count_buffered_bytes(state, *item);
     retry_or_fail(state, item, status_bad_gateway,
                   result == send_result::garbled ? "answer_garbled" : "connection_lost", out);
 }
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -183,6 +183,70 @@
     BOOST_TEST(router.has<reply_end>());
 }
 
+// Guards against a resume after the wrong event: data that contains the characters of an id field is no id.
+BOOST_AUTO_TEST_CASE(event_id_is_read_from_its_line) {
+    test_router router;
+    router.submit_request("chat");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    router.process(router.head(first->send_id));
+    router.process(response_data{first->send_id, "id: 7\ndata: paid: 3\n\n"});
+    router.out.clear();
+    router.process(response_end{first->send_id, send_result::broken});
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->resume_after == "7");
+}
+
+// Guards against memory that grows until the process is killed: targets that send bytes without end, as a
+// body or as an event that never ends. Each caller gets a true reply, and other requests are served.
+BOOST_AUTO_TEST_CASE(endless_responses_are_cut_and_memory_is_bounded) {
+    test_router router;
+    router.state.settings.engine.max_slot_share = 1000; // the load of the targets is not the matter here
+    const std::string block(64 << 10, 'x');
+    std::size_t failed = 0;
+    std::size_t cancelled = 0;
+    std::vector<std::uint64_t> sends;
+    for (int i = 0; i < 16; ++i) {
+        router.submit_request(i % 2 == 0 ? "order" : "chat");
+        for (const auto& sent : router.take<send_request>())
+            sends.push_back(sent.send_id);
+    }
+    BOOST_REQUIRE(sends.size() >= 14U);
+    for (const std::uint64_t send : sends)
+        router.process(router.head(send));
+    router.out.clear();
+    for (int round = 0; round < 200; ++round) {
+        for (std::size_t i = 0; i < sends.size(); ++i) {
+            router.process(response_data{sends[i], block});
+            BOOST_TEST(router.state.buffered_bytes <= router.state.settings.max_buffered_bytes);
+            for (const direct::effect& item : std::exchange(router.out, {})) {
+                if (std::holds_alternative<cancel_send>(item)) ++cancelled;
+                if (const auto* refused = std::get_if<reply_refused>(&item)) {
+                    BOOST_TEST(refused->status == 502U); // a target may have executed it
+                    ++failed;
+                }
+                if (const auto* again = std::get_if<send_request>(&item)) {
+                    sends[i] = again->send_id;
+                    router.state.requests.at(router.state.caller_by_send.at(again->send_id))->head_received =
+                        true;
+                }
+            }
+        }
+    }
+    BOOST_TEST(cancelled >= 16U);
+    BOOST_TEST(failed == 16U);
+    BOOST_TEST(router.state.requests.empty());
+    BOOST_TEST(router.state.buffered_bytes == 0U);
+    router.submit_request("stock");
+    const auto sound = router.last<send_request>();
+    BOOST_REQUIRE(sound.has_value());
+    router.process(router.head(sound->send_id));
+    router.process(response_data{sound->send_id, "ok"});
+    router.process(response_end{sound->send_id, send_result::complete});
+    BOOST_TEST(router.has<reply_full>());
+}
+
 // Guards against a truncated stream that looks complete.
 BOOST_AUTO_TEST_CASE(non_resumable_stream_is_aborted) {
     test_router router;
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -161,6 +161,20 @@
     BOOST_TEST((call(loop, client, "127.0.0.1:1").result == edge_result::not_sent));
 }
 
+// Guards against a response head without end: it is cut at the parser's limit instead of being buffered.
+BOOST_AUTO_TEST_CASE(endless_head_is_malformed) {
+    event_loop loop;
+    edge_client client{loop, {}};
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 10'000; ++i)
+        head += "X-" + std::to_string(i) + ": value\r\n";
+    scripted_target target{loop, head};
+    target.keep_open = true;
+    const call_outcome outcome = call(loop, client, target.address());
+    BOOST_REQUIRE(outcome.result.has_value());
+    BOOST_TEST((*outcome.result == edge_result::malformed));
+}
+
 // Guards against parsing excess data after a complete response as the start of the next one.
 BOOST_AUTO_TEST_CASE(connection_with_excess_data_is_not_reused) {
     event_loop loop;
