Keep the long polls of a store reader short on targets too

While the store turns routers away, a reader's connection can go silent. The declarations were polled each second then, but the targets for 4 s and 0.8 s more, so that a silent connection at both readers hid a leaving target from their data centre for longer than the 3 s allowed, while the declarations stayed fresh and nobody else read the store.

Change: max_wait of the plan bounds both long polls. A silent connection now hides a change for 1.8 s at most. It costs a reader 0.75 calls a second.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -57,7 +57,8 @@
     duration probe_period{1s};
     // Routers of each data centre that read the store; the others rely on their reports and snapshots.
     std::size_t store_readers{2};
-    // Long poll of these routers on the declarations if others rely on them.
+    // Long poll of these routers if others rely on them; it also bounds how long a silent connection hides a
+    // change.
     duration shared_read_wait{1s};
     // Fraction of freshness.max_ready_age from which a router reads the store itself.
     double own_read_age_share{0.85};
@@ -472,7 +473,7 @@
 [[nodiscard]] std::string quoted(std::string_view text);
 /// Whether timer lag is so high that new requests must be refused immediately.
 [[nodiscard]] bool must_shed_load(const router_state& state);
-/// Whether this router reads the store itself, and how long it may wait for a change of the declarations.
+/// Whether this router reads the store itself, and how long its long polls may last.
 struct store_read_plan {
     bool read{true};
     std::optional<duration> max_wait; // none: the store client's default
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -163,6 +163,18 @@
     BOOST_TEST(test.catalog_seen->targets.size() == 5U);
 }
 
+// Guards against a connection that goes silent at a reader and hides from a whole data centre that a target
+// has left: the long polls of a reader on which others rely are short, those on targets too.
+BOOST_AUTO_TEST_CASE(long_polls_are_short_while_others_rely_on_them) {
+    mirror_fixture test;
+    test.put_targets(0, 3);
+    test.plan.max_wait = 20ms;
+    test.mirror.start();
+    test.run_for(1s);
+    // Nearly 50 polls of each prefix; the fixture's own timeouts would allow 10 of each.
+    BOOST_TEST(test.store.calls() > 70U);
+}
+
 // Guards against a target that has left and is used again: the snapshot of a peer that has newer
 // declarations, but has not yet seen that the target left.
 BOOST_AUTO_TEST_CASE(snapshot_with_older_targets_does_not_restore_them) {
