--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -135,6 +135,7 @@
     std::uint64_t targets_changed_at{}; // revision of the latest registration of a target in the catalog
     // Time since the sender has reached the store again after an outage; 0 if it has seen none.
     std::uint64_t store_regained_age_us{};
+    bool store_unreachable{}; // the sender's last call to the store failed
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -158,7 +159,8 @@
                           field{19, "operator_changed_at", &t::operator_changed_at},
                           field{20, "speeds", &t::speeds},
                           field{21, "targets_changed_at", &t::targets_changed_at},
-                          field{22, "store_regained_age_us", &t::store_regained_age_us}};
+                          field{22, "store_regained_age_us", &t::store_regained_age_us},
+                          field{23, "store_unreachable", &t::store_unreachable}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -256,6 +256,7 @@
     report.catalog_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
     report.stopping = state.stopping;
     report.overloaded = state.overloaded;
+    report.store_unreachable = !state.store_up;
     add_speed_rows(state, report);
     for (const auto& [address, peer] : state.peers) {
         if (peer.incarnation != 0) report.echoes.push_back({peer.incarnation, peer.last_report.sent_us});
@@ -450,8 +451,9 @@
             now - peer.last_heard > state.settings.peer_timeout)
             continue;
         ++neighbours;
+        const router_report& report = peer.last_report;
         const bool can_read =
-            peer.last_report.has_catalog && !peer.last_report.stopping && !peer.last_report.overloaded;
+            report.has_catalog && !report.stopping && !report.overloaded && !report.store_unreachable;
         if (can_read && stable_hash(address, reader_seed) > own_weight) ++before;
     }
     if (before >= state.settings.store_readers) return {false, std::nullopt};
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -659,6 +659,7 @@
     for (std::size_t i = 0; i < router_count; ++i) {
         routers.push_back(std::make_unique<test_router>("10.0.0." + std::to_string(i + 1) + ":7"));
         routers.back()->state.settings.seeds = {"10.0.0.1:7"};
+        routers.back()->process(store_reachable{true});
     }
     std::vector<test_router*> alive;
     for (const auto& router : routers)
@@ -727,6 +728,8 @@
     const std::vector<test_router*> all{&a1, &a2, &a3, &a4};
     for (test_router* router : all)
         router->state.settings.seeds = {"10.0.0.1:7"};
+    for (test_router* router : all)
+        router->process(store_reachable{true});
     for (int i = 0; i < 30; ++i) {
         for (test_router* router : all)
             router->confirm_now();
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -27,6 +27,7 @@
     bool reachable{};
     std::size_t decode_errors{};
     direct::store_read_plan plan;
+    bool read_until_confirmed{}; // the next confirmation of the declarations ends the reading
     platform::store_mirror mirror;
 
     explicit mirror_fixture(const char* address = store_address)
@@ -51,6 +52,7 @@
         if (const auto* read = std::get_if<direct::catalog_updated>(&event)) catalog_seen = read->contents;
         if (const auto* confirmed = std::get_if<direct::catalog_confirmed>(&event))
             confirmed_at = confirmed->as_of;
+        if (confirmed_at && read_until_confirmed) plan.read = false;
         if (const auto* up = std::get_if<direct::store_reachable>(&event)) reachable = up->reachable;
     }
     void run_for(duration time) {
@@ -163,6 +165,24 @@
     BOOST_TEST(test.catalog_seen->targets.size() == 5U);
 }
 
+// Guards against targets that are never read again: a router reads the store because its declarations are too
+// old, and the first answer makes them fresh before the targets have been asked for.
+BOOST_AUTO_TEST_CASE(fallback_reads_targets_as_well) {
+    mirror_fixture test;
+    test.put_targets(0, 3);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.plan.read = false;
+    test.run_for(300ms);
+    test.confirmed_at.reset();
+    test.read_until_confirmed = true;
+    test.plan.read = true;
+    test.store.remove("servers/i-1");
+    test.run_for(300ms);
+    BOOST_TEST(!test.plan.read); // the declarations were confirmed
+    BOOST_TEST(!test.catalog_seen->targets.contains("i-1"));
+}
+
 // Guards against a connection that goes silent at a reader and hides from a whole data centre that a target
 // has left: the long polls of a reader on which others rely are short, those on targets too.
 BOOST_AUTO_TEST_CASE(long_polls_are_short_while_others_rely_on_them) {
