Read-through: one function for the first-byte time; cheap checks before costly ones

first_byte_ms() replaces three copies of base plus prefill. A report is compared with what this router knows before the readers of the store are ranked, and a service's name is hashed only while its own estimate is not trusted; both ran for every report. A router that receives its first estimates now creates the prior of every declared service at once, as its first placement did.

Behaviour is the same.

--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -106,9 +106,11 @@
     const bool lacks_declarations = report.operator_changed_at > state.operator_known_to;
     // A router that reads the store learns of targets there. The copy of a router in the same data centre is
     // the cheaper one while any is in reach.
-    const bool relies_on_peers = !state.store_up || (!plan_store_read(state, state.now).read &&
-                                                     report.data_centre == state.settings.data_centre);
-    const bool lacks_targets = relies_on_peers && report.targets_changed_at > state.targets_known_to;
+    const auto relies_on_sender = [&] {
+        return !state.store_up ||
+               (report.data_centre == state.settings.data_centre && !plan_store_read(state, state.now).read);
+    };
+    const bool lacks_targets = report.targets_changed_at > state.targets_known_to && relies_on_sender();
     if (!lacks_declarations && !lacks_targets) return;
     if (state.now - state.snapshot_requested_at < min_snapshot_interval) return;
     state.snapshot_requested_at = state.now;
--- a/core/damaskhill_direct_speed.cpp
+++ b/core/damaskhill_direct_speed.cpp
@@ -22,8 +22,8 @@
 service_speed& speed_of(router_state& state, const std::string& service) {
     const auto found = state.speeds.find(service);
     if (found != state.speeds.end()) return found->second;
-    engine_model_settings settings = state.settings.engine_model;
-    if (!is_engine_service(state, service)) settings = state.settings.service_model;
+    const engine_model_settings& settings =
+        is_engine_service(state, service) ? state.settings.engine_model : state.settings.service_model;
     return state.speeds.emplace(service, service_speed{engine_model{settings}, settings.prior}).first->second;
 }
 
@@ -39,8 +39,8 @@
 void log_speed_change(const std::string& service, service_speed& speed, effects& out) {
     constexpr double min_change = 0.1; // relative
     const engine_speed& current = speed.model.speed();
-    const double before = speed.logged.base_ms + prefill_ms(speed.logged, reference_work);
-    const double after = current.base_ms + prefill_ms(current, reference_work);
+    const double before = first_byte_ms(speed.logged, reference_work);
+    const double after = first_byte_ms(current, reference_work);
     if (!speed.model.is_trusted() || std::abs(after - before) <= min_change * before) return;
     speed.logged = current;
     const auto number = [](double value) { return std::to_string(value); };
@@ -58,8 +58,7 @@
     if (!item.measures_speed) return;
     service_speed& speed = speed_of(state, item.service);
     const double measured_ms = to_milliseconds(item.first_byte_delay);
-    const double expected_ms =
-        speed.model.speed().base_ms + prefill_ms(speed.model.speed(), item.predicted_work);
+    const double expected_ms = first_byte_ms(speed.model.speed(), item.predicted_work);
     if (target_state* target = find_target(state, item.target))
         add_slowdown_sample(target->load.slowdown, measured_ms, expected_ms, state.now);
     speed.model.add_sample(item.predicted_work, measured_ms, state.now);
@@ -92,12 +91,11 @@
 void adopt_speeds(router_state& state, const router_report& report) {
     if (report.speeds.empty() || !state.active_catalog) return;
     for (const auto& [service, declaration] : state.active_catalog->services) {
+        engine_model& model = speed_of(state, service).model;
+        if (model.is_trusted()) continue;
         const auto row = std::ranges::find(report.speeds, stable_hash(service), &speed_row::service);
         if (row == report.speeds.end()) continue;
-        engine_model& model = speed_of(state, service).model;
-        if (!model.is_trusted())
-            model.adopt(
-                {from_ns(row->base_ns), from_ns(row->ns_per_token), from_ns(row->ns_per_million_pairs)});
+        model.adopt({from_ns(row->base_ns), from_ns(row->ns_per_token), from_ns(row->ns_per_million_pairs)});
     }
 }
 
--- a/core/damaskhill_engine_model.cpp
+++ b/core/damaskhill_engine_model.cpp
@@ -20,6 +20,10 @@
     return work.tokens * speed.ms_per_token + work.million_pairs * speed.ms_per_million_pairs;
 }
 
+double first_byte_ms(const engine_speed& speed, const prefill_work& work) {
+    return speed.base_ms + prefill_ms(speed, work);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Estimate
 //-----------------------------------------------------------------------------
@@ -40,7 +44,7 @@
 
 void engine_model::add_sample(const prefill_work& work, double measured_ms, time_point now) {
     if (!(measured_ms > 0)) return;
-    const double expected_ms = speed_.base_ms + prefill_ms(speed_, work);
+    const double expected_ms = first_byte_ms(speed_, work);
     const double noise = settings_.noise_ms + settings_.noise_share * std::max(measured_ms, expected_ms);
     const double error = (measured_ms - expected_ms) / noise;
     deviation_ = std::clamp(deviation_ + settings_.deviation_weight * (std::abs(error) - deviation_),
--- a/core/damaskhill_engine_model.hpp
+++ b/core/damaskhill_engine_model.hpp
@@ -37,6 +37,8 @@
 
 /// Time to prefill, without the base, ms.
 [[nodiscard]] double prefill_ms(const engine_speed& speed, const prefill_work& work);
+/// Time to the first byte at a target without a queue, ms.
+[[nodiscard]] double first_byte_ms(const engine_speed& speed, const prefill_work& work);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Estimate
