Log lost registrations and the age of the list of targets

The logs could not tell why a router still used a target that had left: neither the loss of a registration, nor the reason to keep it, nor the age of the list of targets was logged. A target line now says missing, gone or back, with the outage it rests on; each request line gives targets_age_ms and who confirmed the list last (targets_from). Reports carry the age of the sender's list. No decision changes.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -33,11 +33,13 @@
     return std::to_string(tenths / 10) + "." + std::to_string(std::abs(tenths % 10));
 }
 
-std::string format_catalog_age(const router_state& state) {
-    const auto age = catalog_age(state.freshness, state.now);
+std::string format_age(const catalog_freshness& freshness, time_point now) {
+    const auto age = catalog_age(freshness, now);
     return age ? format_ms(*age) : "null";
 }
 
+std::string format_catalog_age(const router_state& state) { return format_age(state.freshness, state.now); }
+
 //-----------------------------------------------------------------------------
 // [SECTION] Targets
 //-----------------------------------------------------------------------------
@@ -100,10 +102,21 @@
 
 namespace {
 
+/// Logs that the store has lost or regained the registration of a target.
+void log_registration(const target_state& target, std::string_view new_state, const std::string& more,
+                      effects& out) {
+    out.emplace_back(log_event{"target",
+                               "\"target\":" + quoted(target.entry.id) + ",\"service\":" +
+                                   quoted(target.entry.service) + ",\"state\":" + quoted(new_state) + more,
+                               true});
+}
+
 void apply_target_entry(router_state& state, const target_entry& entry, effects& out) {
     const auto [found, inserted] = state.targets.try_emplace(entry.id);
     target_state& target = found->second;
+    if (target.missing_since != time_point{}) log_registration(target, "back", "", out);
     target.missing = false;
+    target.missing_since = {};
     if (!inserted && target.entry.revision == entry.revision) return;
     const bool address_changed = !inserted && target.entry.address != entry.address;
     if (address_changed) {
@@ -176,26 +189,46 @@
     // Entries that are missing after a store outage may come back. At other times the target has left.
     for (auto& [id, target] : state.targets) {
         if (event.contents->targets.contains(id)) continue;
-        if (target.missing_since == time_point{}) target.missing_since = state.now;
+        if (target.missing) continue;
         const time_point regained_at = std::max(state.store_regained_at, state.peer_store_regained_at);
         const bool after_outage =
             regained_at != time_point{} && state.now - regained_at < state.settings.missing_grace;
-        if (!after_outage) target.missing = true;
+        if (target.missing_since == time_point{} || !after_outage) {
+            const std::string source =
+                state.store_regained_at >= state.peer_store_regained_at ? "own" : "peer";
+            log_registration(target, after_outage ? "missing" : "gone",
+                             ",\"revision\":" + std::to_string(event.targets_changed_at) +
+                                 (after_outage
+                                      ? ",\"outage_from\":" + quoted(source) +
+                                            ",\"outage_ended_ms\":" + format_ms(state.now - regained_at)
+                                      : ""),
+                             out);
+        }
+        if (target.missing_since == time_point{}) target.missing_since = state.now;
+        target.missing = !after_outage;
     }
-    for (const auto& [id, entry] : event.contents->targets)
-        state.targets.find(id)->second.missing_since = {};
     index_targets(state);
     out.emplace_back(count{"catalogs_applied_total", "", 1});
 }
 
-void remove_missing_targets(router_state& state) {
+void confirm_targets(router_state& state, time_point as_of, std::string_view source) {
+    if (state.targets_freshness.as_of && as_of <= *state.targets_freshness.as_of) return;
+    confirm(state.targets_freshness, as_of);
+    state.targets_source = source;
+}
+
+void remove_missing_targets(router_state& state, effects& out) {
     constexpr duration forget_after = 30s; // longer than the duration of any request
     bool changed = false;
     for (auto i = state.targets.begin(); i != state.targets.end();) {
         target_state& target = i->second;
         const bool is_missing = target.missing_since != time_point{};
-        if (is_missing && state.now - target.missing_since > state.settings.missing_grace)
+        if (is_missing && !target.missing &&
+            state.now - target.missing_since > state.settings.missing_grace) {
             target.missing = true;
+            log_registration(target, "gone", ",\"missing_ms\":" + format_ms(state.now - target.missing_since),
+                             out);
+        }
         if (is_missing && state.now - target.missing_since > forget_after && target.load.running == 0) {
             state.target_by_hash.erase(target.hash);
             i = state.targets.erase(i);
@@ -283,7 +316,7 @@
         state.next_share_update = state.now + state.settings.share_update_period;
         if (state.active_catalog)
             state.shares.update(static_cast<double>(state.active_catalog->tokens_per_second), state.now);
-        remove_missing_targets(state);
+        remove_missing_targets(state, out);
         expire_crash_records(state);
         advance_rollouts(state, out);
     }
@@ -331,6 +364,7 @@
     }
     void operator()(const targets_confirmed& event) const {
         state.targets_known_to = std::max(state.targets_known_to, event.known_to);
+        confirm_targets(state, event.as_of, "store");
     }
     void operator()(const store_reachable& event) const {
         if (event.reachable == state.store_up) return;
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -179,9 +179,10 @@
     std::uint64_t operator_known_to{}; // see catalog_updated
 };
 
-/// The store has confirmed the registrations of targets up to this revision.
+/// The store has confirmed that the list of targets was complete at this time.
 struct targets_confirmed {
-    std::uint64_t known_to{};
+    time_point as_of{};
+    std::uint64_t known_to{}; // the list includes all registrations up to this revision
 };
 
 struct store_reachable {
@@ -417,7 +418,9 @@
     std::uint64_t operator_changed_at{}; // see catalog_updated
     std::uint64_t targets_known_to{};    // see catalog_updated
     std::uint64_t targets_changed_at{};  // see catalog_updated
-    catalog_freshness freshness;
+    catalog_freshness freshness;         // of the declarations
+    catalog_freshness targets_freshness; // of the list of targets
+    std::string targets_source{"none"};  // who confirmed the list last: "store" or a peer's report address
     bool store_up{};
     time_point store_regained_at{};      // by this router
     time_point peer_store_regained_at{}; // latest that a peer has reported
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -43,8 +43,11 @@
 /// Updates the target's failure rate with the result of one attempt.
 void record_target_result(target_state& target, bool failed);
 void apply_catalog(router_state& state, const catalog_updated& event, effects& out);
+/// Advances the time at which the list of targets is confirmed to have been complete. An earlier time changes
+/// nothing. `source` is "store" or the report address of a peer.
+void confirm_targets(router_state& state, time_point as_of, std::string_view source);
 /// Stops the use of targets that are still missing after the grace period, and removes them later.
-void remove_missing_targets(router_state& state);
+void remove_missing_targets(router_state& state, effects& out);
 /// Whether the target is still in its cold start.
 [[nodiscard]] bool is_cold(const router_state& state, const target_state& target);
 
@@ -88,6 +91,8 @@
 
 /// Formats milliseconds with one decimal place.
 [[nodiscard]] std::string format_ms(duration d);
+/// Formats an age in milliseconds as JSON; null before the first confirmation.
+[[nodiscard]] std::string format_age(const catalog_freshness& freshness, time_point now);
 /// Formats the catalog age in milliseconds as JSON; null before the first confirmation.
 [[nodiscard]] std::string format_catalog_age(const router_state& state);
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -37,19 +37,21 @@
 /// Pseudo router id under which the summed load of a data centre is stored.
 std::uint64_t summary_id(std::string_view data_centre) { return stable_hash(data_centre, 1); }
 
-// Confirms the catalog from a peer's report. The reported age is counted back from the time at which this
+// Confirms the catalog from a peer's report. The reported ages are counted back from the time at which this
 // router sent the report that the peer echoes. The peer sent its report later than that, so the catalog
 // cannot appear fresher than it is, whatever the network delay.
 void apply_peer_confirmation(router_state& state, const router_report& report) {
-    // The peer's catalog includes all operator changes up to its confirmed time, the latest of them at
-    // `operator_changed_at`. Comparing store revisions would be wrong: registrations of targets advance the
-    // store revision of a router whose watch of the declarations is stuck.
-    if (!report.has_catalog || report.operator_changed_at > state.operator_known_to) return;
     const auto echo = std::ranges::find(report.echoes, state.settings.incarnation, &echo_row::router);
     if (echo == report.echoes.end()) return;
     const time_point echoed_report_time{microseconds(echo->sent_us)};
-    if (echoed_report_time <= state.now)
+    if (echoed_report_time > state.now) return;
+    // The peer's catalog includes all operator changes up to its confirmed time, the latest of them at
+    // `operator_changed_at`. Comparing store revisions would be wrong: registrations of targets advance the
+    // store revision of a router whose watch of the declarations is stuck.
+    if (report.has_catalog && report.operator_changed_at <= state.operator_known_to)
         confirm(state.freshness, echoed_report_time - microseconds(report.catalog_age_us));
+    if (report.targets_age_us > 0 && report.targets_changed_at <= state.targets_known_to)
+        confirm_targets(state, echoed_report_time - microseconds(report.targets_age_us), report.address);
 }
 
 void apply_report_rows(router_state& state, std::uint64_t sender, const router_report& report) {
@@ -256,6 +258,8 @@
     const auto age = catalog_age(state.freshness, state.now);
     report.has_catalog = age.has_value() && state.active_catalog;
     report.catalog_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
+    if (const auto targets_age = catalog_age(state.targets_freshness, state.now))
+        report.targets_age_us = static_cast<std::uint64_t>(std::max<std::int64_t>(1, targets_age->count()));
     report.stopping = state.stopping;
     report.overloaded = state.overloaded;
     report.store_unreachable = !state.store_up;
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -50,6 +50,8 @@
         ",\"read_again_ms\":" + std::to_string(std::lround(item.recompute_ms)) +
         ",\"room_in_ms\":" + format_ms(item.capacity_in) + ",\"ms\":" + format_ms(state.now - item.arrived) +
         ",\"belief_age_ms\":" + format_catalog_age(state) +
+        ",\"targets_age_ms\":" + format_age(state.targets_freshness, state.now) +
+        ",\"targets_from\":" + quoted(state.targets_source) +
         ",\"declarations\":" + std::to_string(state.active_catalog ? state.active_catalog->version : 0);
     out.emplace_back(log_event{"request", std::move(fields), false});
     out.emplace_back(count{"requests_total", std::string{outcome}, 1});
