--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -151,4 +151,14 @@
     }
 };
 
+/// Whether any of many orders is sent to this target. Discards all effects.
+inline bool uses_target(test_router& router, std::string_view id) {
+    constexpr int orders = 12;
+    router.out.clear();
+    for (int i = 0; i < orders; ++i)
+        router.submit_request("order");
+    return std::ranges::any_of(router.take<send_request>(),
+                               [&](const send_request& sent) { return sent.target == id; });
+}
+
 } // namespace damaskhill::direct
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -691,6 +691,67 @@
     BOOST_TEST(reads < 4U * seconds * 5U);
 }
 
+// Guards against a target that has left and is still used because a router takes its own start for the end of
+// an outage of the store, during which registrations lapse.
+BOOST_AUTO_TEST_CASE(start_of_a_router_is_no_store_outage) {
+    test_router router;
+    router.process(store_reachable{true}); // the first call of the process succeeds
+    router.advance_time(1s);
+    catalog contents = make_catalog();
+    contents.targets.erase("a-1");
+    router.publish(contents);
+    router.confirm_now();
+    BOOST_TEST(!uses_target(router, "a-1"));
+}
+
+// Guards against a target that has left and is still used because another router has started: routers that
+// have read the store all the time must not take a peer's start for an outage.
+BOOST_AUTO_TEST_CASE(start_of_a_peer_is_no_store_outage) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    const std::vector<test_router*> all{&a1, &a2};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7"};
+    a1.process(store_reachable{true});
+    for (int i = 0; i < 20; ++i) {
+        a1.confirm_now();
+        exchange_reports(all, 200ms);
+    }
+    a2.process(store_reachable{true});
+    exchange_reports(all, 400ms);
+    a1.confirm_now();
+    catalog contents = make_catalog();
+    contents.targets.erase("a-1");
+    a1.publish(contents);
+    BOOST_TEST(!uses_target(a1, "a-1"));
+}
+
+// Guards against a target that has left and is still used because one router has lost its path to the store:
+// registrations lapse only if the store is away for everybody.
+BOOST_AUTO_TEST_CASE(lost_path_to_the_store_is_no_store_outage) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    const std::vector<test_router*> all{&a1, &a2};
+    for (test_router* router : all) {
+        router->state.settings.seeds = {"10.0.0.1:7"};
+        router->process(store_reachable{true});
+    }
+    exchange_reports(all, 4s);
+    a2.process(store_reachable{false});
+    for (int i = 0; i < 20; ++i) {
+        a1.confirm_now();
+        exchange_reports(all, 200ms);
+    }
+    a2.process(store_reachable{true});
+    exchange_reports(all, 400ms);
+    catalog contents = make_catalog();
+    contents.targets.erase("a-1");
+    for (test_router* router : all) {
+        router->publish(contents);
+        BOOST_TEST(!uses_target(*router, "a-1"));
+    }
+}
+
 // Guards against a target that has left and is still used because routers tell each other of an outage of the
 // store again and again: the grace period ends once, counted from the end of the outage.
 BOOST_AUTO_TEST_CASE(outage_reported_by_peers_ends) {
