Tell an outage of the store from the start of a router or the loss of one path

Cause: after an outage of the store, registrations that are missing are kept for a time, because they may have lapsed. An outage was assumed whenever a router reached the store after a call that had failed, or with its first call; its reports told all others so, and each kept a target that had left for 2.5 s from then on. The class of fault: an initial state is taken for the end of a failure, and one process's trouble for everybody's.

Now the evidence decides: registrations may have lapsed only if no router could read the store for two check-in intervals (setting check_in_ms), counted from the latest reading that this router knows of, its own or one that a peer has confirmed; suspensions of the process do not count. The time ends 2 s after the store's return, as the platform says, and not 2.5 s after each loss. Every router sees that for itself, so the report's field store_regained_age_us is gone.

outage_reported_by_peers_ends asserted that one router's failed call keeps targets at all others, which is the fault. outage_seen_through_peers_ends replaces it: a router that does not read the store keeps lapsed targets after a real outage, and no longer than 2 s. Two more tests cover a start during an outage and a suspension.

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -39,6 +39,12 @@
                  "at least 1000"};
         return std::nullopt;
     }
+    constexpr double min_check_in_ms = 100;
+    if (s->check_in_ms < min_check_in_ms) {
+        error = {failure_kind::out_of_range, file + ": $.check_in_ms", std::to_string(s->check_in_ms),
+                 "at least 100"};
+        return std::nullopt;
+    }
     constexpr std::uint64_t min_descriptors = 256;
     if (s->max_descriptors < min_descriptors) {
         error = {failure_kind::out_of_range, file + ": $.max_descriptors", std::to_string(s->max_descriptors),
@@ -74,6 +80,11 @@
     core.freshness.max_key_age = key_limit - std::min(key_margin, key_limit / 2);
     // The router reports itself as not ready before it has to refuse keys.
     core.freshness.max_ready_age = core.freshness.max_key_age * 2 / 3;
+    // A registration lapses after three check-in intervals of silence. The last check-in was up to one
+    // interval before the outage.
+    constexpr int intervals_until_lapse = 2;
+    core.outages.min_length =
+        duration{static_cast<std::int64_t>(settings.check_in_ms * 1e3)} * intervals_until_lapse;
     core.retries.ratio = settings.repeat_ratio;
     core.retries.slack = settings.repeat_slack;
     core.retries.window = duration{static_cast<std::int64_t>(settings.repeat_window_s * 1e6)};
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -36,6 +36,7 @@
     double cold_overage{1.5};
     double cold_slack{5};
     std::uint64_t max_descriptors{4096}; // file descriptors that this process may open
+    double check_in_ms{1200};            // interval at which targets renew their registrations
     static constexpr auto fields() {
         using t = direct_daemon_settings;
         return std::tuple{field{1, "name", &t::name},
@@ -54,7 +55,8 @@
                           field{14, "repeat_window_s", &t::repeat_window_s},
                           field{15, "cold_overage", &t::cold_overage},
                           field{16, "cold_slack", &t::cold_slack},
-                          field{17, "max_descriptors", &t::max_descriptors}};
+                          field{17, "max_descriptors", &t::max_descriptors},
+                          field{18, "check_in_ms", &t::check_in_ms}};
     }
 };
 
--- a/core/damaskhill_catalog.cpp
+++ b/core/damaskhill_catalog.cpp
@@ -1,6 +1,7 @@
 // Index of this file:
 // [SECTION] Catalog
 // [SECTION] Freshness
+// [SECTION] Store outages
 
 #include "damaskhill_catalog.hpp"
 
@@ -77,4 +78,29 @@
     return no_older_than(freshness, settings.max_ready_age, now);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store outages
+//-----------------------------------------------------------------------------
+
+namespace {
+
+bool is_store_away(const store_outage& outage, const store_outage_settings& settings, time_point now) {
+    return outage.confirmed_at &&
+           now - std::max(*outage.confirmed_at, outage.awake_since) >= settings.min_length;
+}
+
+} // namespace
+
+void record_store_read(store_outage& outage, const store_outage_settings& settings, time_point as_of,
+                       time_point now) {
+    const bool was_away = is_store_away(outage, settings, now);
+    if (!outage.confirmed_at || as_of > *outage.confirmed_at) outage.confirmed_at = as_of;
+    if (was_away && !is_store_away(outage, settings, now)) outage.ended_at = now;
+}
+
+bool may_have_lapsed(const store_outage& outage, const store_outage_settings& settings, time_point now) {
+    return is_store_away(outage, settings, now) ||
+           (outage.ended_at && now - *outage.ended_at < settings.return_time);
+}
+
 } // namespace damaskhill
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -6,6 +6,7 @@
 // [SECTION] Targets
 // [SECTION] Catalog
 // [SECTION] Freshness
+// [SECTION] Store outages
 
 #pragma once
 
@@ -156,4 +157,30 @@
 [[nodiscard]] bool fresh_enough_for_traffic(const catalog_freshness& freshness,
                                             const freshness_settings& settings, time_point now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store outages
+//-----------------------------------------------------------------------------
+
+struct store_outage_settings {
+    // Shortest outage during which registrations may lapse.
+    duration min_length{2400ms};
+    // Lapsed registrations of live targets are back this long after the end of the outage.
+    duration return_time{2s};
+};
+
+/// Whether registrations may have lapsed because the targets could not renew them. An outage is a time during
+/// which no router could read the store; neither the start of a process nor the loss of one path is one.
+struct store_outage {
+    std::optional<time_point> confirmed_at; // latest time at which any router is known to have read the store
+    time_point awake_since{};               // end of the latest suspension of this process
+    std::optional<time_point> ended_at;     // of the latest outage
+};
+
+/// Records that a router has read the store at this time.
+void record_store_read(store_outage& outage, const store_outage_settings& settings, time_point as_of,
+                       time_point now);
+/// Whether a registration that is missing at `now` may have lapsed during an outage.
+[[nodiscard]] bool may_have_lapsed(const store_outage& outage, const store_outage_settings& settings,
+                                   time_point now);
+
 } // namespace damaskhill
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -52,7 +52,10 @@
 bool is_cold(const router_state& state, const target_state& target) { return state.now < target.cold_until; }
 
 bool is_available(const router_state& state, const target_state& target) {
-    if (target.entry.draining || target.missing || state.now < target.ejected_until) return false;
+    if (target.entry.draining || target.gone || state.now < target.ejected_until) return false;
+    if (target.missing_since != time_point{} &&
+        !may_have_lapsed(state.outage, state.settings.outages, state.now))
+        return false;
     return !state.active_catalog || !state.active_catalog->evacuated.contains(target.entry.data_centre);
 }
 
@@ -102,20 +105,29 @@
 
 namespace {
 
-/// Logs that the store has lost or regained the registration of a target.
-void log_registration(const target_state& target, std::string_view new_state, const std::string& more,
-                      effects& out) {
+void log_target(const target_entry& entry, std::string_view new_state, const std::string& more,
+                effects& out) {
     out.emplace_back(log_event{"target",
-                               "\"target\":" + quoted(target.entry.id) + ",\"service\":" +
-                                   quoted(target.entry.service) + ",\"state\":" + quoted(new_state) + more,
+                               "\"target\":" + quoted(entry.id) + ",\"service\":" + quoted(entry.service) +
+                                   ",\"state\":" + quoted(new_state) + more,
                                true});
 }
 
+/// Logs that the registration of a target is missing: as "gone" if the target is not used any more.
+void log_missing(const router_state& state, const target_state& target, effects& out) {
+    const auto& ended_at = state.outage.ended_at;
+    log_target(target.entry, target.gone ? "gone" : "missing",
+               ",\"known_to\":" + std::to_string(state.targets_known_to) +
+                   ",\"missing_ms\":" + format_ms(state.now - target.missing_since) +
+                   ",\"outage_ended_ms\":" + (ended_at ? format_ms(state.now - *ended_at) : "null"),
+               out);
+}
+
 void apply_target_entry(router_state& state, const target_entry& entry, effects& out) {
     const auto [found, inserted] = state.targets.try_emplace(entry.id);
     target_state& target = found->second;
-    if (target.missing_since != time_point{}) log_registration(target, "back", "", out);
-    target.missing = false;
+    if (target.missing_since != time_point{}) log_target(entry, "back", "", out);
+    target.gone = false;
     target.missing_since = {};
     if (!inserted && target.entry.revision == entry.revision) return;
     const bool address_changed = !inserted && target.entry.address != entry.address;
@@ -124,12 +136,10 @@
         target.ejected_until = {};
     }
     if (inserted || entry.draining != target.entry.draining) {
-        out.emplace_back(
-            log_event{"target",
-                      "\"target\":" + quoted(entry.id) + ",\"service\":" + quoted(entry.service) +
-                          ",\"state\":" + (entry.draining ? "\"draining\"" : "\"ready\"") + ",\"cold_ms\":" +
-                          format_ms(entry.cold_remaining) + ",\"revision\":" + std::to_string(entry.revision),
-                      true});
+        log_target(entry, entry.draining ? "draining" : "ready",
+                   ",\"cold_ms\":" + format_ms(entry.cold_remaining) +
+                       ",\"revision\":" + std::to_string(entry.revision),
+                   out);
     }
     target.entry = entry;
     target.hash = stable_hash(entry.id);
@@ -186,32 +196,27 @@
     if (before) mark_returned_targets_cold(state, *before, *event.contents);
     for (const auto& [id, entry] : event.contents->targets)
         apply_target_entry(state, entry, out);
-    // Entries that are missing after a store outage may come back. At other times the target has left.
+    // The registrations of live targets return after an outage of the store. At other times a target whose
+    // registration is missing has left.
+    const bool lapsed = may_have_lapsed(state.outage, state.settings.outages, state.now);
     for (auto& [id, target] : state.targets) {
-        if (event.contents->targets.contains(id)) continue;
-        if (target.missing) continue;
-        const time_point regained_at = std::max(state.store_regained_at, state.peer_store_regained_at);
-        const bool after_outage =
-            regained_at != time_point{} && state.now - regained_at < state.settings.missing_grace;
-        if (target.missing_since == time_point{} || !after_outage) {
-            const std::string source =
-                state.store_regained_at >= state.peer_store_regained_at ? "own" : "peer";
-            log_registration(target, after_outage ? "missing" : "gone",
-                             ",\"revision\":" + std::to_string(event.targets_changed_at) +
-                                 (after_outage
-                                      ? ",\"outage_from\":" + quoted(source) +
-                                            ",\"outage_ended_ms\":" + format_ms(state.now - regained_at)
-                                      : ""),
-                             out);
-        }
-        if (target.missing_since == time_point{}) target.missing_since = state.now;
-        target.missing = !after_outage;
+        if (event.contents->targets.contains(id) || target.gone) continue;
+        const bool is_first = target.missing_since == time_point{};
+        if (is_first) target.missing_since = state.now;
+        target.gone = !lapsed;
+        if (is_first || target.gone) log_missing(state, target, out);
     }
     index_targets(state);
     out.emplace_back(count{"catalogs_applied_total", "", 1});
 }
 
+void confirm_declarations(router_state& state, time_point as_of) {
+    confirm(state.freshness, as_of);
+    record_store_read(state.outage, state.settings.outages, as_of, state.now);
+}
+
 void confirm_targets(router_state& state, time_point as_of, std::string_view source) {
+    record_store_read(state.outage, state.settings.outages, as_of, state.now);
     if (state.targets_freshness.as_of && as_of <= *state.targets_freshness.as_of) return;
     confirm(state.targets_freshness, as_of);
     state.targets_source = source;
@@ -223,11 +228,9 @@
     for (auto i = state.targets.begin(); i != state.targets.end();) {
         target_state& target = i->second;
         const bool is_missing = target.missing_since != time_point{};
-        if (is_missing && !target.missing &&
-            state.now - target.missing_since > state.settings.missing_grace) {
-            target.missing = true;
-            log_registration(target, "gone", ",\"missing_ms\":" + format_ms(state.now - target.missing_since),
-                             out);
+        if (is_missing && !target.gone && !may_have_lapsed(state.outage, state.settings.outages, state.now)) {
+            target.gone = true;
+            log_missing(state, target, out);
         }
         if (is_missing && state.now - target.missing_since > forget_after && target.load.running == 0) {
             state.target_by_hash.erase(target.hash);
@@ -341,6 +344,7 @@
     // runs.
     state.settings.seeds = changed.seeds;
     state.settings.freshness = changed.freshness;
+    state.settings.outages = changed.outages;
     state.settings.retries = changed.retries;
     state.settings.cold_limits = changed.cold_limits;
     state.settings.stop_timeout = changed.stop_timeout;
@@ -359,7 +363,7 @@
     void operator()(const response_end& event) const { on_response_end(state, event, out); }
     void operator()(const catalog_updated& event) const { apply_catalog(state, event, out); }
     void operator()(const catalog_confirmed& event) const {
-        confirm(state.freshness, event.as_of);
+        confirm_declarations(state, event.as_of);
         state.operator_known_to = std::max(state.operator_known_to, event.operator_known_to);
     }
     void operator()(const targets_confirmed& event) const {
@@ -369,7 +373,6 @@
     void operator()(const store_reachable& event) const {
         if (event.reachable == state.store_up) return;
         state.store_up = event.reachable;
-        if (event.reachable) state.store_regained_at = state.now;
         out.emplace_back(log_event{event.reachable ? "store_regained" : "store_lost",
                                    "\"belief_age_ms\":" + format_catalog_age(state), true});
     }
@@ -388,6 +391,9 @@
 
 void reduce(router_state& state, time_point now, const input& event, effects& out) {
     if (state.started == time_point{}) state.started = now;
+    // Timers fire far more often than this. During a suspension nobody can confirm anything.
+    constexpr duration min_suspension = 1s;
+    if (now - state.now > min_suspension) state.outage.awake_since = now;
     state.now = std::max(state.now, now);
     std::visit(event_handler{state, out}, event);
     arm_timer(state, out);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -43,6 +43,7 @@
     std::vector<std::string> seeds; // report addresses for discovery; may be out of date
     std::uint64_t incarnation{1};
     freshness_settings freshness;
+    store_outage_settings outages;
     engine_settings engine;
     engine_model_settings engine_model;
     engine_model_settings service_model{service_model_defaults()}; // of plain services
@@ -88,8 +89,6 @@
     // An unreachable target is ejected for this long; doubles with each further failure up to max_ejection.
     duration ejection_base{400ms};
     duration max_ejection{3s};
-    // After a store outage, targets that are missing from the store are kept this long.
-    duration missing_grace{2500ms};
     // After a stop request, new requests are accepted for this long.
     duration stop_accept_time{2800ms};
     // Running requests are aborted this long after a stop request. The platform kills the process after 8 s.
@@ -356,7 +355,7 @@
 struct target_state {
     target_entry entry;
     std::uint64_t hash{};       // of the id
-    bool missing{};             // not in the catalog, and not in the grace period after a store outage
+    bool gone{};                // not in the catalog, and not lapsed during an outage of the store
     time_point missing_since{}; // first time at which the catalog lacked the target; zero if it has it
     target_load load;
     cold_target_limiter cold_limiter;
@@ -421,9 +420,8 @@
     catalog_freshness freshness;         // of the declarations
     catalog_freshness targets_freshness; // of the list of targets
     std::string targets_source{"none"};  // who confirmed the list last: "store" or a peer's report address
+    store_outage outage;
     bool store_up{};
-    time_point store_regained_at{};      // by this router
-    time_point peer_store_regained_at{}; // latest that a peer has reported
 
     std::unordered_map<caller_id, request_ptr> requests;
     std::unordered_map<std::uint64_t, caller_id> caller_by_send;
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -43,10 +43,13 @@
 /// Updates the target's failure rate with the result of one attempt.
 void record_target_result(target_state& target, bool failed);
 void apply_catalog(router_state& state, const catalog_updated& event, effects& out);
+/// Advances the time at which the declarations are confirmed to have been complete. An earlier time changes
+/// nothing.
+void confirm_declarations(router_state& state, time_point as_of);
 /// Advances the time at which the list of targets is confirmed to have been complete. An earlier time changes
 /// nothing. `source` is "store" or the report address of a peer.
 void confirm_targets(router_state& state, time_point as_of, std::string_view source);
-/// Stops the use of targets that are still missing after the grace period, and removes them later.
+/// Stops the use of targets that have not returned after an outage of the store, and removes them later.
 void remove_missing_targets(router_state& state, effects& out);
 /// Whether the target is still in its cold start.
 [[nodiscard]] bool is_cold(const router_state& state, const target_state& target);
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -133,9 +133,7 @@
     std::vector<version_row> versions;
     std::vector<speed_row> speeds;      // estimates with enough samples only
     std::uint64_t targets_changed_at{}; // revision of the latest registration of a target in the catalog
-    // Time since the sender has reached the store again after an outage; 0 if it has seen none.
-    std::uint64_t store_regained_age_us{};
-    bool store_unreachable{}; // the sender's last call to the store failed
+    bool store_unreachable{};           // the sender's last call to the store failed
     // Age of the sender's list of targets at the time of sending; 0 if it has none.
     std::uint64_t targets_age_us{};
     static constexpr auto fields() {
@@ -161,7 +159,6 @@
                           field{19, "operator_changed_at", &t::operator_changed_at},
                           field{20, "speeds", &t::speeds},
                           field{21, "targets_changed_at", &t::targets_changed_at},
-                          field{22, "store_regained_age_us", &t::store_regained_age_us},
                           field{23, "store_unreachable", &t::store_unreachable},
                           field{24, "targets_age_us", &t::targets_age_us}};
     }
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -49,7 +49,7 @@
     // `operator_changed_at`. Comparing store revisions would be wrong: registrations of targets advance the
     // store revision of a router whose watch of the declarations is stuck.
     if (report.has_catalog && report.operator_changed_at <= state.operator_known_to)
-        confirm(state.freshness, echoed_report_time - microseconds(report.catalog_age_us));
+        confirm_declarations(state, echoed_report_time - microseconds(report.catalog_age_us));
     if (report.targets_age_us > 0 && report.targets_changed_at <= state.targets_known_to)
         confirm_targets(state, echoed_report_time - microseconds(report.targets_age_us), report.address);
 }
@@ -92,15 +92,6 @@
 
 constexpr duration min_snapshot_interval = 300ms; // between two snapshot requests
 
-/// Registrations that lapsed during an outage of the store may come back. A router that did not read the
-/// store itself at the time learns of the outage from its peers. It doesn't pass on what it was told: each
-/// hop would add the delay of a report, and the outage would never end.
-void merge_store_outage(router_state& state, const router_report& report) {
-    if (report.store_regained_age_us == 0) return;
-    state.peer_store_regained_at =
-        std::max(state.peer_store_regained_at, state.now - microseconds(report.store_regained_age_us));
-}
-
 /// Requests the sender's snapshot of the store if it has newer declarations, or newer targets while this
 /// router cannot reach the store.
 void request_newer_snapshot(router_state& state, const router_report& report, effects& out) {
@@ -178,7 +169,6 @@
         on_router_report(state, report, out);
     }
     merge_order_ages(state, report);
-    merge_store_outage(state, report);
     apply_peer_confirmation(state, report);
     request_newer_snapshot(state, report, out);
 }
@@ -252,9 +242,6 @@
     report.store_revision = state.store_revision;
     report.operator_changed_at = state.operator_changed_at;
     report.targets_changed_at = state.targets_changed_at;
-    if (state.store_regained_at != time_point{})
-        report.store_regained_age_us = static_cast<std::uint64_t>(
-            std::max<std::int64_t>(1, (state.now - state.store_regained_at).count()));
     const auto age = catalog_age(state.freshness, state.now);
     report.has_catalog = age.has_value() && state.active_catalog;
     report.catalog_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -752,31 +752,65 @@
     }
 }
 
-// Guards against a target that has left and is still used because routers tell each other of an outage of the
-// store again and again: the grace period ends once, counted from the end of the outage.
-BOOST_AUTO_TEST_CASE(outage_reported_by_peers_ends) {
+// Guards against losing the targets whose registrations lapse while a router starts during an outage: it has
+// them from a peer's snapshot only.
+BOOST_AUTO_TEST_CASE(router_that_starts_during_an_outage_keeps_lapsed_targets) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    const std::vector<test_router*> all{&a1, &a2};
+    for (test_router* router : all)
+        router->state.settings.seeds = {"10.0.0.1:7"};
+    a2.state.freshness = {}; // has the catalog from a snapshot and has confirmed nothing
+    a2.state.outage = {};
+    exchange_reports(all, 5s); // nobody reads the store
+    a2.process(store_reachable{false});
+    a2.process(store_reachable{true});
+    catalog without_target = make_catalog();
+    without_target.targets.erase("a-1");
+    a2.publish(without_target);
+    a2.confirm_now();
+    BOOST_TEST(uses_target(a2, "a-1"));
+    exchange_reports(all, 2100ms);
+    BOOST_TEST(!uses_target(a2, "a-1"));
+}
+
+// Guards against a target that has left and is still used because a suspension of the process is taken for an
+// outage of the store.
+BOOST_AUTO_TEST_CASE(suspension_is_no_store_outage) {
+    test_router router;
+    router.now += 6s;
+    catalog contents = make_catalog();
+    contents.targets.erase("a-1");
+    router.publish(contents);
+    router.confirm_now();
+    BOOST_TEST(!uses_target(router, "a-1"));
+}
+
+// Guards against losing live targets at a router that does not read the store itself, and against keeping
+// them longer than they need to register again: the time ends once, although the routers confirm each other.
+BOOST_AUTO_TEST_CASE(outage_seen_through_peers_ends) {
     test_router a1{"10.0.0.1:7"};
     test_router a2{"10.0.0.2:7"};
     test_router a3{"10.0.0.3:7"};
     const std::vector<test_router*> all{&a1, &a2, &a3};
     for (test_router* router : all)
         router->state.settings.seeds = {"10.0.0.1:7"};
-    a1.process(store_reachable{true});
-    a1.process(store_reachable{false});
-    a1.process(store_reachable{true});
+    for (int i = 0; i < 20; ++i) {
+        a1.confirm_now();
+        exchange_reports(all, 200ms);
+    }
+    exchange_reports(all, 5s); // nobody reads the store
+    a1.confirm_now();
     exchange_reports(all, 1s);
     catalog without_target = make_catalog();
     without_target.targets.erase("a-1");
     a3.publish(without_target);
-    BOOST_TEST(!a3.state.targets.at("a-1").missing); // within the grace period, although a3 saw no outage
-    a3.publish(make_catalog());
-    for (int i = 0; i < 15; ++i) {
+    BOOST_TEST(uses_target(a3, "a-1")); // it may have lapsed, although only a1 has read the store
+    for (int i = 0; i < 10; ++i) {
+        a1.confirm_now();
         exchange_reports(all, 200ms);
-        for (test_router* router : all)
-            router->now += 15ms; // delay of reports
     }
-    a3.publish(without_target);
-    BOOST_TEST(a3.state.targets.at("a-1").missing);
+    BOOST_TEST(!uses_target(a3, "a-1"));
 }
 
 // Guards against relying on a reader that has itself lost the store: its age is passed on, and each router
