Bound the age of the list of targets as that of the declarations is bounded

Nobody knew how old a router's list of targets was: a confirmation of the declarations stood in for it, a watch of targets lasted up to 4 s, and a connection that went silent hid a leaving for that time and the call's timeout. A watch that returns changes confirms only as of its request, so with a change every 1.5 s the age reached 2.8 s at routers whose calls all succeeded, which made them refuse (route_uncertain) and not ready. A confirmation is worth no more than the reading behind it.

The list of targets now has a confirmed time of its own, which reports pass on with its age. A router whose list is confirmed no later than 0.85 of drain_limit_ms less 0.4 s reads the store itself, and long polls follow from that limit.

Tests, each red without its part of the change: router_reads_the_store_when_its_targets_are_too_old, frequent_changes_do_not_age_the_confirmations.

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -45,6 +45,12 @@
                  "at least 100"};
         return std::nullopt;
     }
+    constexpr double min_drain_limit_ms = 500;
+    if (s->drain_limit_ms < min_drain_limit_ms) {
+        error = {failure_kind::out_of_range, file + ": $.drain_limit_ms", std::to_string(s->drain_limit_ms),
+                 "at least 500"};
+        return std::nullopt;
+    }
     constexpr std::uint64_t min_descriptors = 256;
     if (s->max_descriptors < min_descriptors) {
         error = {failure_kind::out_of_range, file + ": $.max_descriptors", std::to_string(s->max_descriptors),
@@ -80,6 +86,14 @@
     core.freshness.max_key_age = key_limit - std::min(key_margin, key_limit / 2);
     // The router reports itself as not ready before it has to refuse keys.
     core.freshness.max_ready_age = core.freshness.max_key_age * 2 / 3;
+    // The margin covers a call to the store and the transmission of a request to the target.
+    constexpr duration drain_margin = 400ms;
+    const duration drain_limit{static_cast<std::int64_t>(settings.drain_limit_ms * 1e3)};
+    core.freshness.max_targets_age = drain_limit - std::min(drain_margin, drain_limit / 2);
+    // A silent connection is noticed after the long poll and the call's timeout; what readers confirm is
+    // older by two reports at the routers that rely on them.
+    core.own_read_wait = core.freshness.max_targets_age * 6 / 10;
+    core.shared_read_wait = std::min(core.shared_read_wait, core.freshness.max_targets_age * 4 / 10);
     // A registration lapses after three check-in intervals of silence. The last check-in was up to one
     // interval before the outage.
     constexpr int intervals_until_lapse = 2;
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -37,6 +37,7 @@
     double cold_slack{5};
     std::uint64_t max_descriptors{4096}; // file descriptors that this process may open
     double check_in_ms{1200};            // interval at which targets renew their registrations
+    double drain_limit_ms{2000};         // requests must not reach a target this long after it has left
     static constexpr auto fields() {
         using t = direct_daemon_settings;
         return std::tuple{field{1, "name", &t::name},
@@ -56,7 +57,8 @@
                           field{15, "cold_overage", &t::cold_overage},
                           field{16, "cold_slack", &t::cold_slack},
                           field{17, "max_descriptors", &t::max_descriptors},
-                          field{18, "check_in_ms", &t::check_in_ms}};
+                          field{18, "check_in_ms", &t::check_in_ms},
+                          field{19, "drain_limit_ms", &t::drain_limit_ms}};
     }
 };
 
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -138,6 +138,8 @@
     duration max_denial_age{2600ms};
     // Oldest catalog with which the router reports itself as ready to the load balancer.
     duration max_ready_age{2500ms};
+    // Oldest list of targets: a target that has left must get no requests soon after.
+    duration max_targets_age{1600ms};
 };
 
 /// Latest time at which the catalog is confirmed to have been complete: the time at which the store was
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -345,6 +345,8 @@
     state.settings.seeds = changed.seeds;
     state.settings.freshness = changed.freshness;
     state.settings.outages = changed.outages;
+    state.settings.own_read_wait = changed.own_read_wait;
+    state.settings.shared_read_wait = changed.shared_read_wait;
     state.settings.retries = changed.retries;
     state.settings.cold_limits = changed.cold_limits;
     state.settings.stop_timeout = changed.stop_timeout;
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -61,7 +61,9 @@
     // Long poll of these routers if others rely on them; it also bounds how long a silent connection hides a
     // change.
     duration shared_read_wait{1s};
-    // Fraction of freshness.max_ready_age from which a router reads the store itself.
+    // Long poll on targets of a router on which nobody relies.
+    duration own_read_wait{1s};
+    // Fraction of freshness.max_ready_age and max_targets_age from which a router reads the store itself.
     double own_read_age_share{0.85};
     // A router that has been silent for this long is ignored for placement.
     duration peer_timeout{1500ms};
@@ -474,10 +476,12 @@
 [[nodiscard]] std::string quoted(std::string_view text);
 /// Whether timer lag is so high that new requests must be refused immediately.
 [[nodiscard]] bool must_shed_load(const router_state& state);
-/// Whether this router reads the store itself, and how long its long polls may last.
+/// Whether this router reads the store itself, and how long its long polls may last. The store client's own
+/// limits apply as well.
 struct store_read_plan {
     bool read{true};
-    std::optional<duration> max_wait; // none: the store client's default
+    duration max_declarations_wait{duration::max()};
+    duration max_targets_wait{duration::max()};
 };
 [[nodiscard]] store_read_plan plan_store_read(const router_state& state, time_point now);
 /// Whether the load balancer may send new connections to this router.
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -428,13 +428,19 @@
 
 // Store calls are billed, and each router that watches the store costs as many as any other. A few routers of
 // each data centre therefore read it, by rendezvous, and pass on what they know together with its age. A
-// router whose catalog nobody confirms in time reads the store itself, so that the limits on age hold without
-// the readers.
+// router whose declarations or targets nobody confirms in time reads the store itself, so that the limits on
+// age hold without the readers.
 store_read_plan plan_store_read(const router_state& state, time_point now) {
-    const auto age = catalog_age(state.freshness, now);
-    const auto limit_us = static_cast<double>(state.settings.freshness.max_ready_age.count()) *
-                          state.settings.own_read_age_share;
-    if (!state.active_catalog || !age || static_cast<double>(age->count()) > limit_us) return {};
+    const store_read_plan read_for_itself{true, duration::max(), state.settings.own_read_wait};
+    const auto is_due = [&](const catalog_freshness& freshness, duration max_age) {
+        const auto age = catalog_age(freshness, now);
+        return !age || static_cast<double>(age->count()) >
+                           static_cast<double>(max_age.count()) * state.settings.own_read_age_share;
+    };
+    const freshness_settings& limits = state.settings.freshness;
+    if (!state.active_catalog || is_due(state.freshness, limits.max_ready_age) ||
+        is_due(state.targets_freshness, limits.max_targets_age))
+        return read_for_itself;
     constexpr std::uint64_t reader_seed = 0x72656164;
     const std::uint64_t own_weight = stable_hash(state.settings.report_address, reader_seed);
     std::size_t neighbours = 0;
@@ -449,9 +455,9 @@
             report.has_catalog && !report.stopping && !report.overloaded && !report.store_unreachable;
         if (can_read && stable_hash(address, reader_seed) > own_weight) ++before;
     }
-    if (before >= state.settings.store_readers) return {false, std::nullopt};
-    if (neighbours < state.settings.store_readers) return {};
-    return {true, state.settings.shared_read_wait};
+    if (before >= state.settings.store_readers) return {false};
+    if (neighbours < state.settings.store_readers) return read_for_itself;
+    return {true, state.settings.shared_read_wait, state.settings.shared_read_wait};
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -98,7 +98,10 @@
         process(
             catalog_updated{std::make_shared<catalog>(std::move(contents)), revision, revision, revision});
     }
-    void confirm_now() { process(catalog_confirmed{now}); }
+    void confirm_now() {
+        process(catalog_confirmed{now});
+        process(targets_confirmed{now});
+    }
     /// Advances time in steps of 20 ms and fires the timer after each step.
     void advance_time(duration time) {
         for (const time_point end = now + time; now < end;) {
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -840,6 +840,35 @@
         BOOST_TEST(plan_store_read(router->state, router->now).read);
 }
 
+// Guards against a target that has left and is still used because the reader on which a router relies has
+// lost its watch of the targets: the confirmation of the declarations says nothing about the targets.
+BOOST_AUTO_TEST_CASE(router_reads_the_store_when_its_targets_are_too_old) {
+    test_router a1{"10.0.0.1:7"};
+    test_router a2{"10.0.0.2:7"};
+    test_router a3{"10.0.0.3:7"};
+    const std::vector<test_router*> all{&a1, &a2, &a3};
+    for (test_router* router : all) {
+        router->state.settings.seeds = {"10.0.0.1:7"};
+        router->process(store_reachable{true});
+    }
+    for (int i = 0; i < 30; ++i) {
+        for (test_router* router : all)
+            router->confirm_now();
+        exchange_reports(all, 200ms);
+    }
+    const auto passive = std::ranges::find_if(
+        all, [](const test_router* router) { return !plan_store_read(router->state, router->now).read; });
+    BOOST_REQUIRE((passive != all.end()));
+    duration without_targets{};
+    while (!plan_store_read((*passive)->state, (*passive)->now).read && without_targets < 10s) {
+        for (test_router* router : all)
+            router->process(catalog_confirmed{router->now});
+        exchange_reports(all, 100ms);
+        without_targets += 100ms;
+    }
+    BOOST_TEST((without_targets <= (*passive)->state.settings.freshness.max_targets_age));
+}
+
 // Guards against accepting a revoked key at a router whose watch of the declarations is stuck while it still
 // receives target changes: its store revision equals the peer's, but it lacks the peer's latest declarations.
 BOOST_AUTO_TEST_CASE(peer_does_not_confirm_unread_declarations) {
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -74,6 +74,8 @@
     BOOST_TEST(core.seeds.front() == "10.2.0.18:7400");
     BOOST_TEST((core.stop_timeout < 8500ms));
     BOOST_TEST((core.freshness.max_key_age < 5s));
+    BOOST_TEST((core.freshness.max_targets_age < 2s));
+    BOOST_TEST((core.shared_read_wait < core.freshness.max_targets_age));
     BOOST_TEST(core.cold_limits.max_senders == 5U);
     BOOST_TEST(caller_connection_limit(*settings) < settings->max_descriptors);
 }
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -24,25 +24,26 @@
     edge_client http{loop, {}};
     std::shared_ptr<const catalog> catalog_seen;
     std::optional<time_point> confirmed_at;
+    std::optional<time_point> targets_confirmed_at;
     bool reachable{};
     std::size_t decode_errors{};
     direct::store_read_plan plan;
     bool read_until_confirmed{}; // the next confirmation of the declarations ends the reading
     platform::store_mirror mirror;
 
-    explicit mirror_fixture(const char* address = store_address)
-        : mirror(loop, http, settings(address),
+    explicit mirror_fixture(const char* address = store_address, duration watch_timeout = 100ms)
+        : mirror(loop, http, settings(address, watch_timeout),
                  {[this](direct::input&& event) { on_input(event); }, wall_clock,
                   [this](const failure&) { ++decode_errors; }, [this] { return plan; }}) {
         failure error;
         BOOST_REQUIRE(store.listen(address, error).has_value());
     }
-    static platform::store_settings settings(const char* address) {
+    static platform::store_settings settings(const char* address, duration watch_timeout) {
         platform::store_settings settings;
         settings.address = address;
         settings.read_check_period = 20ms;
-        settings.operator_watch_timeout = 100ms;
-        settings.target_watch_timeout = 100ms;
+        settings.operator_watch_timeout = watch_timeout;
+        settings.target_watch_timeout = watch_timeout;
         settings.target_watch_delay = 20ms;
         settings.operator_watch_delay = 20ms;
         settings.response_timeout = 200ms;
@@ -52,6 +53,8 @@
         if (const auto* read = std::get_if<direct::catalog_updated>(&event)) catalog_seen = read->contents;
         if (const auto* confirmed = std::get_if<direct::catalog_confirmed>(&event))
             confirmed_at = confirmed->as_of;
+        if (const auto* confirmed = std::get_if<direct::targets_confirmed>(&event))
+            targets_confirmed_at = confirmed->as_of;
         if (confirmed_at && read_until_confirmed) plan.read = false;
         if (const auto* up = std::get_if<direct::store_reachable>(&event)) reachable = up->reachable;
     }
@@ -188,13 +191,30 @@
 BOOST_AUTO_TEST_CASE(long_polls_are_short_while_others_rely_on_them) {
     mirror_fixture test;
     test.put_targets(0, 3);
-    test.plan.max_wait = 20ms;
+    test.plan.max_declarations_wait = 20ms;
+    test.plan.max_targets_wait = 20ms;
     test.mirror.start();
     test.run_for(1s);
     // Nearly 50 polls of each prefix; the fixture's own timeouts would allow 10 of each.
     BOOST_TEST(test.store.calls() > 70U);
 }
 
+// Guards against a catalog that looks twice as old as it is, although the store answers each call: a watch
+// that returns changes confirms the catalog only as of its request, and the next one may return changes as
+// late.
+BOOST_AUTO_TEST_CASE(frequent_changes_do_not_age_the_confirmations) {
+    constexpr duration watch_timeout = 400ms;
+    mirror_fixture test{store_address, watch_timeout};
+    test.put_targets(0, 3);
+    test.mirror.start();
+    test.run_for(500ms);
+    duration oldest{};
+    test.loop.every(415ms, [&] { test.put_targets(0, 1); }); // shortly before each long poll ends
+    test.loop.every(10ms, [&] { oldest = std::max(oldest, wall_clock() - *test.targets_confirmed_at); });
+    test.run_for(2s);
+    BOOST_TEST((oldest < watch_timeout + watch_timeout / 2));
+}
+
 // Guards against a target that has left and is used again: the snapshot of a peer that has newer
 // declarations, but has not yet seen that the target left.
 BOOST_AUTO_TEST_CASE(snapshot_with_older_targets_does_not_restore_them) {
