--- /dev/null
+++ b/tests/test_prompt_suspects.cpp
@@ -0,0 +1,220 @@
+// Parts of prompts that crash engines, against a simulated fleet of routers and engines on virtual time.
+//
+// Index of this file:
+// [SECTION] Simulated fleet
+// [SECTION] Tests
+
+#include "direct_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskhill;
+using namespace damaskhill::direct;
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Simulated fleet
+//-----------------------------------------------------------------------------
+
+constexpr duration step = 20ms;
+constexpr std::uint64_t shared_part = 1;
+constexpr std::uint64_t crashing_part = 666;
+
+struct open_send {
+    test_router* router{};
+    std::uint64_t send_id{};
+    bool crashes{};
+    bool sound{}; // of the load whose service is measured
+    time_point begins_at{};
+    time_point ends_at{};
+    bool begun{};
+};
+
+struct simulated_engine {
+    std::string id;
+    std::vector<open_send> sends;
+    std::optional<time_point> crashed_at;
+};
+
+/// Routers that report to each other, and engines that answer after 60 ms. An engine crashes 40 ms after it
+/// has begun a request with the crashing part; it returns under a new id 4 s later.
+struct crash_fleet {
+    std::vector<std::unique_ptr<test_router>> routers;
+    std::vector<simulated_engine> engines;
+    time_point now{1000s};
+    std::uint64_t next_id{1};
+    std::vector<time_point> crashes;
+    std::vector<time_point> crashing_arrivals;
+    std::size_t sound_sent{};
+    std::size_t sound_begun{};
+
+    crash_fleet(std::size_t router_count, std::size_t engine_count) {
+        for (std::size_t i = 0; i < engine_count; ++i)
+            engines.push_back({"e-" + std::to_string(next_id++), {}, {}});
+        for (std::size_t i = 0; i < router_count; ++i) {
+            routers.push_back(std::make_unique<test_router>("10.0.0." + std::to_string(i + 1) + ":7"));
+            routers.back()->state.settings.seeds = {"10.0.0.1:7"};
+        }
+        publish();
+    }
+    void publish() {
+        catalog contents = make_catalog();
+        contents.targets.clear();
+        for (const simulated_engine& engine : engines) {
+            const bool registered = !engine.crashed_at || now - *engine.crashed_at < 2s;
+            if (registered) contents.targets[engine.id] = make_target(engine.id, "lm", 64);
+        }
+        for (const auto& router : routers)
+            router->publish(contents);
+    }
+    void submit(test_router& router, std::vector<std::uint64_t> parts) {
+        request_arrived request;
+        request.caller = router.next_caller++;
+        request.attempt = "attempt-" + std::to_string(next_id++);
+        request.method = "POST";
+        request.host = "h.example";
+        request.path = "/chat/x";
+        request.api_key = "key-1";
+        request.body = request.attempt;
+        request.remaining = 8s;
+        request.prompt = {800, 100, 0, {}};
+        for (const std::uint64_t part : parts)
+            request.prompt.segments.push_back({part, 200});
+        request.prompt.segments.push_back({1'000'000 + next_id++, 200});
+        router.process(request);
+    }
+    void handle_effects() {
+        for (const auto& router : routers) {
+            direct::effects out;
+            out.swap(router->out);
+            for (const direct::effect& item : out) {
+                if (const auto* sent = std::get_if<send_request>(&item)) start(*router, *sent);
+                if (const auto* cancelled = std::get_if<cancel_send>(&item)) {
+                    for (simulated_engine& engine : engines)
+                        std::erase_if(engine.sends, [&](const open_send& open) {
+                            return open.router == router.get() && open.send_id == cancelled->send_id;
+                        });
+                }
+                const auto* report = std::get_if<send_report>(&item);
+                if (report == nullptr) continue;
+                for (const auto& to : routers) {
+                    if (std::ranges::find(report->addresses, to->state.settings.report_address) !=
+                        report->addresses.end())
+                        to->process(report_received{*report->report});
+                }
+            }
+        }
+    }
+    void start(test_router& router, const send_request& sent) {
+        const auto engine =
+            std::ranges::find_if(engines, [&](const simulated_engine& e) { return e.id == sent.target; });
+        if (engine == engines.end() || engine->crashed_at) {
+            router.process(response_end{sent.send_id, send_result::not_sent});
+            return;
+        }
+        const auto& segments = sent.content->input.prompt.segments;
+        const bool crashing =
+            std::ranges::find(segments, crashing_part, &prompt_segment::id) != segments.end();
+        if (crashing) crashing_arrivals.push_back(now);
+        engine->sends.push_back({&router, sent.send_id, crashing, !crashing && sent.content->sends <= 1,
+                                 now + 60ms, now + (crashing ? 100ms : 600ms), false});
+    }
+    void crash(simulated_engine& engine) {
+        crashes.push_back(now);
+        engine.crashed_at = now;
+        std::vector<open_send> broken;
+        broken.swap(engine.sends);
+        for (const open_send& open : broken)
+            open.router->process(response_end{open.send_id, send_result::broken});
+    }
+    void run_engine(simulated_engine& engine) {
+        for (std::size_t i = 0; i < engine.sends.size(); ++i) {
+            open_send& open = engine.sends[i];
+            if (!open.crashes && !open.begun && now >= open.begins_at) {
+                open.begun = true;
+                sound_begun += open.sound ? 1 : 0;
+                open.router->process(open.router->head(open.send_id));
+                open.router->process(response_data{open.send_id, "id: 1\ndata: x\n\n"});
+            }
+            if (now < open.ends_at) continue;
+            if (open.crashes) {
+                crash(engine);
+                return;
+            }
+            const open_send ended = open;
+            engine.sends.erase(engine.sends.begin() + static_cast<std::ptrdiff_t>(i--));
+            ended.router->process(response_end{ended.send_id, send_result::complete});
+        }
+    }
+    /// Runs the fleet; `arrive` is called in each step with the step's number and submits requests.
+    template <class F>
+    void run_for(duration time, F&& arrive) {
+        for (duration passed{}; passed < time; passed += step) {
+            now += step;
+            bool changed = false;
+            for (simulated_engine& engine : engines) {
+                run_engine(engine);
+                if (!engine.crashed_at) continue;
+                const duration since = now - *engine.crashed_at;
+                changed = changed || (since >= 2s && since < 2s + step);
+                if (since < 4s) continue;
+                engine = {"e-" + std::to_string(next_id++), {}, {}};
+                changed = true;
+            }
+            if (changed) publish();
+            for (const auto& router : routers) {
+                router->now = now;
+                router->confirm_now();
+                router->process(timer_fired{});
+            }
+            arrive(static_cast<std::size_t>((now - time_point{1000s}) / step));
+            for (int hop = 0; hop < 3; ++hop)
+                handle_effects();
+        }
+    }
+    void submit_sound(std::size_t number) {
+        ++sound_sent;
+        submit(*routers[number % routers.size()], {shared_part, 100 + number % 7});
+    }
+    [[nodiscard]] std::size_t crashing_arrivals_after(time_point at) const {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(crashing_arrivals, [&](time_point arrived) { return arrived > at; }));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(prompt_suspects)
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tests
+//-----------------------------------------------------------------------------
+
+// Guards against requests that crash one engine after the other: no two are alike, but they share a part of
+// their prompts. Requests that share their other parts must be served.
+BOOST_AUTO_TEST_CASE(part_that_crashes_engines_is_quarantined) {
+    crash_fleet fleet{4, 8};
+    fleet.run_for(8s, [&](std::size_t i) { fleet.submit_sound(i); });
+    const double begun_before =
+        static_cast<double>(fleet.sound_begun) / static_cast<double>(fleet.sound_sent);
+    BOOST_TEST(begun_before > 0.9);
+    const auto both = [&](std::size_t i) {
+        fleet.submit_sound(i);
+        if (i % 5 == 0)
+            fleet.submit(*fleet.routers[i / 5 % fleet.routers.size()], {shared_part, crashing_part});
+    };
+    fleet.run_for(12s, both);
+    BOOST_REQUIRE(fleet.crashes.size() >= 5U);
+    constexpr duration contact = 3s;
+    const time_point fifth = fleet.crashes[4];
+    BOOST_TEST((fleet.now - fifth > 2 * contact));
+    fleet.sound_sent = 0;
+    fleet.sound_begun = 0;
+    fleet.run_for(30s, both);
+    BOOST_TEST(fleet.crashing_arrivals_after(fifth + contact) <= 3U);
+    BOOST_TEST(static_cast<double>(fleet.sound_begun) / static_cast<double>(fleet.sound_sent) >
+               begun_before / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
