Quarantine parts of prompts that crash engines

Cause: crashes were counted for each request (account, path, body), and no two of these requests were alike. The class of fault: what requests share is counted for each of them alone. Hypotheses 2 (late reports) and 3 (crash not seen) are ruled out: the crashes went on for 60 s, and the requests had no first byte.

Now each crash accuses the parts of all requests that were unanswered on the engine, and an answer that begins on an engine which lives on acquits the parts of its request. A broken connection alone is no crash: it is confirmed when the engine refuses a connection or loses its registration, and dropped at the next sign of life. Reports carry accusations at once, acquittals and quarantines; a crash that several routers saw counts once. A part that stays accused is quarantined, together with the parts that were in every such request until one of these is acquitted; requests get 503 with the end of the quarantine, which is true: they have not run.

Further tests: failures of five engines at once and broken connections quarantine nothing, a sound companion is acquitted, quarantines end, memory is bounded.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -203,6 +203,7 @@
         if (event.contents->targets.contains(id) || target.gone) continue;
         const bool is_first = target.missing_since == time_point{};
         if (is_first) target.missing_since = state.now;
+        confirm_crash(state, target, out);
         target.gone = !lapsed;
         if (is_first || target.gone) log_missing(state, target, out);
     }
@@ -321,6 +322,7 @@
             state.shares.update(static_cast<double>(state.active_catalog->tokens_per_second), state.now);
         remove_missing_targets(state, out);
         expire_crash_records(state);
+        settle_begun_answers(state, out);
         advance_rollouts(state, out);
     }
     if (state.now >= state.next_report) send_reports(state, out);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -20,11 +20,13 @@
 #include "damaskhill_direct_messages.hpp"
 #include "damaskhill_engine_load.hpp"
 #include "damaskhill_events.hpp"
+#include "damaskhill_prompt_suspects.hpp"
 #include "damaskhill_rate_gate.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <deque>
 #include <memory>
 
 namespace damaskhill::direct {
@@ -50,6 +52,7 @@
     account_share_settings shares;
     cold_limit_settings cold_limits;
     retry_window_settings retries;
+    prompt_suspect_settings suspects;
     // Interval between reports to other routers.
     duration report_period{100ms};
     // Added to report_period for each neighbour, which bounds the cost of reports.
@@ -307,6 +310,7 @@
     std::string account; // name; empty on public routes
     std::uint64_t account_hash{};
     std::uint64_t request_fingerprint{}; // hash of account, path and body
+    prompt_parts parts;                  // see prompt_parts; empty if the prompt shares no part
     double tokens{};                     // cost charged to the account's fair share
     time_point arrived{};
     time_point deadline{};       // of the final response
@@ -365,6 +369,15 @@
     time_point ejected_until{}; // not selected before this time
     std::uint32_t consecutive_failures{};
     double smoothed_failure_rate{};
+    std::optional<engine_crash> broken; // unanswered requests lost their connections: a crash, if confirmed
+    time_point last_crash{};
+};
+
+/// First byte of an answer; acquits the parts of the prompt once the target has lived on.
+struct begun_answer {
+    time_point at{};
+    std::uint64_t target{}; // hash of its id
+    request_ptr content;
 };
 
 struct peer_router {
@@ -444,6 +457,8 @@
     // Next report to the addresses that get no regular reports.
     time_point next_probe{};
     std::unordered_map<std::uint64_t, crash_record> crashes; // seen by this router, by request fingerprint
+    prompt_suspects suspects;
+    std::deque<begun_answer> begun_answers;                        // by time
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -4,6 +4,7 @@
 // [SECTION] Requests
 // [SECTION] Targets
 // [SECTION] Speed of services
+// [SECTION] Prompt parts that crash targets
 // [SECTION] Peers
 // [SECTION] Log lines
 
@@ -68,6 +69,26 @@
 /// Adopts a peer's estimates for services of which this router has too few samples.
 void adopt_speeds(router_state& state, const router_report& report);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Prompt parts that crash targets
+//-----------------------------------------------------------------------------
+
+/// Records that the connection of a request broke before its answer began. That is a crash only if
+/// confirm_crash follows before note_sign_of_life.
+void note_unanswered_break(router_state& state, const request& item, target_state& target);
+/// The target accepts no connections any more, or its registration is gone.
+void confirm_crash(router_state& state, target_state& target, effects& out);
+/// The target has sent a response head.
+void note_sign_of_life(const router_state& state, target_state& target);
+void note_answer_begun(router_state& state, request& item, const target_state& target);
+/// Acquits the prompt parts of answers whose targets have lived on.
+void settle_begun_answers(router_state& state, effects& out);
+/// Whether the request may be sent now (verdict `clear`); else the reason to refuse it or let it wait.
+[[nodiscard]] prompt_judgement judge_request(const router_state& state, const request& item);
+void add_suspect_rows(const router_state& state, router_report& report);
+/// Returns whether the report tells of a crash that was unknown.
+bool apply_suspect_rows(router_state& state, const router_report& report, effects& out);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -52,6 +52,40 @@
     }
 };
 
+/// Crash of an engine, with the prompt parts of one request that was unanswered there.
+struct engine_crash_row {
+    std::uint64_t engine{}; // hash of its id
+    std::uint64_t age_us{};
+    std::vector<std::uint64_t> parts;
+    static constexpr auto fields() {
+        using t = engine_crash_row;
+        return std::tuple{field{1, "engine", &t::engine}, field{2, "age_us", &t::age_us},
+                          field{3, "parts", &t::parts}};
+    }
+};
+
+/// Answer that began on an engine which stayed up, of a request with a suspected prompt part.
+struct acquittal_row {
+    std::uint64_t part{};
+    std::uint64_t age_us{};
+    static constexpr auto fields() {
+        return std::tuple{field{1, "part", &acquittal_row::part}, field{2, "age_us", &acquittal_row::age_us}};
+    }
+};
+
+/// Prompt part that the sender has quarantined.
+struct quarantine_row {
+    std::uint64_t part{};
+    std::uint32_t moments{}; // at which it has crashed engines
+    std::uint64_t age_us{};  // of the last crash
+    std::vector<std::uint64_t> companions;
+    static constexpr auto fields() {
+        using t = quarantine_row;
+        return std::tuple{field{1, "part", &t::part}, field{2, "moments", &t::moments},
+                          field{3, "age_us", &t::age_us}, field{4, "companions", &t::companions}};
+    }
+};
+
 /// Responses of a service version since the start of its rollout, as counted by the sender.
 struct version_row {
     std::uint64_t order{}; // store revision of the rollout order
@@ -136,6 +170,9 @@
     bool store_unreachable{};           // the sender's last call to the store failed
     // Age of the sender's list of targets at the time of sending; 0 if it has none.
     std::uint64_t targets_age_us{};
+    std::vector<engine_crash_row> engine_crashes; // recent ones, seen by the sender
+    std::vector<acquittal_row> acquittals;        // recent ones, seen by the sender
+    std::vector<quarantine_row> quarantines;
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -160,7 +197,10 @@
                           field{20, "speeds", &t::speeds},
                           field{21, "targets_changed_at", &t::targets_changed_at},
                           field{23, "store_unreachable", &t::store_unreachable},
-                          field{24, "targets_age_us", &t::targets_age_us}};
+                          field{24, "targets_age_us", &t::targets_age_us},
+                          field{25, "engine_crashes", &t::engine_crashes},
+                          field{26, "acquittals", &t::acquittals},
+                          field{27, "quarantines", &t::quarantines}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -133,6 +133,8 @@
 }
 
 std::shared_ptr<const router_report> make_report(const router_state& state, bool all_routers);
+std::vector<std::string> live_neighbours(const router_state& state);
+bool is_relay(const router_state& state, std::span<const std::string> neighbours);
 
 void on_router_report(router_state& state, const router_report& report, effects& out) {
     peer_router& peer = state.peers[report.address];
@@ -158,6 +160,9 @@
     if (report.router == state.settings.incarnation) return;
     add_peer_addresses(state, report);
     adopt_speeds(state, report);
+    // A crash is passed on at once: requests with the same prompt part are arriving everywhere.
+    if (apply_suspect_rows(state, report, out) && is_relay(state, live_neighbours(state)))
+        state.next_report = state.now;
     if (report.is_summary) {
         on_summary(state, report);
         if (report.relayed) return;
@@ -272,6 +277,7 @@
     for (const auto& [hash, record] : state.crashes)
         report->crashes.push_back({hash, record.crashes});
     add_version_rows(state, *report);
+    add_suspect_rows(state, *report);
     return report;
 }
 
@@ -281,6 +287,9 @@
     std::map<std::uint64_t, account_usage_row> accounts;
     std::map<std::uint64_t, crash_row> crashes;
     std::map<std::pair<std::uint64_t, bool>, version_row> versions;
+    std::vector<engine_crash_row> engine_crashes;
+    std::map<std::uint64_t, acquittal_row> acquittals;
+    std::map<std::uint64_t, quarantine_row> quarantines;
 
     void add(const router_report& report) {
         for (const target_load_row& row : report.targets) {
@@ -296,6 +305,12 @@
             crash_row& sum = crashes[row.request];
             sum = {row.request, sum.crashes + row.crashes};
         }
+        engine_crashes.insert(engine_crashes.end(), report.engine_crashes.begin(),
+                              report.engine_crashes.end());
+        for (const acquittal_row& row : report.acquittals)
+            acquittals.try_emplace(row.part, row);
+        for (const quarantine_row& row : report.quarantines)
+            quarantines.try_emplace(row.part, row);
         for (const version_row& row : report.versions) {
             version_row& sum = versions[{row.order, row.is_new}];
             sum = {row.order,
@@ -335,6 +350,9 @@
     values(sums.accounts, summary->accounts);
     values(sums.crashes, summary->crashes);
     values(sums.versions, summary->versions);
+    values(sums.acquittals, summary->acquittals);
+    values(sums.quarantines, summary->quarantines);
+    summary->engine_crashes = std::move(sums.engine_crashes);
     return summary;
 }
 
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -290,14 +290,30 @@
     placement_choice choice;
     duration capacity_in{}; // estimated time until a target may have capacity
     bool has_candidates{};  // at least one target may get the request, now or later
+    bool exact_retry{};     // capacity_in is known, not estimated
+    std::string_view refusal{"no_target"};
 };
 
 constexpr duration no_target_retry = 400ms; // the first ejection of a target ends after this time
 
+/// Outcome for a request that must not be sent now because of a part of its prompt.
+placement_outcome blocked_outcome(const router_state& state, const prompt_judgement& judged) {
+    constexpr duration trial_time = 200ms; // until another request with the part has an answer, mostly
+    placement_outcome outcome;
+    outcome.exact_retry = judged.verdict == prompt_verdict::quarantined;
+    outcome.has_candidates = !outcome.exact_retry;
+    outcome.capacity_in = outcome.exact_retry ? judged.until - state.now : trial_time;
+    outcome.refusal = outcome.exact_retry ? "prompt_quarantined" : "prompt_suspected";
+    return outcome;
+}
+
 placement_outcome place(router_state& state, request& item) {
+    const prompt_judgement judged = judge_request(state, item);
+    if (judged.verdict != prompt_verdict::clear) return blocked_outcome(state, judged);
     const candidate_list list = find_candidates(state, item);
     placement_outcome outcome;
     outcome.has_candidates = !list.options.empty();
+    if (outcome.has_candidates) outcome.refusal = "no_room";
     outcome.capacity_in = no_target_retry;
     item.used_share = item.account.empty() ? 0.0 : state.shares.used_share(item.account_hash, state.now);
     if (!outcome.has_candidates) return outcome;
@@ -452,6 +468,17 @@
     return prompt.tokens + output_weight * std::min(output, prompt.output_limit);
 }
 
+/// Parts of the prompt that other requests may share: all but the last one.
+prompt_parts shared_parts(const prompt_shape& prompt) {
+    prompt_parts parts;
+    for (std::size_t i = 0; i + 1 < prompt.segments.size(); ++i)
+        parts.push_back(prompt.segments[i].id);
+    std::ranges::sort(parts);
+    const auto repeated = std::ranges::unique(parts);
+    parts.erase(repeated.begin(), repeated.end());
+    return parts;
+}
+
 request_ptr make_request(router_state& state, const request_arrived& event, const admission& admitted) {
     request_ptr item{new request};
     item->input = event;
@@ -460,6 +487,7 @@
     item->account = admitted.account;
     item->account_hash = stable_hash(admitted.account);
     item->request_fingerprint = stable_hash(event.body, stable_hash(event.path, item->account_hash));
+    item->parts = shared_parts(event.prompt);
     item->tokens = share_cost(event);
     item->arrived = state.now;
     item->last_event_id = event.resume_after;
@@ -482,8 +510,9 @@
 
 void refuse_for_capacity(router_state& state, const request_ptr& item, const placement_outcome& found,
                          effects& out) {
-    refuse(state, item, status_unavailable, retry_after_for(state, *item, found.capacity_in),
-           found.has_candidates ? "no_room" : "no_target", out);
+    const duration retry_after =
+        found.exact_retry ? found.capacity_in : retry_after_for(state, *item, found.capacity_in);
+    refuse(state, item, status_unavailable, retry_after, found.refusal, out);
 }
 
 /// Order of waiting requests, lowest first: accounts within their share, then by due time of the first byte.
@@ -614,7 +643,9 @@
         out.emplace_back(observe{"first_byte_prediction_ratio", item.service,
                                  to_seconds(item.first_byte_delay) / to_seconds(item.predicted_first_token)});
     }
-    if (item.head.status < first_failure_status) record_speed_sample(state, item, out);
+    if (item.head.status >= first_failure_status) return;
+    record_speed_sample(state, item, out);
+    if (const target_state* target = find_target(state, item.target)) note_answer_begun(state, item, *target);
 }
 
 bool is_stream(const request& item) {
@@ -634,6 +665,7 @@
     item->head_received = true;
     const bool failed = event.status >= first_failure_status;
     if (target_state* target = find_target(state, item->target)) {
+        note_sign_of_life(state, *target);
         record_target_result(*target, failed);
         record_version_response(state, *item, *target, failed);
     }
@@ -734,7 +766,10 @@
 //-----------------------------------------------------------------------------
 
 void on_not_sent(router_state& state, const request_ptr& item, effects& out) {
-    if (target_state* target = find_target(state, item->target)) eject_target(state, *target, out);
+    if (target_state* target = find_target(state, item->target)) {
+        confirm_crash(state, *target, out);
+        eject_target(state, *target, out);
+    }
     clear_attempt(state, *item);
     --item->sends;
     retry_or_fail(state, item, status_unavailable, "no_connection", out);
@@ -743,6 +778,7 @@
 void on_connection_broken(router_state& state, const request_ptr& item, send_result result, effects& out) {
     item->may_have_run = true;
     if (target_state* target = find_target(state, item->target)) {
+        if (result == send_result::broken) note_unanswered_break(state, *item, *target);
         if (!item->head_received && result == send_result::broken) {
             record_target_result(*target, true);
             crash_record& record = state.crashes[item->request_fingerprint];
@@ -790,7 +826,10 @@
     for (const auto& [priority, item] : ranking) {
         // Default for requests that get no placement in this pass. If their waiting time is over, they are
         // refused with "no_room" and not "no_target", because a target may exist.
-        placement_outcome found{nullptr, {}, state.settings.min_retry_after, true};
+        placement_outcome found;
+        found.capacity_in = state.settings.min_retry_after;
+        found.has_candidates = true;
+        found.refusal = "no_room";
         if (placements++ < max_placements_per_pass) found = place(state, *item);
         if (found.target != nullptr) {
             std::erase(state.waiting, item);
--- /dev/null
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -0,0 +1,228 @@
+// Index of this file:
+// [SECTION] Evidence
+// [SECTION] Verdict
+
+#include "damaskhill_prompt_suspects.hpp"
+
+#include <algorithm>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Evidence
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Whether the part has been acquitted since this crash.
+bool is_acquitted(const prompt_suspects& suspects, std::uint64_t part, time_point crash) {
+    const auto answered = suspects.answered.find(part);
+    return answered != suspects.answered.end() && answered->second >= crash;
+}
+
+prompt_parts intersect(const prompt_parts& a, const prompt_parts& b) {
+    prompt_parts both;
+    std::ranges::set_intersection(a, b, std::back_inserter(both));
+    return both;
+}
+
+void count_crash(suspected_part& part, const prompt_suspect_settings& settings, time_point at) {
+    ++part.crashes;
+    if (part.moments == 0 || at - part.last_crash > settings.same_moment) ++part.moments;
+    part.last_crash = at;
+}
+
+/// Counts the crashes that accuse each part since its last acquittal.
+void rebuild_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    suspects.suspected.clear();
+    for (const engine_crash& crash : suspects.crashes) {
+        prompt_parts counted; // a part counts once for each crash
+        for (const prompt_parts& accused : crash.accused) {
+            prompt_parts open;
+            std::ranges::copy_if(accused, std::back_inserter(open),
+                                 [&](std::uint64_t part) { return !is_acquitted(suspects, part, crash.at); });
+            for (const std::uint64_t part : open) {
+                const auto [found, is_new] = suspects.suspected.try_emplace(part);
+                suspected_part& suspected = found->second;
+                suspected.companions = is_new ? open : intersect(suspected.companions, open);
+                suspected.answered_before = suspects.answered.contains(part);
+                if (std::ranges::find(counted, part) != counted.end()) continue;
+                counted.push_back(part);
+                count_crash(suspected, settings, crash.at);
+            }
+        }
+    }
+}
+
+bool must_quarantine(const suspected_part& part, const prompt_suspect_settings& settings) {
+    const std::uint32_t moments =
+        part.answered_before ? settings.answered_quarantine_moments : settings.quarantine_moments;
+    return part.crashes >= settings.quarantine_crashes && part.moments >= moments;
+}
+
+void limit_quarantines(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    while (suspects.quarantined.size() > settings.max_quarantines) {
+        suspects.quarantined.erase(std::ranges::min_element(
+            suspects.quarantined, {}, [](const auto& entry) { return entry.second.last_crash; }));
+    }
+}
+
+/// Quarantines the parts that have been accused often enough, and updates those that are quarantined.
+void update_quarantines(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    for (const auto& [id, part] : suspects.suspected) {
+        const auto found = suspects.quarantined.find(id);
+        if (found == suspects.quarantined.end()) {
+            if (must_quarantine(part, settings))
+                suspects.quarantined[id] = {part.moments, part.last_crash, part.companions};
+            continue;
+        }
+        quarantined_part& quarantined = found->second;
+        quarantined.companions = intersect(quarantined.companions, part.companions);
+        if (part.last_crash <= quarantined.last_crash) continue;
+        if (part.last_crash - quarantined.last_crash > settings.same_moment) ++quarantined.moments;
+        quarantined.last_crash = part.last_crash;
+    }
+    limit_quarantines(suspects, settings);
+}
+
+/// Forgets the parts whose last answer is oldest.
+void limit_answered(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    if (suspects.answered.size() <= settings.max_answered) return;
+    std::vector<time_point> times;
+    times.reserve(suspects.answered.size());
+    for (const auto& [part, at] : suspects.answered)
+        times.push_back(at);
+    // Removes half at once, so that the search is rare.
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
+    std::erase_if(suspects.answered, [limit = *middle](const auto& entry) { return entry.second < limit; });
+}
+
+} // namespace
+
+bool add_crash(prompt_suspects& suspects, const prompt_suspect_settings& settings, engine_crash crash,
+               time_point now) {
+    if (now - crash.at > settings.crash_lifetime) return false;
+    for (prompt_parts& accused : crash.accused) {
+        if (accused.size() > settings.max_parts) accused.resize(settings.max_parts);
+        std::ranges::sort(accused);
+    }
+    std::erase_if(crash.accused, [](const prompt_parts& accused) { return accused.empty(); });
+    const auto known = std::ranges::find(suspects.crashes, crash.engine, &engine_crash::engine);
+    const bool is_new = known == suspects.crashes.end();
+    engine_crash& stored = is_new ? suspects.crashes.emplace_back(std::move(crash)) : *known;
+    if (!is_new) {
+        stored.at = std::min(stored.at, crash.at);
+        stored.is_own = stored.is_own || crash.is_own;
+        for (prompt_parts& accused : crash.accused) {
+            if (std::ranges::find(stored.accused, accused) == stored.accused.end())
+                stored.accused.push_back(std::move(accused));
+        }
+    }
+    if (stored.accused.size() > settings.max_sets) stored.accused.resize(settings.max_sets);
+    std::ranges::sort(suspects.crashes, {}, &engine_crash::at);
+    if (suspects.crashes.size() > settings.max_crashes) suspects.crashes.erase(suspects.crashes.begin());
+    rebuild_suspected(suspects, settings);
+    update_quarantines(suspects, settings);
+    return is_new;
+}
+
+void add_answer(prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                std::span<const std::uint64_t> parts, time_point at, bool is_own) {
+    bool acquits = false;
+    for (const std::uint64_t part : parts) {
+        time_point& answered = suspects.answered[part];
+        answered = std::max(answered, at);
+        const auto quarantined = suspects.quarantined.find(part);
+        const bool ends_quarantine =
+            quarantined != suspects.quarantined.end() && quarantined->second.last_crash <= at;
+        if (!ends_quarantine && !suspects.suspected.contains(part)) continue;
+        acquits = true;
+        if (is_own) suspects.own_acquittals[part] = at;
+        if (ends_quarantine) suspects.quarantined.erase(quarantined);
+        for (auto& [other, entry] : suspects.quarantined)
+            if (entry.last_crash <= at && other != part) std::erase(entry.companions, part);
+    }
+    limit_answered(suspects, settings);
+    if (acquits) rebuild_suspected(suspects, settings);
+}
+
+void add_quarantine(prompt_suspects& suspects, const prompt_suspect_settings& settings, std::uint64_t part,
+                    const quarantined_part& found, time_point now) {
+    if (now > quarantine_end(found, settings) || is_acquitted(suspects, part, found.last_crash)) return;
+    const auto [known, is_new] = suspects.quarantined.try_emplace(part, found);
+    quarantined_part& stored = known->second;
+    stored.moments = std::max(stored.moments, found.moments);
+    // Each hop adds the delay of a report to the age, so that times closer together are the same crash.
+    if (found.last_crash - stored.last_crash > settings.same_moment) stored.last_crash = found.last_crash;
+    if (!is_new) stored.companions = intersect(stored.companions, found.companions);
+    limit_quarantines(suspects, settings);
+}
+
+time_point quarantine_end(const quarantined_part& part, const prompt_suspect_settings& settings) {
+    duration time = settings.first_quarantine;
+    for (std::uint32_t i = settings.quarantine_moments; i < part.moments && time < settings.max_quarantine;
+         ++i)
+        time *= 3;
+    return part.last_crash + std::min(time, settings.max_quarantine);
+}
+
+void expire_suspects(prompt_suspects& suspects, const prompt_suspect_settings& settings, time_point now) {
+    const std::size_t before = suspects.crashes.size();
+    std::erase_if(suspects.crashes,
+                  [&](const engine_crash& crash) { return now - crash.at > settings.crash_lifetime; });
+    std::erase_if(suspects.own_acquittals,
+                  [&](const auto& entry) { return now - entry.second > settings.announce_time; });
+    std::erase_if(suspects.quarantined, [&](const auto& entry) {
+        return now > quarantine_end(entry.second, settings) + settings.probation;
+    });
+    if (suspects.crashes.size() != before) rebuild_suspected(suspects, settings);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Verdict
+//-----------------------------------------------------------------------------
+
+namespace {
+
+prompt_judgement judge_quarantined(const quarantined_part& quarantined, std::uint64_t part,
+                                   const prompt_suspect_settings& settings, const prompt_parts& sorted_parts,
+                                   time_point now) {
+    // Without one of the companions, the crashes have another explanation, and this request can tell.
+    if (!std::ranges::includes(sorted_parts, quarantined.companions))
+        return {prompt_verdict::one_per_router, part, {}};
+    const time_point end = quarantine_end(quarantined, settings);
+    return {now < end ? prompt_verdict::quarantined : prompt_verdict::one_per_fleet, part, end};
+}
+
+prompt_verdict judge_suspected(const suspected_part& suspected, const prompt_suspect_settings& settings) {
+    if (suspected.answered_before)
+        return suspected.moments >= settings.quarantine_moments ? prompt_verdict::one_per_router
+                                                                : prompt_verdict::clear;
+    return suspected.crashes >= settings.quarantine_crashes ? prompt_verdict::one_per_fleet
+                                                            : prompt_verdict::one_per_router;
+}
+
+} // namespace
+
+prompt_judgement judge_prompt(const prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                              std::span<const std::uint64_t> parts, time_point now) {
+    prompt_judgement worst;
+    if (suspects.suspected.empty() && suspects.quarantined.empty()) return worst;
+    prompt_parts sorted_parts(parts.begin(), parts.end());
+    std::ranges::sort(sorted_parts);
+    for (const std::uint64_t part : sorted_parts) {
+        prompt_judgement found;
+        const auto quarantined = suspects.quarantined.find(part);
+        const auto suspected = suspects.suspected.find(part);
+        if (quarantined != suspects.quarantined.end()) {
+            found = judge_quarantined(quarantined->second, part, settings, sorted_parts, now);
+        } else if (suspected != suspects.suspected.end()) {
+            found = {judge_suspected(suspected->second, settings), part, {}};
+        }
+        if (found.verdict > worst.verdict) worst = found;
+    }
+    return worst;
+}
+
+} // namespace damaskhill
--- /dev/null
+++ b/core/damaskhill_prompt_suspects.hpp
@@ -0,0 +1,126 @@
+// Parts of prompts that crash the engines that generate from them, found from the crashes of all routers.
+//
+// A crash accuses the parts of every request that was unanswered on the engine. An answer that begins on an
+// engine which stays up acquits the parts of its request. A part that keeps being accused without an
+// acquittal is quarantined: requests with it are refused for a time. While it is only suspected, requests
+// with it are sent one at a time, so that a sound part is acquitted and a bad one costs one more engine.
+//
+// Load pattern: requests that are never alike share one bad part, arrive at every router, and crash all
+// engines within a second; sound requests share the account and the other parts.
+//
+// Index of this file:
+// [SECTION] Settings
+// [SECTION] Evidence
+// [SECTION] Verdict
+
+#pragma once
+
+#include "damaskhill_types.hpp"
+
+#include <map>
+#include <span>
+#include <unordered_map>
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+struct prompt_suspect_settings {
+    // Crashes closer together than this count as one moment: an engine failure for another reason may take
+    // several engines at once, each of which accuses the parts in use.
+    duration same_moment{250ms};
+    std::uint32_t quarantine_crashes{3};
+    std::uint32_t quarantine_moments{2};
+    // The same for a part that has been answered before.
+    std::uint32_t answered_quarantine_moments{3};
+    duration crash_lifetime{60s};   // a crash no longer accuses anything after this time
+    duration first_quarantine{20s}; // triples with each further moment
+    duration max_quarantine{180s};
+    duration probation{120s};      // after a quarantine, until the part is forgotten
+    duration proof_of_life{400ms}; // an engine that lives on for this long was not crashed by the answer
+    duration max_unconfirmed{5s};  // a broken connection without a further sign is no crash
+    duration announce_time{2s};    // crashes and acquittals are repeated in reports for this long
+    std::size_t max_crashes{64};   // kept
+    std::size_t max_sets{16};      // requests of one crash
+    std::size_t max_parts{16};     // of one request
+    std::size_t max_quarantines{64};
+    std::size_t max_answered{4096}; // parts whose last answer is remembered
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Evidence
+//-----------------------------------------------------------------------------
+
+using prompt_parts = std::vector<std::uint64_t>; // ids, sorted; without the part of the request itself
+
+/// Crash of one engine incarnation.
+struct engine_crash {
+    std::uint64_t engine{}; // hash of its id
+    time_point at{};
+    bool is_own{};                     // seen by this router
+    std::vector<prompt_parts> accused; // one set for each request that was unanswered
+};
+
+/// A part that crashes accuse and no later answer acquits.
+struct suspected_part {
+    std::uint32_t crashes{};
+    std::uint32_t moments{};
+    bool answered_before{};
+    time_point last_crash{};
+    prompt_parts companions; // suspected parts that were in every accused request with this one; includes it
+};
+
+struct quarantined_part {
+    std::uint32_t moments{};
+    time_point last_crash{};
+    prompt_parts companions; // see suspected_part
+};
+
+struct prompt_suspects {
+    std::vector<engine_crash> crashes; // by time
+    std::unordered_map<std::uint64_t, time_point> answered;
+    std::unordered_map<std::uint64_t, time_point> own_acquittals; // of suspected parts, to be announced
+    std::unordered_map<std::uint64_t, suspected_part> suspected;
+    std::map<std::uint64_t, quarantined_part> quarantined;
+};
+
+/// Adds a crash. Reports of the same crash by several routers count once. Returns whether it is a new one.
+bool add_crash(prompt_suspects& suspects, const prompt_suspect_settings& settings, engine_crash crash,
+               time_point now);
+/// Records that an engine has begun to answer a request with these parts at this time and has stayed up.
+void add_answer(prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                std::span<const std::uint64_t> parts, time_point at, bool is_own);
+/// Adds what another router has concluded.
+void add_quarantine(prompt_suspects& suspects, const prompt_suspect_settings& settings, std::uint64_t part,
+                    const quarantined_part& found, time_point now);
+/// Removes expired crashes, acquittals and quarantines.
+void expire_suspects(prompt_suspects& suspects, const prompt_suspect_settings& settings, time_point now);
+/// End of the quarantine of a part.
+[[nodiscard]] time_point quarantine_end(const quarantined_part& part,
+                                        const prompt_suspect_settings& settings);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Verdict
+//-----------------------------------------------------------------------------
+
+enum class prompt_verdict : std::uint8_t {
+    clear,
+    one_per_router, // may be sent while the router has no other unanswered request with the part
+    one_per_fleet,  // the same, by one router only
+    quarantined
+};
+
+struct prompt_judgement {
+    prompt_verdict verdict{prompt_verdict::clear};
+    std::uint64_t part{}; // on which the verdict rests
+    time_point until{};   // end of the quarantine
+};
+
+/// Judges a request by the parts of its prompt; the most severe verdict on any part counts.
+[[nodiscard]] prompt_judgement judge_prompt(const prompt_suspects& suspects,
+                                            const prompt_suspect_settings& settings,
+                                            std::span<const std::uint64_t> parts, time_point now);
+
+} // namespace damaskhill
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace damaskhill;
 using namespace damaskhill::direct;
 
@@ -217,4 +219,101 @@
                begun_before / 2);
 }
 
+// Guards against refusing the sound requests of every account after a failure of many engines at once, which
+// accuses all parts in use, and after connections that broke while the engine lived on.
+BOOST_AUTO_TEST_CASE(engine_failures_quarantine_no_sound_part) {
+    crash_fleet fleet{4, 8};
+    const auto sound = [&](std::size_t i) { fleet.submit_sound(i); };
+    fleet.run_for(8s, sound);
+    for (std::size_t i = 0; i < 5; ++i)
+        fleet.crash(fleet.engines[i]);
+    fleet.run_for(1s, sound);
+    fleet.sound_sent = 0;
+    fleet.sound_begun = 0;
+    fleet.run_for(10s, sound);
+    BOOST_TEST(static_cast<double>(fleet.sound_begun) > 0.9 * static_cast<double>(fleet.sound_sent));
+    for (const auto& router : fleet.routers)
+        BOOST_TEST(router->state.suspects.quarantined.empty());
+    for (int i = 0; i < 10; ++i) {
+        for (simulated_engine& engine : fleet.engines) {
+            std::vector<open_send> broken;
+            broken.swap(engine.sends);
+            for (const open_send& open : broken)
+                open.router->process(response_end{open.send_id, send_result::broken});
+        }
+        fleet.run_for(600ms, sound);
+    }
+    for (const auto& router : fleet.routers)
+        BOOST_TEST(router->state.suspects.crashes.size() <= 5U); // those of the failed engines
+}
+
+// Guards against a quarantine that hits a sound part because it was in every bad request: the sound requests
+// that lack the bad part are tried and acquit it.
+BOOST_AUTO_TEST_CASE(sound_companion_is_acquitted) {
+    const prompt_suspect_settings settings;
+    damaskhill::prompt_suspects suspects;
+    const time_point start{100s};
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        const time_point at = start + static_cast<int>(i) * 400ms;
+        add_crash(suspects, settings, {i, at, true, {{1, 2}}}, at);
+    }
+    const time_point now = start + 1s;
+    const auto verdict = [&](const prompt_parts& parts) {
+        return judge_prompt(suspects, settings, parts, now).verdict;
+    };
+    BOOST_TEST((verdict({1, 2}) == prompt_verdict::quarantined));
+    BOOST_TEST((verdict({1, 3}) == prompt_verdict::one_per_router));
+    add_answer(suspects, settings, std::array<std::uint64_t, 2>{1, 3}, now, true);
+    BOOST_TEST((verdict({1, 3}) == prompt_verdict::clear));
+    BOOST_TEST((verdict({2}) == prompt_verdict::quarantined));
+}
+
+// Guards against a quarantine without an end, and against one that starts again because routers tell each
+// other of the same crash with growing ages.
+BOOST_AUTO_TEST_CASE(quarantine_ends_and_is_probed_once) {
+    const prompt_suspect_settings settings;
+    damaskhill::prompt_suspects suspects;
+    time_point now{100s};
+    for (std::uint64_t i = 0; i < 3; ++i, now += 400ms)
+        add_crash(suspects, settings, {i, now, true, {{7}}}, now);
+    quarantined_part from_peer = suspects.quarantined.at(7);
+    const time_point end = quarantine_end(from_peer, settings);
+    BOOST_TEST((end > now && end < now + 2min));
+    from_peer.last_crash += 200ms; // delay of the reports
+    add_quarantine(suspects, settings, 7, from_peer, now);
+    BOOST_TEST((quarantine_end(suspects.quarantined.at(7), settings) == end));
+    const prompt_parts parts{7};
+    BOOST_TEST((judge_prompt(suspects, settings, parts, end).verdict == prompt_verdict::one_per_fleet));
+    add_crash(suspects, settings, {9, end + 1s, true, {{7}}}, end + 1s);
+    BOOST_TEST((quarantine_end(suspects.quarantined.at(7), settings) > end + 1min));
+    expire_suspects(suspects, settings, end + 1h);
+    BOOST_TEST((judge_prompt(suspects, settings, parts, end + 1h).verdict == prompt_verdict::clear));
+    add_quarantine(suspects, settings, 7, from_peer, end + 1h);
+    BOOST_TEST(suspects.quarantined.empty());
+}
+
+// Guards against memory and reports that grow with the parts that a caller makes up.
+BOOST_AUTO_TEST_CASE(evidence_is_bounded) {
+    const prompt_suspect_settings settings;
+    damaskhill::prompt_suspects suspects;
+    time_point now{100s};
+    for (std::uint64_t i = 0; i < 1000; ++i, now += 300ms) {
+        engine_crash crash{i, now, true, {}};
+        for (std::uint64_t request = 0; request < 40; ++request) {
+            prompt_parts parts;
+            for (std::uint64_t part = 0; part < 40; ++part)
+                parts.push_back(i / 10 * 10'000 + request * 100 + part);
+            crash.accused.push_back(parts);
+        }
+        add_crash(suspects, settings, crash, now);
+        const std::uint64_t made_up = 100'000'000 + i * 8;
+        for (std::uint64_t part = 0; part < 8; ++part)
+            add_answer(suspects, settings, std::array{made_up + part}, now, true);
+    }
+    BOOST_TEST(suspects.crashes.size() <= settings.max_crashes);
+    BOOST_TEST(suspects.quarantined.size() <= settings.max_quarantines);
+    BOOST_TEST(suspects.answered.size() <= settings.max_answered);
+    BOOST_TEST(suspects.suspected.size() <= settings.max_crashes * settings.max_sets * settings.max_parts);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
