Abort streams that end inside an event, whatever their framing says

Streams that can be resumed were checked for that; others were passed on as they came, and a clean end of the connection within an event ended the caller's reply as complete. The last bytes that were passed on now decide: the reply is aborted, so that the caller sees the truncation. The HTTP client already takes only an orderly close for the end of such a response, not a reset.

stream_that_ends_inside_an_event_is_aborted failed before.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -324,6 +324,7 @@
     bool first_byte_received{};
     response_head head;
     std::string body;            // buffered response, or the incomplete last event of a stream
+    std::string passed_tail;     // last bytes of a stream that is passed on as it comes
     std::size_t counted_bytes{}; // of `body`, in router_state::buffered_bytes
     std::uint64_t charged_kv_tokens{};
     // All attempts.
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -474,8 +474,7 @@
     for (std::size_t i = 0; i + 1 < prompt.segments.size(); ++i)
         parts.push_back(prompt.segments[i].id);
     std::ranges::sort(parts);
-    const auto repeated = std::ranges::unique(parts);
-    parts.erase(repeated.begin(), repeated.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
     return parts;
 }
 
@@ -605,14 +604,16 @@
     retry_or_fail(state, item, status_unavailable, "target_refused", out);
 }
 
+constexpr std::string_view event_end = "\n\n";
+
 /// Returns the complete events of the received data and stores the id of the last one that has an id. The
 /// remainder stays in `partial`.
 std::string extract_complete_events(std::string& partial, std::string_view data, std::string& last_id) {
     partial.append(data);
-    const auto end = partial.rfind("\n\n");
+    const auto end = partial.rfind(event_end);
     if (end == std::string::npos) return {};
-    std::string complete_events = partial.substr(0, end + 2);
-    partial.erase(0, end + 2);
+    std::string complete_events = partial.substr(0, end + event_end.size());
+    partial.erase(0, end + event_end.size());
     // Only a line that begins with the field name holds an id; data may contain the same characters.
     constexpr std::string_view field = "id:";
     const auto line = complete_events.rfind("\nid:");
@@ -652,6 +653,14 @@
     return item.route.retry == retry_policy::streaming && item.head.status < 300;
 }
 
+/// Whether the data of a stream so far ends within an event. A stream that ends there was truncated, whatever
+/// its framing says.
+bool is_inside_event(const request& item) {
+    if (!is_stream(item)) return false;
+    return item.route.resumable ? !item.body.empty()
+                                : !item.passed_tail.empty() && item.passed_tail != event_end;
+}
+
 } // namespace
 
 void on_response_head(router_state& state, const response_head& event, effects& out) {
@@ -728,6 +737,10 @@
     }
     if (!item->route.resumable) {
         start_reply(*item, out);
+        item->passed_tail.append(
+            event.data.substr(event.data.size() - std::min(event.data.size(), event_end.size())));
+        item->passed_tail.erase(0, item->passed_tail.size() -
+                                       std::min(item->passed_tail.size(), event_end.size()));
         out.emplace_back(reply_data{item->input.caller, event.data});
         return;
     }
@@ -800,9 +813,7 @@
 void on_response_end(router_state& state, const response_end& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item) return;
-    // A resumable stream that ends within an event was truncated.
-    const bool truncated = event.result == send_result::complete && is_stream(*item) &&
-                           item->route.resumable && !item->body.empty();
+    const bool truncated = event.result == send_result::complete && is_inside_event(*item);
     if (event.result == send_result::complete && item->head_received && !truncated) {
         on_response_complete(state, item, out);
     } else if (event.result == send_result::not_sent) {
--- a/core/damaskhill_prompt_suspects.cpp
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -108,16 +108,15 @@
         std::ranges::sort(accused);
     }
     std::erase_if(crash.accused, [](const prompt_parts& accused) { return accused.empty(); });
-    const auto known = std::ranges::find(suspects.crashes, crash.engine, &engine_crash::engine);
+    auto known = std::ranges::find(suspects.crashes, crash.engine, &engine_crash::engine);
     const bool is_new = known == suspects.crashes.end();
-    engine_crash& stored = is_new ? suspects.crashes.emplace_back(std::move(crash)) : *known;
-    if (!is_new) {
-        stored.at = std::min(stored.at, crash.at);
-        stored.is_own = stored.is_own || crash.is_own;
-        for (prompt_parts& accused : crash.accused) {
-            if (std::ranges::find(stored.accused, accused) == stored.accused.end())
-                stored.accused.push_back(std::move(accused));
-        }
+    if (is_new) known = suspects.crashes.insert(known, {crash.engine, crash.at, crash.is_own, {}});
+    engine_crash& stored = *known;
+    stored.at = std::min(stored.at, crash.at);
+    stored.is_own = stored.is_own || crash.is_own;
+    for (prompt_parts& accused : crash.accused) {
+        if (std::ranges::find(stored.accused, accused) == stored.accused.end())
+            stored.accused.push_back(std::move(accused));
     }
     if (stored.accused.size() > settings.max_sets) stored.accused.resize(settings.max_sets);
     std::ranges::sort(suspects.crashes, {}, &engine_crash::at);
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -260,6 +260,23 @@
     BOOST_TEST(!router.has<reply_end>());
 }
 
+// Guards against a stream that looks complete although its target broke it off inside an event: a response
+// without length and chunks ends with its connection, whatever the reason.
+BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_is_aborted) {
+    for (const bool whole : {false, true}) {
+        test_router router;
+        router.submit_request("review");
+        const auto sent = router.last<send_request>();
+        BOOST_REQUIRE(sent.has_value());
+        router.process(router.head(sent->send_id));
+        router.process(response_data{sent->send_id, "id: 1\ndata: x\n\nid: 2\nda"});
+        router.process(response_data{sent->send_id, whole ? "ta: y\n\n" : "ta: y\n"});
+        router.process(response_end{sent->send_id, send_result::complete});
+        BOOST_TEST(router.has<reply_end>() == whole);
+        BOOST_TEST(router.has<reply_abort>() != whole);
+    }
+}
+
 // Guards against forwarding a successful response that does not come from a target.
 BOOST_AUTO_TEST_CASE(response_without_seal_is_rejected) {
     test_router router;
