Tell crashes of an engine that returns under its id apart by time

Found on reading the change: a crash was identified by the engine's id alone. An engine may start again under its id, and its crashes would have counted as one for the 60 s of their lifetime, so that a part could crash a small service for longer before it was quarantined. Reports less than 1 s apart are about one crash, others are not. crashes_of_one_engine_are_told_apart_by_time holds both; it was written with the change. Answers that wait for their engine's proof of life keep the parts of the prompt only, not the request with its body.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -378,7 +378,7 @@
 struct begun_answer {
     time_point at{};
     std::uint64_t target{}; // hash of its id
-    request_ptr content;
+    prompt_parts parts;
 };
 
 struct peer_router {
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -80,7 +80,8 @@
 void confirm_crash(router_state& state, target_state& target, effects& out);
 /// The target has sent a response head.
 void note_sign_of_life(const router_state& state, target_state& target);
-void note_answer_begun(router_state& state, request& item, const target_state& target);
+/// Records the first byte of an answer, for settle_begun_answers.
+void note_answer_begun(router_state& state, const request& item, const target_state& target);
 /// Acquits the prompt parts of answers whose targets have lived on.
 void settle_begun_answers(router_state& state, effects& out);
 /// Whether the request may be sent now (verdict `clear`); else the reason to refuse it or let it wait.
--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -88,8 +88,8 @@
     if (target.broken && state.now - target.broken->at > in_transit) target.broken.reset();
 }
 
-void note_answer_begun(router_state& state, request& item, const target_state& target) {
-    if (!item.parts.empty()) state.begun_answers.push_back({state.now, target.hash, &item});
+void note_answer_begun(router_state& state, const request& item, const target_state& target) {
+    if (!item.parts.empty()) state.begun_answers.push_back({state.now, target.hash, item.parts});
 }
 
 void settle_begun_answers(router_state& state, effects& out) {
@@ -104,10 +104,9 @@
         const bool lives = !target.broken && target.last_crash < answer.at;
         if (!lives) continue;
         const std::size_t before = state.suspects.quarantined.size();
-        add_answer(state.suspects, settings, answer.content->parts, answer.at, true);
+        add_answer(state.suspects, settings, answer.parts, answer.at, true);
         if (state.suspects.quarantined.size() != before) {
-            out.emplace_back(
-                log_event{"prompt_cleared", "\"parts\":" + format_parts(answer.content->parts), true});
+            out.emplace_back(log_event{"prompt_cleared", "\"parts\":" + format_parts(answer.parts), true});
         }
     }
     expire_suspects(state.suspects, settings, state.now);
--- a/core/damaskhill_prompt_suspects.cpp
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -108,7 +108,10 @@
         std::ranges::sort(accused);
     }
     std::erase_if(crash.accused, [](const prompt_parts& accused) { return accused.empty(); });
-    auto known = std::ranges::find(suspects.crashes, crash.engine, &engine_crash::engine);
+    auto known = std::ranges::find_if(suspects.crashes, [&](const engine_crash& other) {
+        return other.engine == crash.engine &&
+               std::chrono::abs(other.at - crash.at) < settings.min_restart_time;
+    });
     const bool is_new = known == suspects.crashes.end();
     if (is_new) known = suspects.crashes.insert(known, {crash.engine, crash.at, crash.is_own, {}});
     engine_crash& stored = *known;
--- a/core/damaskhill_prompt_suspects.hpp
+++ b/core/damaskhill_prompt_suspects.hpp
@@ -31,6 +31,9 @@
     // Crashes closer together than this count as one moment: an engine failure for another reason may take
     // several engines at once, each of which accuses the parts in use.
     duration same_moment{250ms};
+    // Reports of crashes of one engine that are closer together than this are about the same crash. An engine
+    // may return under its id.
+    duration min_restart_time{1s};
     std::uint32_t quarantine_crashes{3};
     std::uint32_t quarantine_moments{2};
     // The same for a part that has been answered before.
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -292,6 +292,21 @@
     BOOST_TEST(suspects.quarantined.empty());
 }
 
+// Guards against counting the crashes of an engine that returns under its id as one, and against counting one
+// crash that several routers report as several.
+BOOST_AUTO_TEST_CASE(crashes_of_one_engine_are_told_apart_by_time) {
+    const prompt_suspect_settings settings;
+    damaskhill::prompt_suspects suspects;
+    const time_point start{100s};
+    for (int i = 0; i < 3; ++i) {
+        const time_point at = start + i * 4s;
+        add_crash(suspects, settings, {1, at, true, {{7}}}, at);
+        add_crash(suspects, settings, {1, at + 80ms, false, {{7}}}, at + 80ms);
+    }
+    BOOST_TEST(suspects.crashes.size() == 3U);
+    BOOST_TEST(suspects.quarantined.contains(7));
+}
+
 // Guards against memory and reports that grow with the parts that a caller makes up.
 BOOST_AUTO_TEST_CASE(evidence_is_bounded) {
     const prompt_suspect_settings settings;
