--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -148,6 +148,8 @@
     bool not_executed{}; // the target states that it did not execute the request
     bool wrong_target{}; // a different target has this address
     bool has_seal{};     // the response has the header by which a target marks it as its own
+    // The body has neither a length nor chunks: the end of the connection is its end.
+    bool close_delimited{};
 };
 
 struct response_data {
@@ -323,6 +325,7 @@
     bool head_received{};
     bool first_byte_received{};
     response_head head;
+    std::uint64_t body_bytes{};  // received of the current attempt's body
     std::string body;            // buffered response, or the incomplete last event of a stream
     std::string passed_tail;     // last bytes of a stream that is passed on as it comes
     std::size_t counted_bytes{}; // of `body`, in router_state::buffered_bytes
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -115,6 +115,7 @@
     }
     item.send_id = 0;
     item.charged_kv_tokens = 0;
+    item.body_bytes = 0;
     item.head_received = false;
     item.first_byte_received = false;
 }
@@ -730,6 +731,7 @@
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item || !item->head_received || event.data.empty()) return;
     if (!item->first_byte_received) record_first_byte(state, *item, out);
+    item->body_bytes += event.data.size();
     if (!is_stream(*item)) {
         item->body.append(event.data);
         limit_buffered_bytes(state, item, state.settings.max_response_bytes, out);
@@ -810,9 +812,33 @@
 
 } // namespace
 
+namespace {
+
+std::string_view name_of(send_result result) {
+    constexpr std::array<std::string_view, 4> names{"complete", "not_sent", "broken", "garbled"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
+/// Logs how an answer ended whose end is in doubt: it broke, or only the end of the connection marks it.
+void log_doubtful_end(const request& item, send_result result, effects& out) {
+    if (!item.head_received || (result == send_result::complete && !item.head.close_delimited)) return;
+    out.emplace_back(log_event{"answer_end",
+                               "\"id\":" + quoted(item.input.attempt) + ",\"target\":" + quoted(item.target) +
+                                   ",\"route\":" + quoted(item.route.name) +
+                                   ",\"close_delimited\":" + (item.head.close_delimited ? "true" : "false") +
+                                   ",\"end\":" + quoted(name_of(result)) +
+                                   ",\"body_bytes\":" + std::to_string(item.body_bytes) +
+                                   ",\"inside_event\":" + (is_inside_event(item) ? "true" : "false") +
+                                   ",\"reply_started\":" + (item.reply_started ? "true" : "false"),
+                               false});
+}
+
+} // namespace
+
 void on_response_end(router_state& state, const response_end& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item) return;
+    log_doubtful_end(*item, event.result, out);
     const bool truncated = event.result == send_result::complete && is_inside_event(*item);
     if (event.result == send_result::complete && item->head_received && !truncated) {
         on_response_complete(state, item, out);
