--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -277,6 +277,41 @@
     }
 }
 
+// Guards against an empty stream that looks complete: the target crashed after the head of a response that
+// only the end of its connection ends.
+BOOST_AUTO_TEST_CASE(stream_that_ends_before_its_first_event_is_no_success) {
+    test_router router;
+    router.submit_request("review");
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    response_head head = router.head(sent->send_id);
+    head.close_delimited = true;
+    router.process(head);
+    router.process(response_end{sent->send_id, send_result::complete});
+    BOOST_TEST(!router.has<reply_end>());
+    const auto refusal = router.last<reply_refused>();
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->status == 502U); // a target may have executed it
+}
+
+// Guards against a truncated response that looks complete: the target crashed between two events, and the end
+// of the connection is all that ends its response.
+BOOST_AUTO_TEST_CASE(end_of_connection_alone_completes_no_response) {
+    for (const char* route : {"review", "chat", "order"}) {
+        test_router router;
+        router.submit_request(route);
+        const auto sent = router.last<send_request>();
+        BOOST_REQUIRE(sent.has_value());
+        response_head head = router.head(sent->send_id);
+        head.close_delimited = true;
+        router.process(head);
+        router.process(response_data{sent->send_id, "id: 1\ndata: x\n\n"});
+        router.process(response_end{sent->send_id, send_result::complete});
+        BOOST_TEST(!router.has<reply_end>());
+        BOOST_TEST(!router.has<reply_full>());
+    }
+}
+
 // Guards against forwarding a successful response that does not come from a target.
 BOOST_AUTO_TEST_CASE(response_without_seal_is_rejected) {
     test_router router;
