Reject streams that end before their first event

Callers saw an empty stream with status 200 that was framed as complete. A target that crashes as it begins to write sends a head without length and chunks, and its system then closes the connection in order. No event is open at that point, so the check for an open event passed. One function, judge_response, now decides whether a response is whole from its framing, the position in the body and the way its transfer ended; a close-delimited stream without any event is truncated, and its caller gets 502 or the request is resumed elsewhere. The framing is kept for each attempt: a resumed stream was judged by the framing of its first attempt.

Ruled out on the way: the HTTP client takes neither a reset nor an end inside a chunk or short of a length for an end (tests in test_edge.cpp).

--- /dev/null
+++ b/core/damaskhill_answer_end.cpp
@@ -0,0 +1,22 @@
+// Index of this file:
+// [SECTION] Verdict
+
+#include "damaskhill_answer_end.hpp"
+
+namespace damaskhill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Verdict
+//-----------------------------------------------------------------------------
+
+response_verdict judge_response(const received_response& response) {
+    if (!response.transfer_complete || response.position == body_position::inside_event)
+        return response_verdict::truncated;
+    if (!response.close_delimited || !response.successful) return response_verdict::whole;
+    // A stream has at least one event; what is left of a resumed one may have none.
+    if (response.position == body_position::before_first_event && !response.resumed)
+        return response_verdict::truncated;
+    return response_verdict::whole;
+}
+
+} // namespace damaskhill
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -325,7 +325,8 @@
     bool head_received{};
     bool first_byte_received{};
     response_head head;
-    std::uint64_t body_bytes{};  // received of the current attempt's body
+    bool close_delimited{};      // see response_head; `head` is that of the first attempt
+    std::uint64_t body_bytes{};  // of the response body so far
     std::string body;            // buffered response, or the incomplete last event of a stream
     std::string passed_tail;     // last bytes of a stream that is passed on as it comes
     std::size_t counted_bytes{}; // of `body`, in router_state::buffered_bytes
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -9,6 +9,7 @@
 // [SECTION] Waiting requests
 // [SECTION] Deadlines
 
+#include "damaskhill_answer_end.hpp"
 #include "damaskhill_direct_internal.hpp"
 
 #include <algorithm>
@@ -117,6 +118,7 @@
     item.charged_kv_tokens = 0;
     item.body_bytes = 0;
     item.head_received = false;
+    item.close_delimited = false;
     item.first_byte_received = false;
 }
 
@@ -654,12 +656,12 @@
     return item.route.retry == retry_policy::streaming && item.head.status < 300;
 }
 
-/// Whether the data of a stream so far ends within an event. A stream that ends there was truncated, whatever
-/// its framing says.
-bool is_inside_event(const request& item) {
-    if (!is_stream(item)) return false;
-    return item.route.resumable ? !item.body.empty()
-                                : !item.passed_tail.empty() && item.passed_tail != event_end;
+/// Position in the event stream after the data received so far.
+body_position position_of(const request& item) {
+    if (!is_stream(item)) return body_position::not_a_stream;
+    if (item.body_bytes == 0) return body_position::before_first_event;
+    const bool inside_event = item.route.resumable ? !item.body.empty() : item.passed_tail != event_end;
+    return inside_event ? body_position::inside_event : body_position::between_events;
 }
 
 } // namespace
@@ -673,6 +675,7 @@
     }
     item->may_have_run = true;
     item->head_received = true;
+    item->close_delimited = event.close_delimited;
     const bool failed = event.status >= first_failure_status;
     if (target_state* target = find_target(state, item->target)) {
         note_sign_of_life(state, *target);
@@ -819,18 +822,27 @@
     return names.at(static_cast<std::size_t>(result));
 }
 
+response_verdict judge_end(const request& item, send_result result) {
+    received_response response;
+    response.transfer_complete = item.head_received && result == send_result::complete;
+    response.close_delimited = item.close_delimited;
+    response.successful = item.head.status < 300;
+    response.resumed = !item.last_event_id.empty();
+    response.position = position_of(item);
+    return judge_response(response);
+}
+
 /// Logs how an answer ended whose end is in doubt: it broke, or only the end of the connection marks it.
 void log_doubtful_end(const request& item, send_result result, effects& out) {
-    if (!item.head_received || (result == send_result::complete && !item.head.close_delimited)) return;
-    out.emplace_back(log_event{"answer_end",
-                               "\"id\":" + quoted(item.input.attempt) + ",\"target\":" + quoted(item.target) +
-                                   ",\"route\":" + quoted(item.route.name) +
-                                   ",\"close_delimited\":" + (item.head.close_delimited ? "true" : "false") +
-                                   ",\"end\":" + quoted(name_of(result)) +
-                                   ",\"body_bytes\":" + std::to_string(item.body_bytes) +
-                                   ",\"inside_event\":" + (is_inside_event(item) ? "true" : "false") +
-                                   ",\"reply_started\":" + (item.reply_started ? "true" : "false"),
-                               false});
+    if (!item.head_received || (result == send_result::complete && !item.close_delimited)) return;
+    out.emplace_back(log_event{
+        "answer_end",
+        "\"id\":" + quoted(item.input.attempt) + ",\"target\":" + quoted(item.target) + ",\"route\":" +
+            quoted(item.route.name) + ",\"close_delimited\":" + (item.close_delimited ? "true" : "false") +
+            ",\"end\":" + quoted(name_of(result)) + ",\"body_bytes\":" + std::to_string(item.body_bytes) +
+            ",\"inside_event\":" + (position_of(item) == body_position::inside_event ? "true" : "false") +
+            ",\"reply_started\":" + (item.reply_started ? "true" : "false"),
+        false});
 }
 
 } // namespace
@@ -839,13 +851,13 @@
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item) return;
     log_doubtful_end(*item, event.result, out);
-    const bool truncated = event.result == send_result::complete && is_inside_event(*item);
-    if (event.result == send_result::complete && item->head_received && !truncated) {
-        on_response_complete(state, item, out);
-    } else if (event.result == send_result::not_sent) {
+    if (event.result == send_result::not_sent) {
         on_not_sent(state, item, out);
+    } else if (judge_end(*item, event.result) == response_verdict::whole) {
+        on_response_complete(state, item, out);
     } else {
-        on_connection_broken(state, item, truncated ? send_result::broken : event.result, out);
+        const bool garbled = event.result == send_result::garbled;
+        on_connection_broken(state, item, garbled ? send_result::garbled : send_result::broken, out);
     }
 }
 
--- /dev/null
+++ b/tests/test_answer_end.cpp
@@ -0,0 +1,50 @@
+// Index of this file:
+// [SECTION] Verdict
+
+#include "damaskhill_answer_end.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+using namespace damaskhill;
+
+BOOST_AUTO_TEST_SUITE(answer_end)
+
+//-----------------------------------------------------------------------------
+// [SECTION] Verdict
+//-----------------------------------------------------------------------------
+
+// Guards against a truncated response that counts as whole, in each combination of framing, kind of response,
+// position in the body and way in which the transfer ended.
+BOOST_AUTO_TEST_CASE(truncated_responses_are_never_whole) {
+    using enum body_position;
+    for (const body_position position : {before_first_event, inside_event, between_events, not_a_stream}) {
+        for (const bool close_delimited : {false, true}) {
+            for (const bool successful : {false, true}) {
+                for (const bool resumed : {false, true}) {
+                    // Reset, silence, and an end short of the length or inside a chunk.
+                    BOOST_TEST((judge_response({false, close_delimited, successful, resumed, position}) ==
+                                response_verdict::truncated));
+                    // The pages name no end marker, so an open event is the only sign in the body.
+                    const auto ended = judge_response({true, close_delimited, successful, resumed, position});
+                    if (position == inside_event) BOOST_TEST((ended == response_verdict::truncated));
+                    if (close_delimited && successful && !resumed && position == before_first_event)
+                        BOOST_TEST((ended == response_verdict::truncated));
+                }
+            }
+        }
+    }
+}
+
+// Guards against sound responses that are broken off: framed ones, empty ones included, and failures.
+BOOST_AUTO_TEST_CASE(stated_ends_are_whole) {
+    using enum body_position;
+    for (const body_position position : {before_first_event, between_events, not_a_stream}) {
+        for (const bool resumed : {false, true})
+            BOOST_TEST((judge_response({true, false, true, resumed, position}) == response_verdict::whole));
+    }
+    BOOST_TEST((judge_response({true, true, false, false, not_a_stream}) == response_verdict::whole));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
