Do not take the end of a connection alone for the end of an answer

Callers saw a truncated answer as complete. An answer with neither a length nor chunks ends with its connection, and the system of a crashed process closes its connections in order, also between two events, where the bytes show nothing. Such an answer is in doubt now: its events are passed on as they come, but before its end is, the router connects to the target once. One that accepts is up and its answer whole; one that refuses is gone, its answer is truncated, and the refusal counts as a crash. Without an outcome another byte of the same target decides.

Weighed against a wait for other broken connections of the same target: it delays each answer and proves nothing on an idle one.

--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -45,6 +45,7 @@
     bool skipping{};             // the response is an interim one (1xx), or on_head returned skip
     bool response_complete{};
     bool reusable{true};
+    bool connecting{};
     bool connected{};
     bool sent_bytes{};
     bool writing{};
@@ -148,7 +149,9 @@
     connection_ptr take_idle_connection(const edge_call& call);
     void begin_call(const connection_ptr& connection, std::uint64_t call_id, edge_call&& call,
                     edge_handlers&& handlers);
-    void connect(const connection_ptr& connection);
+    /// Calls `done` once with the outcome, unless the connection is closed before.
+    void connect(const connection_ptr& connection, std::function<void(edge_connect_result)> done);
+    void on_connected(const connection_ptr& connection, edge_connect_result result);
     void set_socket_options(client_connection& connection) const;
     void read(const connection_ptr& connection);
     void on_bytes(const connection_ptr& connection, std::string_view bytes);
@@ -197,7 +200,9 @@
     if (connection->connected) {
         write(connection);
     } else {
-        connect(connection);
+        connect(connection, [self = shared_from_this(), connection](edge_connect_result result) {
+            self->on_connected(connection, result);
+        });
     }
 }
 
@@ -216,13 +221,19 @@
     connection.socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{2}, ignored);
 }
 
-void edge_client::implementation::connect(const connection_ptr& connection) {
+void edge_client::implementation::connect(const connection_ptr& connection,
+                                          std::function<void(edge_connect_result)> done) {
+    connection->connecting = true;
+    const auto finish = [connection, done = std::move(done)](edge_connect_result result) {
+        if (connection->closed || !connection->connecting) return;
+        connection->connecting = false;
+        connection->connect_timer.cancel();
+        done(result);
+    };
     failure error;
     const auto parts = split_address(connection->address, error);
     if (!parts) {
-        asio::post(context, [self = shared_from_this(), connection] {
-            self->finish_call(connection, edge_result::not_sent);
-        });
+        asio::post(context, [finish] { finish(edge_connect_result::no_answer); });
         return;
     }
     ++connections_opened;
@@ -230,23 +241,25 @@
     connection->socket.open(asio::ip::tcp::v4(), ignored);
     set_socket_options(*connection);
     connection->connect_timer.expires_after(settings.connect_timeout);
-    connection->connect_timer.async_wait([self = shared_from_this(), connection](const asio::error_code& ec) {
-        if (!ec && !connection->connected && !connection->closed)
-            self->finish_call(connection, edge_result::not_sent);
+    connection->connect_timer.async_wait([finish](const asio::error_code& ec) {
+        if (!ec) finish(edge_connect_result::no_answer);
     });
     const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(parts->first), parts->second};
-    connection->socket.async_connect(endpoint,
-                                     [self = shared_from_this(), connection](const asio::error_code& ec) {
-                                         if (connection->closed) return;
-                                         connection->connect_timer.cancel();
-                                         if (ec) {
-                                             self->finish_call(connection, edge_result::not_sent);
-                                             return;
-                                         }
-                                         connection->connected = true;
-                                         self->read(connection);
-                                         self->write(connection);
-                                     });
+    connection->socket.async_connect(endpoint, [finish](const asio::error_code& ec) {
+        const bool refused = ec == asio::error::connection_refused;
+        finish(!ec ? edge_connect_result::accepted
+                   : (refused ? edge_connect_result::refused : edge_connect_result::no_answer));
+    });
+}
+
+void edge_client::implementation::on_connected(const connection_ptr& connection, edge_connect_result result) {
+    if (result != edge_connect_result::accepted) {
+        finish_call(connection, edge_result::not_sent);
+        return;
+    }
+    connection->connected = true;
+    read(connection);
+    write(connection);
 }
 
 void edge_client::implementation::finish_call(const connection_ptr& connection, edge_result result) {
@@ -403,6 +416,16 @@
     impl_->close(connection);
 }
 
+void edge_client::probe(const std::string& address, std::function<void(edge_connect_result)> done) {
+    const connection_ptr connection{new client_connection{impl_->context}};
+    connection->address = address;
+    impl_->connect(connection,
+                   [self = impl_, connection, done = std::move(done)](edge_connect_result result) {
+                       self->close(connection);
+                       done(result);
+                   });
+}
+
 std::uint64_t edge_client::connections_opened() const { return impl_->connections_opened; }
 
 } // namespace damaskhill
--- a/backends/damaskhill_impl_edge_client.hpp
+++ b/backends/damaskhill_impl_edge_client.hpp
@@ -59,6 +59,13 @@
     malformed    // the received bytes are not a valid HTTP response
 };
 
+/// Outcome of connecting. The values equal those of direct::probe_outcome.
+enum class edge_connect_result : std::uint8_t {
+    accepted,
+    refused,  // nobody listens at the address
+    no_answer // timeout or another failure
+};
+
 struct edge_handlers {
     std::function<edge_response_action(edge_response_head&&)> on_head;
     std::function<void(std::string_view)> on_data;
@@ -82,6 +89,9 @@
     std::uint64_t start(edge_call call, edge_handlers handlers);
     /// Aborts a call and closes its connection. None of its handlers run afterwards.
     void cancel(std::uint64_t call_id);
+    /// Finds out whether anybody accepts connections at this address ("IP:port"); sends nothing. `done` runs
+    /// on the event loop, at the latest after the connect timeout.
+    void probe(const std::string& address, std::function<void(edge_connect_result)> done);
     [[nodiscard]] std::uint64_t connections_opened() const;
 
 private:
--- a/core/damaskhill_answer_end.cpp
+++ b/core/damaskhill_answer_end.cpp
@@ -16,7 +16,7 @@
     // A stream has at least one event; what is left of a resumed one may have none.
     if (response.position == body_position::before_first_event && !response.resumed)
         return response_verdict::truncated;
-    return response_verdict::whole;
+    return response_verdict::in_doubt;
 }
 
 } // namespace damaskhill
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -365,6 +365,7 @@
     void operator()(const response_head& event) const { on_response_head(state, event, out); }
     void operator()(const response_data& event) const { on_response_data(state, event, out); }
     void operator()(const response_end& event) const { on_response_end(state, event, out); }
+    void operator()(const target_probed& event) const { on_target_probed(state, event, out); }
     void operator()(const catalog_updated& event) const { apply_catalog(state, event, out); }
     void operator()(const catalog_confirmed& event) const {
         confirm_declarations(state, event.as_of);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -169,6 +169,18 @@
     send_result result{send_result::complete};
 };
 
+enum class probe_outcome : std::uint8_t {
+    accepted,
+    refused,  // nobody listens at the target's address
+    no_answer // timeout or another failure
+};
+
+/// Result of probe_target.
+struct target_probed {
+    std::uint64_t send_id{};
+    probe_outcome outcome{probe_outcome::no_answer};
+};
+
 /// New catalog, read from the store or from a peer's snapshot.
 struct catalog_updated {
     std::shared_ptr<const catalog> contents;
@@ -207,7 +219,7 @@
 };
 
 using input = std::variant<timer_fired, request_arrived, caller_closed, response_head, response_data,
-                           response_end, catalog_updated, catalog_confirmed, targets_confirmed,
+                           response_end, target_probed, catalog_updated, catalog_confirmed, targets_confirmed,
                            store_reachable, report_received, stop_requested, settings_changed>;
 
 //-----------------------------------------------------------------------------
@@ -231,6 +243,12 @@
     std::uint64_t send_id{};
 };
 
+/// Finds out whether the target of an attempt still accepts connections.
+struct probe_target {
+    std::uint64_t send_id{};
+    std::string address;
+};
+
 struct reply_begin {
     caller_id caller{};
     std::uint32_t status{};
@@ -295,9 +313,9 @@
     time_point at{};
 };
 
-using effect = std::variant<send_request, cancel_send, reply_begin, reply_data, reply_end, reply_abort,
-                            reply_full, reply_refused, send_report, fetch_snapshot, write_rollout_status,
-                            log_event, count, observe, wake_at, exit_process>;
+using effect = std::variant<send_request, cancel_send, probe_target, reply_begin, reply_data, reply_end,
+                            reply_abort, reply_full, reply_refused, send_report, fetch_snapshot,
+                            write_rollout_status, log_event, count, observe, wake_at, exit_process>;
 using effects = std::vector<effect>;
 
 //-----------------------------------------------------------------------------
@@ -325,6 +343,8 @@
     bool head_received{};
     bool first_byte_received{};
     response_head head;
+    time_point last_data{};      // latest bytes of the response body
+    time_point in_doubt_since{}; // end of a response that awaits the result of a probe; zero otherwise
     bool close_delimited{};      // see response_head; `head` is that of the first attempt
     std::uint64_t body_bytes{};  // of the response body so far
     std::string body;            // buffered response, or the incomplete last event of a stream
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -23,6 +23,8 @@
 void on_response_head(router_state& state, const response_head& event, effects& out);
 void on_response_data(router_state& state, const response_data& event, effects& out);
 void on_response_end(router_state& state, const response_end& event, effects& out);
+/// Ends the response of an attempt whose end was in doubt.
+void on_target_probed(router_state& state, const target_probed& event, effects& out);
 /// Places waiting requests in priority order and refuses those whose waiting time is over.
 void dispatch_waiting(router_state& state, effects& out);
 /// Ends requests that have reached their deadline.
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -119,6 +119,8 @@
     item.body_bytes = 0;
     item.head_received = false;
     item.close_delimited = false;
+    item.last_data = {};
+    item.in_doubt_since = {};
     item.first_byte_received = false;
 }
 
@@ -735,6 +737,7 @@
     if (!item || !item->head_received || event.data.empty()) return;
     if (!item->first_byte_received) record_first_byte(state, *item, out);
     item->body_bytes += event.data.size();
+    item->last_data = state.now;
     if (!is_stream(*item)) {
         item->body.append(event.data);
         limit_buffered_bytes(state, item, state.settings.max_response_bytes, out);
@@ -847,17 +850,73 @@
 
 } // namespace
 
+namespace {
+
+/// The end of a connection alone does not tell a whole response from a target that crashed: the target's
+/// system closes the connections of a dead process in order. A target that is gone refuses new ones.
+void resolve_doubt(router_state& state, const request_ptr& item, effects& out) {
+    const target_state* target = find_target(state, item->target);
+    if (target == nullptr) {
+        on_connection_broken(state, item, send_result::broken, out);
+        return;
+    }
+    item->in_doubt_since = state.now;
+    out.emplace_back(count{"answers_in_doubt_total", item->service, 1});
+    out.emplace_back(probe_target{item->send_id, target->entry.address});
+}
+
+/// Whether any response of this target has had bytes after the given time.
+bool has_sent_since(const router_state& state, std::string_view target, time_point at) {
+    return std::ranges::any_of(state.requests, [&](const auto& entry) {
+        return entry.second->target == target && entry.second->last_data > at;
+    });
+}
+
+} // namespace
+
+void on_target_probed(router_state& state, const target_probed& event, effects& out) {
+    const request_ptr item = find_by_send(state, event.send_id);
+    if (!item || item->in_doubt_since == time_point{}) return;
+    const bool refused = event.outcome == probe_outcome::refused;
+    const bool lives = event.outcome == probe_outcome::accepted ||
+                       (!refused && has_sent_since(state, item->target, item->in_doubt_since));
+    out.emplace_back(log_event{
+        "answer_probed",
+        "\"id\":" + quoted(item->input.attempt) + ",\"target\":" + quoted(item->target) +
+            ",\"refused\":" + (refused ? "true" : "false") + ",\"whole\":" + (lives ? "true" : "false") +
+            ",\"ms\":" + format_ms(state.now - item->in_doubt_since),
+        false});
+    if (lives) {
+        on_response_complete(state, item, out);
+        return;
+    }
+    const std::string name = item->target;
+    on_connection_broken(state, item, send_result::broken, out);
+    if (target_state* target = find_target(state, name); target != nullptr && refused) {
+        confirm_crash(state, *target, out);
+        eject_target(state, *target, out);
+    }
+}
+
 void on_response_end(router_state& state, const response_end& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item) return;
     log_doubtful_end(*item, event.result, out);
     if (event.result == send_result::not_sent) {
         on_not_sent(state, item, out);
-    } else if (judge_end(*item, event.result) == response_verdict::whole) {
+        return;
+    }
+    switch (judge_end(*item, event.result)) {
+    case response_verdict::whole:
         on_response_complete(state, item, out);
-    } else {
+        break;
+    case response_verdict::in_doubt:
+        resolve_doubt(state, item, out);
+        break;
+    case response_verdict::truncated:
         const bool garbled = event.result == send_result::garbled;
         on_connection_broken(state, item, garbled ? send_result::garbled : send_result::broken, out);
+        break;
     }
 }
 
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -250,6 +250,10 @@
         if (open_call == calls_.end()) return;
         client_.cancel(open_call->second);
         calls_.erase(open_call);
+    } else if (auto* probe = std::get_if<direct::probe_target>(&item)) {
+        client_.probe(probe->address, [this, send = probe->send_id](edge_connect_result result) {
+            submit(direct::target_probed{send, static_cast<direct::probe_outcome>(result)});
+        });
     } else if (auto* head_reply = std::get_if<direct::reply_begin>(&item)) {
         caller_server_.begin_response(head_reply->caller, head_reply->status, head_reply->headers);
     } else if (auto* body_reply = std::get_if<direct::reply_data>(&item)) {
--- a/tests/test_answer_end.cpp
+++ b/tests/test_answer_end.cpp
@@ -29,6 +29,8 @@
                     // The pages name no end marker, so an open event is the only sign in the body.
                     const auto ended = judge_response({true, close_delimited, successful, resumed, position});
                     if (position == inside_event) BOOST_TEST((ended == response_verdict::truncated));
+                    // The end of a connection alone proves nothing.
+                    if (close_delimited && successful) BOOST_TEST((ended != response_verdict::whole));
                     if (close_delimited && successful && !resumed && position == before_first_event)
                         BOOST_TEST((ended == response_verdict::truncated));
                 }
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -312,6 +312,88 @@
     }
 }
 
+namespace {
+
+/// Sends a request and ends its response by the end of the connection alone. Returns the probe's attempt.
+std::uint64_t end_response_by_connection(test_router& router, const char* route) {
+    router.submit_request(route);
+    const auto sent = router.last<send_request>();
+    BOOST_REQUIRE(sent.has_value());
+    response_head head = router.head(sent->send_id);
+    head.close_delimited = true;
+    router.process(head);
+    router.process(response_data{sent->send_id, "id: 1\ndata: x\n\n"});
+    router.process(response_end{sent->send_id, send_result::complete});
+    const auto probe = router.last<probe_target>();
+    BOOST_REQUIRE(probe.has_value());
+    BOOST_TEST(probe->send_id == sent->send_id);
+    return probe->send_id;
+}
+
+} // namespace
+
+// Guards against sound responses that are broken off because they have neither a length nor chunks.
+BOOST_AUTO_TEST_CASE(response_of_a_live_target_is_whole) {
+    for (const char* route : {"review", "chat", "order", "stock"}) {
+        test_router router;
+        const std::uint64_t send = end_response_by_connection(router, route);
+        router.process(target_probed{send, probe_outcome::accepted});
+        BOOST_TEST((router.has<reply_end>() || router.has<reply_full>()));
+        BOOST_TEST(router.state.requests.empty());
+    }
+}
+
+// Guards against the response of a crashed target that is passed on as whole, and against a resumable stream
+// that is lost with its target.
+BOOST_AUTO_TEST_CASE(response_of_a_target_that_is_gone_is_truncated) {
+    test_router review;
+    review.process(target_probed{end_response_by_connection(review, "review"), probe_outcome::refused});
+    BOOST_TEST(review.has<reply_abort>());
+    test_router order;
+    order.process(target_probed{end_response_by_connection(order, "order"), probe_outcome::refused});
+    const auto refusal = order.last<reply_refused>();
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->status == 502U);
+    test_router chat;
+    chat.process(target_probed{end_response_by_connection(chat, "chat"), probe_outcome::refused});
+    const auto resumed = chat.last<send_request>();
+    BOOST_REQUIRE(resumed.has_value());
+    BOOST_TEST(resumed->resume_after == "1");
+}
+
+// Guards against a lost probe packet that breaks off a sound response, and against a silent target whose
+// response counts as whole.
+BOOST_AUTO_TEST_CASE(unanswered_probe_needs_another_sign_of_life) {
+    for (const bool sends_more : {false, true}) {
+        test_router router;
+        router.submit_request("review");
+        const auto other = router.last<send_request>();
+        BOOST_REQUIRE(other.has_value());
+        router.process(router.head(other->send_id));
+        std::uint64_t send = 0;
+        do {
+            send = end_response_by_connection(router, "review");
+        } while (router.state.requests.at(router.state.caller_by_send.at(send))->target != other->target);
+        router.now += 200ms;
+        if (sends_more) router.process(response_data{other->send_id, "id: 1\ndata: x\n\n"});
+        router.out.clear();
+        router.process(target_probed{send, probe_outcome::no_answer});
+        BOOST_TEST(router.has<reply_end>() == sends_more);
+        BOOST_TEST(router.has<reply_abort>() != sends_more);
+    }
+}
+
+// Guards against a probe that answers for a request that has ended meanwhile.
+BOOST_AUTO_TEST_CASE(result_of_a_late_probe_is_ignored) {
+    test_router router;
+    const std::uint64_t send = end_response_by_connection(router, "review");
+    router.advance_time(10s); // the caller's deadline passes
+    router.out.clear();
+    router.process(target_probed{send, probe_outcome::accepted});
+    BOOST_TEST(!router.has<reply_end>());
+    BOOST_TEST(router.state.requests.empty());
+}
+
 // Guards against forwarding a successful response that does not come from a target.
 BOOST_AUTO_TEST_CASE(response_without_seal_is_rejected) {
     test_router router;
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -9,6 +9,8 @@
 #include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace damaskhill;
 
 namespace {
@@ -175,6 +177,26 @@
     BOOST_TEST((*outcome.result == edge_result::malformed));
 }
 
+// Guards against a target that is gone and counts as live, or the reverse.
+BOOST_AUTO_TEST_CASE(probe_tells_a_listening_target_from_one_that_is_gone) {
+    event_loop loop;
+    edge_client client{loop, {}};
+    std::map<std::string, edge_connect_result> outcomes;
+    std::string gone;
+    {
+        scripted_target target{loop, ""};
+        gone = target.address();
+    }
+    scripted_target target{loop, ""};
+    for (const std::string& address : {gone, target.address()})
+        client.probe(address, [&, address](edge_connect_result result) { outcomes[address] = result; });
+    loop.after(300ms, [&] { loop.stop(); });
+    loop.run();
+    BOOST_REQUIRE(outcomes.size() == 2U);
+    BOOST_TEST((outcomes[gone] == edge_connect_result::refused));
+    BOOST_TEST((outcomes[target.address()] == edge_connect_result::accepted));
+}
+
 // Guards against parsing excess data after a complete response as the start of the next one.
 BOOST_AUTO_TEST_CASE(connection_with_excess_data_is_not_reused) {
     event_loop loop;
