--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -22,6 +22,7 @@
 #include "damaskhill_events.hpp"
 #include "damaskhill_prompt_suspects.hpp"
 #include "damaskhill_rate_gate.hpp"
+#include "damaskhill_store_history.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -45,7 +45,19 @@
                       log_.write("unreadable_item", "\"reason\":" + direct::quoted(describe(error)), true,
                                  boot_clock());
                   },
-                  [this] { return direct::plan_store_read(state_, boot_clock()); }}),
+                  [this] { return direct::plan_store_read(state_, boot_clock()); },
+                  [this](const store_position& before, const store_position& now) {
+                      log_.write("store_history",
+                                 "\"before\":" + direct::quoted(format_position(before)) +
+                                     ",\"now\":" + direct::quoted(format_position(now)),
+                                 true, boot_clock());
+                  },
+                  [this](std::string_view key, std::uint64_t held, std::uint64_t offered) {
+                      log_.write("item_ignored",
+                                 "\"key\":" + direct::quoted(key) + ",\"held\":" + std::to_string(held) +
+                                     ",\"offered\":" + std::to_string(offered),
+                                 true, boot_clock());
+                  }}),
           wake_timer_(*static_cast<asio::io_context*>(loop.native())) {}
 
     [[nodiscard]] std::optional<bool> start(const direct_daemon_settings& settings, failure& error);
--- a/soak/damaskhill_soak_platform.cpp
+++ b/soak/damaskhill_soak_platform.cpp
@@ -120,8 +120,11 @@
 
 void platform_store::reply(std::uint64_t exchange, std::uint32_t status, const json& body, bool is_write) {
     if (faults.down || (is_write && faults.drop_write_replies)) return;
-    const auto send = [this, exchange, status, text = dump_json(body)] {
-        server_.send_response(exchange, status, {{"Content-Type", "application/json"}}, text);
+    http_headers headers{{"Content-Type", "application/json"}};
+    const std::uint64_t era = faults.stated_era.value_or(era_);
+    if (era != 0) headers.emplace_back("Store-Era", std::to_string(era));
+    const auto send = [this, exchange, status, headers, text = dump_json(body)] {
+        server_.send_response(exchange, status, headers, text);
     };
     if (faults.reply_delay > 0s) {
         loop_.after(faults.reply_delay, send);
@@ -185,7 +188,7 @@
 
 void platform_store::on_watch(std::uint64_t exchange, const std::map<std::string, std::string>& query) {
     const watcher waiting{exchange, query_text(query, "pathPrefix"), query_number(query, "after")};
-    if (waiting.after_revision < compacted_revision_) {
+    if (waiting.after_revision < compacted_revision_ || waiting.after_revision > revision_) {
         reply(exchange, 410, json::object());
         return;
     }
@@ -251,6 +254,26 @@
     compacted_revision_ = revision_;
 }
 
+void platform_store::save_copy() {
+    copied_items_ = items_;
+    copied_revision_ = revision_;
+}
+
+void platform_store::restore() {
+    items_ = copied_items_;
+    revision_ = copied_revision_;
+    ++era_;
+    std::erase_if(history_, [&](const change& recorded) { return recorded.revision > revision_; });
+    const std::vector<watcher> waiting = std::exchange(watchers_, {});
+    for (const watcher& waiter : waiting) {
+        if (waiter.after_revision > revision_) {
+            reply(waiter.exchange, 410, json::object());
+        } else {
+            watchers_.push_back(waiter);
+        }
+    }
+}
+
 std::optional<std::string> platform_store::value_of(const std::string& key) const {
     const auto found = items_.find(key);
     return found == items_.end() ? std::nullopt : std::optional{found->second.value};
--- a/soak/damaskhill_soak_platform.hpp
+++ b/soak/damaskhill_soak_platform.hpp
@@ -62,10 +62,11 @@
 //-----------------------------------------------------------------------------
 
 struct store_faults {
-    bool down{};               // requests get no response
-    bool returns_503{};        // requests get 503
-    duration reply_delay{};    // before each response
-    bool drop_write_replies{}; // writes take effect, but their responses are dropped
+    bool down{};                             // requests get no response
+    bool returns_503{};                      // requests get 503
+    duration reply_delay{};                  // before each response
+    bool drop_write_replies{};               // writes take effect, but their responses are dropped
+    std::optional<std::uint64_t> stated_era; // in responses, instead of the true one; 0: none
 };
 
 class platform_store {
@@ -77,6 +78,8 @@
     void put(const std::string& key, const json& value);
     void remove(const std::string& key);
     void compact_history(); // watches that start at an older revision get 410
+    void save_copy();       // for restore()
+    void restore();         // returns to the copy and begins a new era
     [[nodiscard]] std::optional<std::string> value_of(const std::string& key) const;
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
@@ -110,6 +113,9 @@
     std::vector<watcher> watchers_;
     std::uint64_t revision_{1};
     std::uint64_t compacted_revision_{}; // the history holds only later changes
+    std::uint64_t era_{1};
+    std::map<std::string, item> copied_items_;
+    std::uint64_t copied_revision_{};
     std::uint64_t calls_{};
 };
 
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -1,6 +1,8 @@
 // Index of this file:
 // [SECTION] Helpers
 // [SECTION] Store mirror
+// [SECTION] Restored store
+// [SECTION] Reading for others
 
 #include "damaskhill_platform_store.hpp"
 #include "damaskhill_soak_platform.hpp"
@@ -27,6 +29,7 @@
     std::optional<time_point> targets_confirmed_at;
     bool reachable{};
     std::size_t decode_errors{};
+    std::size_t versions_gone_back{}; // catalogs with older declarations than the one before
     direct::store_read_plan plan;
     bool read_until_confirmed{}; // the next confirmation of the declarations ends the reading
     platform::store_mirror mirror;
@@ -34,7 +37,9 @@
     explicit mirror_fixture(const char* address = store_address, duration watch_timeout = 100ms)
         : mirror(loop, http, settings(address, watch_timeout),
                  {[this](direct::input&& event) { on_input(event); }, wall_clock,
-                  [this](const failure&) { ++decode_errors; }, [this] { return plan; }}) {
+                  [this](const failure&) { ++decode_errors; }, [this] { return plan; },
+                  [](const store_position&, const store_position&) {},
+                  [](std::string_view, std::uint64_t, std::uint64_t) {}}) {
         failure error;
         BOOST_REQUIRE(store.listen(address, error).has_value());
     }
@@ -50,7 +55,10 @@
         return settings;
     }
     void on_input(const direct::input& event) {
-        if (const auto* read = std::get_if<direct::catalog_updated>(&event)) catalog_seen = read->contents;
+        if (const auto* read = std::get_if<direct::catalog_updated>(&event)) {
+            if (catalog_seen && read->contents->version < catalog_seen->version) ++versions_gone_back;
+            catalog_seen = read->contents;
+        }
         if (const auto* confirmed = std::get_if<direct::catalog_confirmed>(&event))
             confirmed_at = confirmed->as_of;
         if (const auto* confirmed = std::get_if<direct::targets_confirmed>(&event))
@@ -62,6 +70,23 @@
         loop.after(time, [this] { loop.stop(); });
         loop.run();
     }
+    void put_declarations(int version) {
+        store.put("op/config",
+                  {{"version", version}, {"routes", json::array()}, {"services", json::array()}});
+    }
+    /// Lets the mirror fetch this snapshot from a peer.
+    void fetch_snapshot(const std::string& text) {
+        edge_server peer{loop, edge_server_settings{},
+                         edge_server::handlers{[&](std::uint64_t exchange, http_request&&) {
+                                                   peer.send_response(exchange, 200, {}, text);
+                                               },
+                                               [](std::uint64_t) {}}};
+        constexpr const char* peer_address = "127.0.0.1:18473";
+        failure error;
+        BOOST_REQUIRE(peer.listen(peer_address, error));
+        mirror.fetch_snapshot(peer_address);
+        run_for(200ms);
+    }
     void put_targets(int first, int last) {
         for (int i = first; i < last; ++i)
             store.put("servers/i-" + std::to_string(i), {{"service", "s"},
@@ -148,6 +173,179 @@
     BOOST_TEST((test.catalog_seen->rollout_states.at("s").phase == rollout_phase::completed));
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Restored store
+//-----------------------------------------------------------------------------
+
+// Guards against changes that are ignored after the store came back from a copy: it gives out revisions again
+// that are lower than those the mirror holds.
+BOOST_AUTO_TEST_CASE(changes_after_a_restore_are_applied) {
+    mirror_fixture test;
+    test.put_declarations(1);
+    test.put_targets(0, 2);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.store.save_copy();
+    test.put_targets(2, 8); // lost
+    test.put_declarations(2);
+    test.run_for(200ms);
+    test.store.restore();
+    test.put_declarations(2); // the operator writes again
+    test.run_for(200ms);
+    test.put_declarations(3);
+    test.put_targets(8, 9);
+    test.store.remove("servers/i-0");
+    test.run_for(200ms);
+    BOOST_TEST(test.catalog_seen->version == 3U);
+    BOOST_TEST(test.catalog_seen->targets.contains("i-8"));
+    BOOST_TEST(!test.catalog_seen->targets.contains("i-0"));
+}
+
+// Guards against declarations that go back: the copy holds older ones, until the operator writes again.
+BOOST_AUTO_TEST_CASE(restore_brings_no_older_declarations_back) {
+    mirror_fixture test;
+    test.put_declarations(1);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.store.save_copy();
+    test.put_declarations(2);
+    test.run_for(200ms);
+    test.store.restore();
+    test.put_targets(0, 5); // revisions beyond those held before
+    test.run_for(300ms);
+    BOOST_TEST(test.catalog_seen->version == 2U);
+    BOOST_TEST(test.versions_gone_back == 0U);
+}
+
+// Guards against a data centre that gets requests again although its evacuation was confirmed: the copy does
+// not have it.
+BOOST_AUTO_TEST_CASE(confirmed_evacuation_outlives_a_restore) {
+    mirror_fixture test;
+    test.put_declarations(1);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.store.save_copy();
+    test.store.put("op/evacuate/dc-a", json::object());
+    test.run_for(200ms);
+    test.store.restore();
+    test.put_declarations(2);
+    test.run_for(300ms);
+    BOOST_TEST(test.catalog_seen->evacuated.contains("dc-a"));
+    test.store.put("op/evacuate/dc-a", json::object()); // the operator writes again, and takes it back
+    test.store.remove("op/evacuate/dc-a");
+    test.run_for(300ms);
+    BOOST_TEST(!test.catalog_seen->evacuated.contains("dc-a"));
+}
+
+// Guards against a list that mixes two eras: the store is restored between two pages of a read.
+BOOST_AUTO_TEST_CASE(restore_between_two_pages_restarts_the_read) {
+    mirror_fixture test;
+    test.put_targets(0, 5);
+    test.store.save_copy();
+    test.put_targets(5, 60);
+    test.store.faults.reply_delay = 30ms;
+    test.mirror.start();
+    test.run_for(100ms); // two pages or three
+    test.store.restore();
+    test.run_for(500ms);
+    BOOST_REQUIRE(test.catalog_seen != nullptr);
+    BOOST_TEST(test.catalog_seen->targets.size() == 5U);
+}
+
+// Guards against a second restore while the mirror is still reading after the first.
+BOOST_AUTO_TEST_CASE(second_restore_is_followed) {
+    mirror_fixture test;
+    test.put_declarations(1);
+    test.put_targets(0, 3);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.store.save_copy();
+    test.put_targets(3, 9);
+    test.run_for(200ms);
+    test.store.faults.reply_delay = 30ms;
+    test.store.restore();
+    test.put_targets(9, 12);
+    test.run_for(40ms);
+    test.store.restore();
+    test.put_targets(12, 13);
+    test.run_for(500ms);
+    BOOST_TEST(test.catalog_seen->targets.size() == 4U);
+    BOOST_TEST(test.catalog_seen->targets.contains("i-12"));
+}
+
+// Guards against a late answer of the era before, and against one that states no era.
+BOOST_AUTO_TEST_CASE(answer_of_another_era_is_not_applied) {
+    for (const std::uint64_t stated : {std::uint64_t{1}, std::uint64_t{0}}) {
+        mirror_fixture test;
+        test.put_targets(0, 3);
+        test.mirror.start();
+        test.store.save_copy();
+        test.run_for(200ms);
+        test.store.restore();
+        test.run_for(200ms);
+        const time_point confirmed = *test.targets_confirmed_at;
+        test.store.faults.stated_era = stated;
+        test.put_targets(3, 4);
+        test.run_for(300ms);
+        BOOST_TEST(test.catalog_seen->targets.size() == 3U);
+        BOOST_TEST((*test.targets_confirmed_at - confirmed < 200ms));
+        test.store.faults.stated_era.reset();
+        test.run_for(700ms);
+        BOOST_TEST(test.catalog_seen->targets.size() == 4U);
+    }
+}
+
+// Guards against a peer's snapshot of the era before that brings back what has been replaced since.
+BOOST_AUTO_TEST_CASE(snapshot_of_the_era_before_does_not_win) {
+    mirror_fixture test;
+    test.put_declarations(1);
+    test.put_targets(0, 2);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.store.save_copy();
+    test.put_targets(2, 9);
+    test.run_for(200ms);
+    const std::string before = test.mirror.snapshot();
+    test.store.restore();
+    test.store.remove("servers/i-1");
+    test.put_declarations(2);
+    test.run_for(300ms);
+    test.fetch_snapshot(before);
+    BOOST_TEST(test.catalog_seen->version == 2U);
+    BOOST_TEST(test.catalog_seen->targets.size() == 1U);
+}
+
+// Guards against a router that starts after a restore and serves what the copy holds, although its peers have
+// newer declarations in force.
+BOOST_AUTO_TEST_CASE(new_router_takes_confirmed_declarations_from_a_peer) {
+    std::string peer;
+    {
+        mirror_fixture test;
+        test.put_declarations(7);
+        test.mirror.start();
+        test.run_for(200ms);
+        peer = test.mirror.snapshot(); // of era 1
+    }
+    mirror_fixture test;
+    test.put_declarations(6);
+    test.store.save_copy();
+    test.store.restore();
+    test.put_targets(0, 5);
+    test.mirror.start();
+    test.run_for(200ms);
+    BOOST_REQUIRE(test.catalog_seen->version == 6U);
+    test.fetch_snapshot(peer);
+    BOOST_TEST(test.catalog_seen->version == 7U);
+    test.put_targets(5, 6);
+    test.run_for(200ms);
+    BOOST_TEST(test.catalog_seen->version == 7U);
+    BOOST_TEST(test.catalog_seen->targets.size() == 6U);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading for others
+//-----------------------------------------------------------------------------
+
 // Guards against store calls of a router that relies on others, and against one that does not notice changes
 // when it has to read the store again.
 BOOST_AUTO_TEST_CASE(mirror_pauses_while_other_routers_read) {
@@ -229,17 +427,7 @@
     json newer_declarations = stale;
     newer_declarations["revision"] = stale["revision"].get<std::uint64_t>() + 1000;
     newer_declarations["operator_known_to"] = stale["revision"].get<std::uint64_t>() + 1000;
-    edge_server peer{test.loop, edge_server_settings{},
-                     edge_server::handlers{[&](std::uint64_t exchange, http_request&&) {
-                                               peer.send_response(exchange, 200, {},
-                                                                  newer_declarations.dump());
-                                           },
-                                           [](std::uint64_t) {}}};
-    constexpr const char* peer_address = "127.0.0.1:18473";
-    failure error;
-    BOOST_REQUIRE(peer.listen(peer_address, error));
-    test.mirror.fetch_snapshot(peer_address);
-    test.run_for(200ms);
+    test.fetch_snapshot(newer_declarations.dump());
     BOOST_TEST(!test.catalog_seen->targets.contains("i-1"));
 }
 
