Compare store positions by era, and keep what was confirmed through a restore

What was written after the return was older than what was held. Class: a counter of another party that is taken for monotonic.

A position in the store's history is now a pair of era and revision; no bare revision converts to it. An answer of an older era, or of none, is not applied; a watch of another era is read anew; pages of two eras are not joined; peers confirm only within one era. A rollout goes on when its order is written again, and its final status is written again. The decisions are pure (core/damaskhill_store_history).

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -99,6 +99,10 @@
     constexpr int intervals_until_lapse = 2;
     core.outages.min_length =
         duration{static_cast<std::int64_t>(settings.check_in_ms * 1e3)} * intervals_until_lapse;
+    constexpr int intervals_of_silence = 3; // after which a registration lapses
+    core.restores.rewrite_time =
+        duration{static_cast<std::int64_t>(settings.check_in_ms * 1e3)} * intervals_of_silence +
+        core.outages.return_time;
     core.retries.ratio = settings.repeat_ratio;
     core.retries.slack = settings.repeat_slack;
     core.retries.window = duration{static_cast<std::int64_t>(settings.repeat_window_s * 1e6)};
--- a/bench/damaskhill_bench_hot_path.cpp
+++ b/bench/damaskhill_bench_hot_path.cpp
@@ -61,7 +61,7 @@
             entry.slots = 64;
             declared->targets[entry.id] = entry;
         }
-        apply(direct::catalog_updated{declared, 1});
+        apply(direct::catalog_updated{declared, {0, 1}});
         apply(direct::catalog_confirmed{now});
     }
     static direct::router_settings make_settings(std::uint64_t seed) {
--- a/core/damaskhill_catalog.cpp
+++ b/core/damaskhill_catalog.cpp
@@ -98,6 +98,8 @@
     if (was_away && !is_store_away(outage, settings, now)) outage.ended_at = now;
 }
 
+void record_store_restored(store_outage& outage, time_point now) { outage.ended_at = now; }
+
 bool may_have_lapsed(const store_outage& outage, const store_outage_settings& settings, time_point now) {
     return is_store_away(outage, settings, now) ||
            (outage.ended_at && now - *outage.ended_at < settings.return_time);
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -10,7 +10,7 @@
 
 #pragma once
 
-#include "damaskhill_types.hpp"
+#include "damaskhill_store_history.hpp"
 
 #include <map>
 #include <set>
@@ -77,7 +77,8 @@
     std::uint32_t slots{1};
     bool draining{};
     duration cold_remaining{0s}; // rest of the cold start at registration
-    std::uint64_t revision{};    // store revision of the entry
+    std::uint64_t boot{};        // start of the process, in Unix milliseconds as it states them; 0: unknown
+    store_position position;     // of the entry in the store
     friend bool operator==(const target_entry&, const target_entry&) = default;
 };
 
@@ -86,7 +87,7 @@
     std::string service;
     std::string version;
     duration time_limit{0s};
-    std::uint64_t revision{}; // store revision; identifies the order
+    store_position position; // of the order in the store; identifies it
     friend bool operator==(const rollout_order&, const rollout_order&) = default;
 };
 
@@ -95,7 +96,7 @@
 struct rollout_status {
     std::string version;
     rollout_phase phase{rollout_phase::running};
-    std::uint64_t revision{};
+    store_position position;
     friend bool operator==(const rollout_status&, const rollout_status&) = default;
 };
 
@@ -106,7 +107,7 @@
 /// Decoded contents of the store.
 struct catalog {
     std::uint64_t version{};           // of the declarations; 0: none known
-    std::uint64_t revision{};          // store revision of the declarations
+    ranked_declarations declarations;  // rank and position of the declarations in the store
     std::uint64_t tokens_per_second{}; // total throughput of all engines; 0: not declared
     // By host, longest path prefix first.
     std::map<std::string, std::vector<route_declaration>, std::less<>> routes;
@@ -178,6 +179,8 @@
     std::optional<time_point> ended_at;     // of the latest outage
 };
 
+/// Records that the store has come back from a copy: it may lack registrations of live targets.
+void record_store_restored(store_outage& outage, time_point now);
 /// Records that a router has read the store at this time.
 void record_store_read(store_outage& outage, const store_outage_settings& settings, time_point as_of,
                        time_point now);
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -117,19 +117,40 @@
 void log_missing(const router_state& state, const target_state& target, effects& out) {
     const auto& ended_at = state.outage.ended_at;
     log_target(target.entry, target.gone ? "gone" : "missing",
-               ",\"known_to\":" + std::to_string(state.targets_known_to) +
+               ",\"known_to\":" + quoted(format_position(state.targets_known_to)) +
                    ",\"missing_ms\":" + format_ms(state.now - target.missing_since) +
                    ",\"outage_ended_ms\":" + (ended_at ? format_ms(state.now - *ended_at) : "null"),
                out);
 }
 
+/// Whether an entry is one that a restored store has from its copy: the target has left or drains since.
+bool is_outdated_entry(const router_state& state, const target_state& target, const target_entry& entry) {
+    const target_entry& held = target.entry;
+    const bool from_copy =
+        entry.position.era > held.position.era && entry.position.revision <= held.position.revision;
+    const bool same_process = entry.boot <= held.boot;
+    const bool has_left = target.gone || (held.draining && !entry.draining);
+    return state.restored_at && from_copy && same_process && has_left;
+}
+
+bool is_same_registration(const target_entry& held, target_entry offered) {
+    if (held.position == offered.position) return true;
+    if (held.position.era == offered.position.era) return false;
+    offered.position = held.position;
+    return held == offered;
+}
+
 void apply_target_entry(router_state& state, const target_entry& entry, effects& out) {
     const auto [found, inserted] = state.targets.try_emplace(entry.id);
     target_state& target = found->second;
+    if (!inserted && is_outdated_entry(state, target, entry)) return;
     if (target.missing_since != time_point{}) log_target(entry, "back", "", out);
     target.gone = false;
     target.missing_since = {};
-    if (!inserted && target.entry.revision == entry.revision) return;
+    if (!inserted && is_same_registration(target.entry, entry)) {
+        target.entry.position = entry.position;
+        return;
+    }
     const bool address_changed = !inserted && target.entry.address != entry.address;
     if (address_changed) {
         target.load.cached_segments.clear();
@@ -138,7 +159,7 @@
     if (inserted || entry.draining != target.entry.draining) {
         log_target(entry, entry.draining ? "draining" : "ready",
                    ",\"cold_ms\":" + format_ms(entry.cold_remaining) +
-                       ",\"revision\":" + std::to_string(entry.revision),
+                       ",\"position\":" + quoted(format_position(entry.position)),
                    out);
     }
     target.entry = entry;
@@ -176,11 +197,39 @@
 
 } // namespace
 
+namespace {
+
+/// Notices that the store has come back from a copy.
+void note_restored_store(router_state& state, const store_position& latest, effects& out) {
+    if (!state.active_catalog || latest.era <= state.latest.era) return;
+    state.restored_at = state.now;
+    record_store_restored(state.outage, state.now);
+    out.emplace_back(count{"store_restores_total", "", 1});
+    out.emplace_back(log_event{"store_restored",
+                               "\"before\":" + quoted(format_position(state.latest)) +
+                                   ",\"now\":" + quoted(format_position(latest)) +
+                                   ",\"declarations\":" + std::to_string(state.active_catalog->version),
+                               true});
+}
+
+} // namespace
+
+void end_restore(router_state& state, effects& out) {
+    if (!state.restored_at || state.now - *state.restored_at < state.settings.restores.rewrite_time) return;
+    state.restored_at.reset();
+    if (!state.active_catalog) return;
+    // What is registered now is no remainder of the copy.
+    for (const auto& [id, entry] : state.active_catalog->targets)
+        apply_target_entry(state, entry, out);
+    index_targets(state);
+}
+
 void apply_catalog(router_state& state, const catalog_updated& event, effects& out) {
-    if (event.store_revision < state.store_revision) return;
+    if (event.latest < state.latest) return;
+    note_restored_store(state, event.latest, out);
     const auto before = state.active_catalog;
     state.active_catalog = event.contents;
-    state.store_revision = event.store_revision;
+    state.latest = event.latest;
     state.operator_known_to = std::max(state.operator_known_to, event.operator_known_to);
     state.operator_changed_at = std::max(state.operator_changed_at, event.operator_changed_at);
     state.targets_known_to = std::max(state.targets_known_to, event.targets_known_to);
@@ -189,7 +238,7 @@
         out.emplace_back(
             log_event{"declarations",
                       "\"version\":" + std::to_string(event.contents->version) +
-                          ",\"revision\":" + std::to_string(event.contents->revision) +
+                          ",\"position\":" + quoted(format_position(event.contents->declarations.position)) +
                           ",\"accounts_keys\":" + std::to_string(event.contents->account_by_key.size()),
                       true});
     }
@@ -320,6 +369,7 @@
         state.next_share_update = state.now + state.settings.share_update_period;
         if (state.active_catalog)
             state.shares.update(static_cast<double>(state.active_catalog->tokens_per_second), state.now);
+        end_restore(state, out);
         remove_missing_targets(state, out);
         expire_crash_records(state);
         settle_begun_answers(state, out);
@@ -347,6 +397,7 @@
     state.settings.seeds = changed.seeds;
     state.settings.freshness = changed.freshness;
     state.settings.outages = changed.outages;
+    state.settings.restores = changed.restores;
     state.settings.own_read_wait = changed.own_read_wait;
     state.settings.shared_read_wait = changed.shared_read_wait;
     state.settings.retries = changed.retries;
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -47,6 +47,7 @@
     std::uint64_t incarnation{1};
     freshness_settings freshness;
     store_outage_settings outages;
+    restore_settings restores;
     engine_settings engine;
     engine_model_settings engine_model;
     engine_model_settings service_model{service_model_defaults()}; // of plain services
@@ -185,23 +186,23 @@
 /// New catalog, read from the store or from a peer's snapshot.
 struct catalog_updated {
     std::shared_ptr<const catalog> contents;
-    std::uint64_t store_revision{};      // latest store revision that the catalog includes
-    std::uint64_t operator_known_to{};   // the catalog includes all operator changes up to this revision
-    std::uint64_t operator_changed_at{}; // revision of the latest operator change that it includes
-    std::uint64_t targets_known_to{};    // the catalog includes all registrations up to this revision
-    std::uint64_t targets_changed_at{};  // revision of the latest registration that it includes
+    store_position latest;              // latest change of the store that the catalog includes
+    store_position operator_known_to;   // the catalog includes all operator changes up to this position
+    store_position operator_changed_at; // the latest operator change that it includes
+    store_position targets_known_to;    // the catalog includes all registrations up to this position
+    store_position targets_changed_at;  // the latest registration that it includes
 };
 
 /// The store or a peer has confirmed that the catalog was complete at this time.
 struct catalog_confirmed {
     time_point as_of{};
-    std::uint64_t operator_known_to{}; // see catalog_updated
+    store_position operator_known_to; // see catalog_updated
 };
 
 /// The store has confirmed that the list of targets was complete at this time.
 struct targets_confirmed {
     time_point as_of{};
-    std::uint64_t known_to{}; // the list includes all registrations up to this revision
+    store_position known_to; // the list includes all registrations up to this position
 };
 
 struct store_reachable {
@@ -300,7 +301,7 @@
 struct write_rollout_status {
     std::string service;
     rollout_status status;
-    std::uint64_t expected_revision{}; // of the stored status; 0 if there is none
+    store_position expected; // of the stored status; revision 0 if there is none
 };
 
 /// Structured log line; the fields are JSON already.
@@ -427,11 +428,12 @@
 };
 
 struct rollout_progress {
-    std::uint64_t order_revision{}; // store revision of the order that the counts belong to
-    time_point first_seen{};        // time at which the first router saw the order
-    version_counts new_version;     // responses to this router
+    rollout_order order;        // the counts belong to
+    time_point first_seen{};    // time at which the first router saw the order
+    version_counts new_version; // responses to this router
     version_counts old_version;
     time_point next_write{};
+    std::optional<rollout_phase> settled; // final phase, once it has been in the store
 };
 
 //-----------------------------------------------------------------------------
@@ -453,11 +455,14 @@
     time_point now{};
     time_point started{};
     std::shared_ptr<const catalog> active_catalog;
-    std::uint64_t store_revision{};
-    std::uint64_t operator_known_to{};   // see catalog_updated
-    std::uint64_t operator_changed_at{}; // see catalog_updated
-    std::uint64_t targets_known_to{};    // see catalog_updated
-    std::uint64_t targets_changed_at{};  // see catalog_updated
+    store_position latest; // see catalog_updated, for this one and the next four
+    store_position operator_known_to;
+    store_position operator_changed_at;
+    store_position targets_known_to;
+    store_position targets_changed_at;
+    // Change of the store's era that this router has noticed last, until the store's contents count as its
+    // own again; see restore_settings::rewrite_time.
+    std::optional<time_point> restored_at;
     catalog_freshness freshness;         // of the declarations
     catalog_freshness targets_freshness; // of the list of targets
     std::string targets_source{"none"};  // who confirmed the list last: "store" or a peer's report address
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -46,6 +46,8 @@
 /// Updates the target's failure rate with the result of one attempt.
 void record_target_result(target_state& target, bool failed);
 void apply_catalog(router_state& state, const catalog_updated& event, effects& out);
+/// Takes the store's contents as they are, once what it lost in a restore has been written again.
+void end_restore(router_state& state, effects& out);
 /// Advances the time at which the declarations are confirmed to have been complete. An earlier time changes
 /// nothing.
 void confirm_declarations(router_state& state, time_point as_of);
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "damaskhill_fields.hpp"
+#include "damaskhill_store_history.hpp"
 
 namespace damaskhill {
 
@@ -88,12 +88,13 @@
 
 /// Responses of a service version since the start of its rollout, as counted by the sender.
 struct version_row {
-    std::uint64_t order{}; // store revision of the rollout order
+    std::uint64_t order{}; // revision of the rollout order in the store
     bool is_new{};         // true: the version being rolled out; false: all others
     std::uint32_t responses{};
     std::uint32_t failures{};
     std::uint64_t latency_ms_total{}; // of the successful responses
     std::uint64_t order_age_us{};     // time since a router first saw the order, at the time of sending
+    std::uint64_t order_era{};        // of the revision
     static constexpr auto fields() {
         using t = version_row;
         return std::tuple{field{1, "order", &t::order},
@@ -101,7 +102,8 @@
                           field{3, "answers", &t::responses},
                           field{4, "failures", &t::failures},
                           field{5, "latency_ms_total", &t::latency_ms_total},
-                          field{6, "order_age_us", &t::order_age_us}};
+                          field{6, "order_age_us", &t::order_age_us},
+                          field{7, "order_era", &t::order_era}};
     }
 };
 
@@ -146,17 +148,17 @@
 /// relay, sends summed reports to the relays of the other data centres, which forward them locally. Traffic
 /// between data centres thus grows with the square of the number of data centres, not of routers.
 struct router_report {
-    std::uint64_t router{};              // incarnation of the sender
-    std::string address;                 // "IP:port" of the sender's report datagrams
-    std::string data_centre;             // of the sender; in a summary, the summed data centre
-    bool is_summary{};                   // rows are sums over a data centre
-    bool relayed{};                      // summary forwarded by the relay of the receiving data centre
-    std::string snapshot_address;        // "IP:port" from which the sender's store snapshot can be fetched
-    std::uint64_t sent_us{};             // clock of the sender
-    std::uint64_t store_revision{};      // latest store revision in the sender's catalog
-    std::uint64_t operator_changed_at{}; // revision of the latest operator change in it
-    std::uint64_t catalog_age_us{};      // age of the sender's catalog at the time of sending
-    bool has_catalog{};                  // false: the sender has no catalog
+    std::uint64_t router{};       // incarnation of the sender
+    std::string address;          // "IP:port" of the sender's report datagrams
+    std::string data_centre;      // of the sender; in a summary, the summed data centre
+    bool is_summary{};            // rows are sums over a data centre
+    bool relayed{};               // summary forwarded by the relay of the receiving data centre
+    std::string snapshot_address; // "IP:port" from which the sender's store snapshot can be fetched
+    std::uint64_t sent_us{};      // clock of the sender
+    // For routers of releases that know no eras: revision of the latest operator change.
+    std::uint64_t operator_changed_revision{};
+    std::uint64_t catalog_age_us{}; // age of the sender's catalog at the time of sending
+    bool has_catalog{};             // false: the sender has no catalog
     bool stopping{};
     bool overloaded{};               // accepts no new connections
     std::vector<router_row> routers; // peers of the sender; in a summary, the routers of the data centre
@@ -165,14 +167,17 @@
     std::vector<account_usage_row> accounts;
     std::vector<crash_row> crashes;
     std::vector<version_row> versions;
-    std::vector<speed_row> speeds;      // estimates with enough samples only
-    std::uint64_t targets_changed_at{}; // revision of the latest registration of a target in the catalog
-    bool store_unreachable{};           // the sender's last call to the store failed
+    std::vector<speed_row> speeds;            // estimates with enough samples only
+    std::uint64_t targets_changed_revision{}; // as operator_changed_revision, of the latest registration
+    bool store_unreachable{};                 // the sender's last call to the store failed
     // Age of the sender's list of targets at the time of sending; 0 if it has none.
     std::uint64_t targets_age_us{};
     std::vector<engine_crash_row> engine_crashes; // recent ones, seen by the sender
     std::vector<acquittal_row> acquittals;        // recent ones, seen by the sender
     std::vector<quarantine_row> quarantines;
+    store_position operator_changed_at; // latest operator change in the sender's catalog
+    store_position targets_changed_at;  // latest registration of a target in it
+    declarations_rank declarations;     // in force at the sender
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -182,7 +187,6 @@
                           field{5, "relayed", &t::relayed},
                           field{6, "snapshot_address", &t::snapshot_address},
                           field{7, "sent_us", &t::sent_us},
-                          field{8, "store_revision", &t::store_revision},
                           field{9, "belief_age_us", &t::catalog_age_us},
                           field{10, "believes", &t::has_catalog},
                           field{11, "stopping", &t::stopping},
@@ -193,14 +197,17 @@
                           field{16, "accounts", &t::accounts},
                           field{17, "crashes", &t::crashes},
                           field{18, "versions", &t::versions},
-                          field{19, "operator_changed_at", &t::operator_changed_at},
+                          field{19, "operator_changed_revision", &t::operator_changed_revision},
                           field{20, "speeds", &t::speeds},
-                          field{21, "targets_changed_at", &t::targets_changed_at},
+                          field{21, "targets_changed_revision", &t::targets_changed_revision},
                           field{23, "store_unreachable", &t::store_unreachable},
                           field{24, "targets_age_us", &t::targets_age_us},
                           field{25, "engine_crashes", &t::engine_crashes},
                           field{26, "acquittals", &t::acquittals},
-                          field{27, "quarantines", &t::quarantines}};
+                          field{27, "quarantines", &t::quarantines},
+                          field{28, "operator_changed_at", &t::operator_changed_at},
+                          field{29, "targets_changed_at", &t::targets_changed_at},
+                          field{30, "declarations", &t::declarations}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -37,6 +37,10 @@
 /// Pseudo router id under which the summed load of a data centre is stored.
 std::uint64_t summary_id(std::string_view data_centre) { return stable_hash(data_centre, 1); }
 
+declarations_rank rank_in_force(const router_state& state) {
+    return state.active_catalog ? state.active_catalog->declarations.rank : declarations_rank{};
+}
+
 // Confirms the catalog from a peer's report. The reported ages are counted back from the time at which this
 // router sent the report that the peer echoes. The peer sent its report later than that, so the catalog
 // cannot appear fresher than it is, whatever the network delay.
@@ -46,11 +50,16 @@
     const time_point echoed_report_time{microseconds(echo->sent_us)};
     if (echoed_report_time > state.now) return;
     // The peer's catalog includes all operator changes up to its confirmed time, the latest of them at
-    // `operator_changed_at`. Comparing store revisions would be wrong: registrations of targets advance the
-    // store revision of a router whose watch of the declarations is stuck.
-    if (report.has_catalog && report.operator_changed_at <= state.operator_known_to)
+    // `operator_changed_at`. Comparing the latest positions would be wrong: registrations of targets advance
+    // that of a router whose watch of the declarations is stuck. A peer in another era has read another
+    // history.
+    const auto includes = [](const store_position& known_to, const store_position& changed_at) {
+        return known_to.era == changed_at.era && changed_at <= known_to;
+    };
+    if (report.has_catalog && includes(state.operator_known_to, report.operator_changed_at) &&
+        report.declarations <= rank_in_force(state))
         confirm_declarations(state, echoed_report_time - microseconds(report.catalog_age_us));
-    if (report.targets_age_us > 0 && report.targets_changed_at <= state.targets_known_to)
+    if (report.targets_age_us > 0 && includes(state.targets_known_to, report.targets_changed_at))
         confirm_targets(state, echoed_report_time - microseconds(report.targets_age_us), report.address);
 }
 
@@ -83,7 +92,7 @@
 void merge_order_ages(router_state& state, const router_report& report) {
     for (const version_row& row : report.versions) {
         for (auto& [service, progress] : state.rollouts) {
-            if (progress.order_revision == row.order)
+            if (progress.order.position == store_position{row.order_era, row.order})
                 progress.first_seen =
                     std::min(progress.first_seen, state.now - microseconds(row.order_age_us));
         }
@@ -96,7 +105,8 @@
 /// router cannot reach the store.
 void request_newer_snapshot(router_state& state, const router_report& report, effects& out) {
     if (!report.has_catalog) return;
-    const bool lacks_declarations = report.operator_changed_at > state.operator_known_to;
+    const bool lacks_declarations =
+        report.operator_changed_at > state.operator_known_to || report.declarations > rank_in_force(state);
     // A router that reads the store learns of targets there. The copy of a router in the same data centre is
     // the cheaper one while any is in reach.
     const auto relies_on_sender = [&] {
@@ -208,12 +218,13 @@
         const rollout_progress& progress = item.second;
         const auto order = state.active_catalog->rollouts.find(item.first);
         if (order == state.active_catalog->rollouts.end() ||
-            progress.order_revision != order->second.revision)
+            progress.order.position != order->second.position)
             continue;
         const auto age = static_cast<std::uint64_t>((state.now - progress.first_seen).count());
         const auto add = [&](bool is_new, const version_counts& counts) {
-            report.versions.push_back({progress.order_revision, is_new, counts.responses, counts.failures,
-                                       counts.latency_ms_total, age});
+            report.versions.push_back({progress.order.position.revision, is_new, counts.responses,
+                                       counts.failures, counts.latency_ms_total, age,
+                                       progress.order.position.era});
         };
         add(true, progress.new_version);
         add(false, progress.old_version);
@@ -244,9 +255,11 @@
     report.data_centre = state.settings.data_centre;
     report.snapshot_address = state.settings.snapshot_address;
     report.sent_us = to_us(state.now);
-    report.store_revision = state.store_revision;
     report.operator_changed_at = state.operator_changed_at;
+    report.operator_changed_revision = state.operator_changed_at.revision;
     report.targets_changed_at = state.targets_changed_at;
+    report.targets_changed_revision = state.targets_changed_at.revision;
+    report.declarations = rank_in_force(state);
     const auto age = catalog_age(state.freshness, state.now);
     report.has_catalog = age.has_value() && state.active_catalog;
     report.catalog_age_us = age ? static_cast<std::uint64_t>(std::max<std::int64_t>(0, age->count())) : 0;
@@ -286,7 +299,7 @@
     std::map<std::uint64_t, target_load_row> targets;
     std::map<std::uint64_t, account_usage_row> accounts;
     std::map<std::uint64_t, crash_row> crashes;
-    std::map<std::pair<std::uint64_t, bool>, version_row> versions;
+    std::map<std::pair<store_position, bool>, version_row> versions; // by order
     std::vector<engine_crash_row> engine_crashes;
     std::map<std::uint64_t, acquittal_row> acquittals;
     std::map<std::uint64_t, quarantine_row> quarantines;
@@ -312,13 +325,14 @@
         for (const quarantine_row& row : report.quarantines)
             quarantines.try_emplace(row.part, row);
         for (const version_row& row : report.versions) {
-            version_row& sum = versions[{row.order, row.is_new}];
+            version_row& sum = versions[{{row.order_era, row.order}, row.is_new}];
             sum = {row.order,
                    row.is_new,
                    sum.responses + row.responses,
                    sum.failures + row.failures,
                    sum.latency_ms_total + row.latency_ms_total,
-                   std::max(sum.order_age_us, row.order_age_us)};
+                   std::max(sum.order_age_us, row.order_age_us),
+                   row.order_era};
         }
     }
 };
@@ -572,7 +586,7 @@
     rollout_evidence sum{own.new_version, own.old_version};
     for_each_report(state, [&](const router_report& report) {
         for (const version_row& row : report.versions) {
-            if (row.order != order.revision) continue;
+            if (store_position{row.order_era, row.order} != order.position) continue;
             add_counts(row.is_new ? sum.new_version : sum.old_version,
                        {row.responses, row.failures, row.latency_ms_total});
         }
@@ -624,8 +638,10 @@
 
 const rollout_status* current_status(const router_state& state, const rollout_order& order) {
     const auto status = state.active_catalog->rollout_states.find(order.service);
-    // A status older than the order belongs to a previous order.
-    if (status == state.active_catalog->rollout_states.end() || status->second.revision < order.revision)
+    // A status older than the order belongs to a previous order, and so may one that a restored store has
+    // instead of what was written for an order of the era before.
+    if (status == state.active_catalog->rollout_states.end() || status->second.position < order.position ||
+        status->second.position.era != order.position.era)
         return nullptr;
     return status->second.version == order.version ? &status->second : nullptr;
 }
@@ -669,6 +685,8 @@
         return (status->phase == rollout_phase::completed) == is_new ? 1.0 : 0.0;
     const auto progress = state.rollouts.find(service);
     if (progress == state.rollouts.end()) return is_new ? 0.0 : 1.0;
+    if (const auto& settled = progress->second.settled)
+        return (*settled == rollout_phase::completed) == is_new ? 1.0 : 0.0;
     const rollout_evidence evidence = collect_evidence(state, progress->second, order->second);
     if (is_failing_version(evidence)) return is_new ? 0.0 : 1.0;
     const bool is_proven = evidence.new_version.responses >= min_responses;
@@ -701,19 +719,38 @@
 
 } // namespace
 
+namespace {
+
+/// Starts the progress of a new order. An order that is written again after a restore of the store goes on.
+void follow_order(rollout_progress& progress, const rollout_order& order, time_point now) {
+    if (progress.order == order) return;
+    rollout_order rewritten = progress.order;
+    rewritten.position = order.position;
+    const bool restored = order.position.era > progress.order.position.era && rewritten == order;
+    if (!restored) progress = {{}, now, {}, {}, {}, {}};
+    progress.order = order;
+}
+
+} // namespace
+
 void advance_rollouts(router_state& state, effects& out) {
     if (!state.active_catalog) return;
     std::erase_if(state.rollouts,
                   [&](const auto& item) { return !state.active_catalog->rollouts.contains(item.first); });
     for (const auto& [service, order] : state.active_catalog->rollouts) {
         rollout_progress& progress = state.rollouts[service];
-        if (progress.order_revision != order.revision) progress = {order.revision, state.now, {}, {}, {}};
+        follow_order(progress, order, state.now);
         const rollout_status* status = current_status(state, order);
-        if (status != nullptr && status->phase != rollout_phase::running) continue;
+        if (status != nullptr && status->phase != rollout_phase::running) {
+            progress.settled = status->phase;
+            continue;
+        }
         if (!is_rollout_leader(state) || !state.store_up || state.now < progress.next_write) continue;
         rollout_phase phase = rollout_phase::running;
         const rollout_evidence evidence = collect_evidence(state, progress, order);
-        if (is_failing_version(evidence)) {
+        if (progress.settled) {
+            phase = *progress.settled; // the store has lost it in a restore
+        } else if (is_failing_version(evidence)) {
             phase = rollout_phase::rolled_back;
         } else if (may_complete(state, progress, order, evidence)) {
             phase = rollout_phase::completed;
@@ -721,9 +758,10 @@
         if (status != nullptr && phase == rollout_phase::running) continue;
         progress.next_write = state.now + status_write_interval;
         const auto stored_status = state.active_catalog->rollout_states.find(service);
-        const std::uint64_t expected =
-            stored_status == state.active_catalog->rollout_states.end() ? 0 : stored_status->second.revision;
-        out.emplace_back(write_rollout_status{service, {order.version, phase, 0}, expected});
+        const store_position expected = stored_status == state.active_catalog->rollout_states.end()
+                                            ? store_position{}
+                                            : stored_status->second.position;
+        out.emplace_back(write_rollout_status{service, {order.version, phase, {}}, expected});
         out.emplace_back(log_event{"rollout",
                                    "\"service\":" + quoted(service) +
                                        ",\"version\":" + quoted(order.version) +
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -46,16 +46,16 @@
                                  boot_clock());
                   },
                   [this] { return direct::plan_store_read(state_, boot_clock()); },
-                  [this](const store_position& before, const store_position& now) {
-                      log_.write("store_history",
-                                 "\"before\":" + direct::quoted(format_position(before)) +
-                                     ",\"now\":" + direct::quoted(format_position(now)),
+                  [this](std::uint64_t before, std::uint64_t now) {
+                      log_.write("store_era",
+                                 "\"before\":" + std::to_string(before) + ",\"now\":" + std::to_string(now),
                                  true, boot_clock());
                   },
-                  [this](std::string_view key, std::uint64_t held, std::uint64_t offered) {
+                  [this](std::string_view key, const store_position& held, const store_position& offered) {
                       log_.write("item_ignored",
-                                 "\"key\":" + direct::quoted(key) + ",\"held\":" + std::to_string(held) +
-                                     ",\"offered\":" + std::to_string(offered),
+                                 "\"key\":" + direct::quoted(key) +
+                                     ",\"held\":" + direct::quoted(format_position(held)) +
+                                     ",\"offered\":" + direct::quoted(format_position(offered)),
                                  true, boot_clock());
                   }}),
           wake_timer_(*static_cast<asio::io_context*>(loop.native())) {}
@@ -78,6 +78,7 @@
     static platform::store_settings store_settings_of(const direct_daemon_settings& settings) {
         platform::store_settings store;
         store.address = settings.store_address;
+        store.restores = make_core_settings(settings, 0).restores;
         return store;
     }
     void perform(direct::effect& item);
--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -37,14 +37,14 @@
     entry.data_centre = "dc-a";
     entry.version = "v1";
     entry.slots = slots;
-    entry.revision = 1;
+    entry.position = {0, 1};
     return entry;
 }
 
 inline catalog make_catalog() {
     catalog contents;
     contents.version = 1;
-    contents.revision = 1;
+    contents.declarations = {{{}, 1}, {0, 1}};
     route_declaration chat = make_route("chat", retry_policy::streaming, "lm");
     chat.resumable = true;
     contents.routes["h.example"] = {chat, make_route("review", retry_policy::streaming, "lm"),
@@ -75,7 +75,7 @@
     effects out;
     time_point now{1000s};
     caller_id next_caller{1};
-    std::uint64_t revision{1};
+    store_position position{0, 1}; // of the latest change of the store
 
     explicit test_router(const std::string& address = "127.0.0.1:7001",
                          const std::string& data_centre = "dc-a")
@@ -94,9 +94,9 @@
     }
     void process(const input& event) { reduce(state, now, event, out); }
     void publish(catalog contents) {
-        ++revision;
+        ++position.revision;
         process(
-            catalog_updated{std::make_shared<catalog>(std::move(contents)), revision, revision, revision});
+            catalog_updated{std::make_shared<catalog>(std::move(contents)), position, position, position});
     }
     void confirm_now() {
         process(catalog_confirmed{now});
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -482,7 +482,7 @@
     test_router router;
     catalog contents = make_catalog();
     contents.targets["a-1"].draining = true;
-    contents.targets["a-1"].revision = 2;
+    contents.targets["a-1"].position = {0, 2};
     router.publish(contents);
     for (int i = 0; i < 4; ++i) {
         router.submit_request("order");
@@ -521,7 +521,7 @@
     catalog contents = make_catalog();
     for (auto& [id, entry] : contents.targets) {
         entry.cold_remaining = 3s;
-        entry.revision = 2;
+        entry.position = {0, 2};
     }
     router.publish(contents);
     for (int i = 0; i < 10; ++i)
@@ -1013,8 +1013,8 @@
         router->state.settings.seeds = {"10.0.0.1:7", "10.0.0.2:7"};
     exchange_reports(all, 1s);
     const auto contents = std::make_shared<catalog>(make_catalog());
-    a1.process(catalog_updated{contents, 9, 9, 8});
-    a2.process(catalog_updated{contents, 9, 7, 2});
+    a1.process(catalog_updated{contents, {0, 9}, {0, 9}, {0, 8}});
+    a2.process(catalog_updated{contents, {0, 9}, {0, 7}, {0, 2}});
     a2.state.store_up = true;
     const time_point before = *a2.state.freshness.as_of;
     bool snapshot_requested = false;
@@ -1047,7 +1047,7 @@
         contents.targets[id] = make_target(id, "app", 6);
         contents.targets[id].version = "v2";
     }
-    contents.rollouts["app"] = {"app", "v2", rollout_time_limit, order_revision};
+    contents.rollouts["app"] = {"app", "v2", rollout_time_limit, {0, order_revision}};
     return contents;
 }
 
@@ -1138,7 +1138,7 @@
 BOOST_AUTO_TEST_CASE(written_rollout_status_is_followed) {
     test_router router;
     catalog contents = catalog_with_rollout(5);
-    contents.rollout_states["app"] = {"v2", rollout_phase::completed, 6};
+    contents.rollout_states["app"] = {"v2", rollout_phase::completed, {0, 6}};
     router.publish(contents);
     router.advance_time(400ms);
     BOOST_TEST(version_share(router.state, "app", "v2") == 1.0);
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -38,8 +38,8 @@
         : mirror(loop, http, settings(address, watch_timeout),
                  {[this](direct::input&& event) { on_input(event); }, wall_clock,
                   [this](const failure&) { ++decode_errors; }, [this] { return plan; },
-                  [](const store_position&, const store_position&) {},
-                  [](std::string_view, std::uint64_t, std::uint64_t) {}}) {
+                  [](std::uint64_t, std::uint64_t) {},
+                  [](std::string_view, const store_position&, const store_position&) {}}) {
         failure error;
         BOOST_REQUIRE(store.listen(address, error).has_value());
     }
@@ -52,6 +52,7 @@
         settings.target_watch_delay = 20ms;
         settings.operator_watch_delay = 20ms;
         settings.response_timeout = 200ms;
+        settings.restores.rewrite_time = 500ms;
         return settings;
     }
     void on_input(const direct::input& event) {
@@ -168,7 +169,7 @@
     const rollout_status status = test.catalog_seen->rollout_states.at("s");
     BOOST_TEST((status.phase == rollout_phase::running));
     test.store.faults.drop_write_replies = true;
-    test.mirror.write_status({"s", {"v2", rollout_phase::completed, 0}, status.revision});
+    test.mirror.write_status({"s", {"v2", rollout_phase::completed, {}}, status.position});
     test.run_for(500ms);
     BOOST_TEST((test.catalog_seen->rollout_states.at("s").phase == rollout_phase::completed));
 }
