Count the crash of a target after an old broken connection

A connection that broke at a target, and was neither confirmed as a crash nor refuted, kept its time. The next crash of that target was then taken for the old one, too old to count, and accused no prompt part.

--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -54,7 +54,9 @@
 
 void note_unanswered_break(router_state& state, const request& item, target_state& target) {
     if (item.parts.empty() || item.first_byte_received) return;
-    if (!target.broken) target.broken = engine_crash{target.hash, state.now, true, {}};
+    const bool expired =
+        target.broken && state.now - target.broken->at > state.settings.suspects.max_unconfirmed;
+    if (!target.broken || expired) target.broken = engine_crash{target.hash, state.now, true, {}};
     if (target.broken->accused.size() < state.settings.suspects.max_sets)
         target.broken->accused.push_back(item.parts);
 }
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -331,4 +331,31 @@
     BOOST_TEST(suspects.suspected.size() <= settings.max_crashes * settings.max_sets * settings.max_parts);
 }
 
+// Guards against a crash that accuses no prompt part: a connection to the same target had broken long before
+// without a crash, and the target has sent no response head since.
+BOOST_AUTO_TEST_CASE(crash_after_an_old_broken_connection_is_counted) {
+    test_router router;
+    catalog contents = make_catalog();
+    contents.targets.erase("e-2");
+    router.publish(contents);
+    router.confirm_now();
+    const auto break_connection = [&] {
+        router.out.clear();
+        router.submit_request("review");
+        const auto sent = router.last<send_request>();
+        BOOST_REQUIRE(sent.has_value());
+        router.process(response_end{sent->send_id, send_result::broken});
+    };
+    break_connection();
+    router.advance_time(router.state.settings.suspects.max_unconfirmed + 1s);
+    router.confirm_now();
+    break_connection();
+    router.submit_request("review");
+    const auto refused = router.last<send_request>();
+    BOOST_REQUIRE(refused.has_value());
+    router.process(response_end{refused->send_id, send_result::not_sent});
+    const auto counters = router.take<count>();
+    BOOST_TEST((std::ranges::find(counters, "engine_crashes_total", &count::name) != counters.end()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
