--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -238,6 +238,27 @@
     BOOST_TEST(!test.catalog_seen->evacuated.contains("dc-a"));
 }
 
+// Guards against an evacuation that never ends: the store lost it and nobody writes it again. The store is
+// down when the time for that has passed.
+BOOST_AUTO_TEST_CASE(evacuation_that_nobody_writes_again_ends) {
+    mirror_fixture test;
+    test.put_declarations(1);
+    test.mirror.start();
+    test.run_for(200ms);
+    test.store.save_copy();
+    test.store.put("op/evacuate/dc-a", json::object());
+    test.run_for(200ms);
+    test.store.restore();
+    test.run_for(300ms);
+    BOOST_TEST(test.catalog_seen->evacuated.contains("dc-a"));
+    test.store.faults.returns_503 = true;
+    test.run_for(500ms);
+    BOOST_TEST(test.catalog_seen->evacuated.contains("dc-a"));
+    test.store.faults.returns_503 = false;
+    test.run_for(800ms);
+    BOOST_TEST(!test.catalog_seen->evacuated.contains("dc-a"));
+}
+
 // Guards against a list that mixes two eras: the store is restored between two pages of a read.
 BOOST_AUTO_TEST_CASE(restore_between_two_pages_restarts_the_read) {
     mirror_fixture test;
