Accept no request on a connection that closes after its response

A caller that reads slowly keeps its connection open after its response was aborted or announced the close. A request that arrived meanwhile was passed on to a target, and its response could never be sent. Found on reading the abort of truncated answers. request_behind_an_aborted_response_is_not_accepted failed before (2 requests accepted instead of 1).

--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -203,6 +203,8 @@
 }
 
 void edge_server::implementation::on_bytes(const connection_ptr& connection, std::string_view bytes) {
+    // The connection closes once the last response is written; a request behind it could not be answered.
+    if (connection->close_after_write) return;
     connection->unlink();
     if (connection->response == response_state::none) {
         parse(connection, bytes);
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -232,6 +232,38 @@
     BOOST_TEST((bytes.find("0\r\n\r\n") == std::string::npos));
 }
 
+// Guards against a request that is passed on although its response cannot be sent any more: it arrives behind
+// an aborted response on a connection whose caller reads slowly.
+BOOST_AUTO_TEST_CASE(request_behind_an_aborted_response_is_not_accepted) {
+    event_loop loop;
+    edge_server* server_pointer = nullptr;
+    std::size_t requests = 0;
+    const std::string large(3U << 20U, 'x'); // more than the kernel buffers for a caller that does not read
+    edge_server server{loop,
+                       {},
+                       {[&](std::uint64_t exchange, http_request&&) {
+                            ++requests;
+                            server_pointer->begin_response(exchange, 200, {});
+                            server_pointer->send_chunk(exchange, large);
+                            server_pointer->abort(exchange);
+                        },
+                        [](std::uint64_t) {}}};
+    server_pointer = &server;
+    failure error;
+    BOOST_REQUIRE(server.listen(server_address, error).has_value());
+    asio::ip::tcp::socket socket{*static_cast<asio::io_context*>(loop.native())};
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size{4096});
+    const auto parts = split_address(server_address, error);
+    socket.connect({asio::ip::make_address(parts->first), parts->second});
+    const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    loop.after(100ms, [&] { asio::write(socket, asio::buffer(request)); });
+    loop.after(300ms, [&] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(requests == 1U);
+}
+
 // Guards against a shutdown that does not announce the end of the connection to its caller.
 BOOST_AUTO_TEST_CASE(draining_server_sends_connection_close) {
     event_loop loop;
