Failing test: a request that crashes targets after its response head is sent on

A simulated fleet of four routers repeats one request at every router. The target crashes before the head, after it, inside the first event, after an event or a second later; its connections are reset, closed in order or go silent. After the third crash and the contact time 3 more sends are allowed. A sound request that is repeated beside it is refused until the end of the run in most cases, since each crash is counted for it too and no answer clears it. The simulated fleet of test_prompt_suspects moves to a header.

--- /dev/null
+++ b/tests/crash_fleet.hpp
@@ -0,0 +1,255 @@
+// Simulated fleet of direct routers and targets that requests crash, on virtual time.
+//
+// Index of this file:
+// [SECTION] Crashes
+// [SECTION] Simulated fleet
+
+#pragma once
+
+#include "direct_fixture.hpp"
+
+namespace damaskhill::direct {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Crashes
+//-----------------------------------------------------------------------------
+
+/// What a crashing request has been sent when its target crashes.
+enum class crash_point : std::uint8_t { before_head, after_head, inside_event, after_event, after_a_second };
+
+/// What the routers see of a crash.
+enum class crash_end : std::uint8_t {
+    reset,
+    orderly, // the target's system closes the connections; the answers have neither a length nor chunks
+    silent   // nothing: connections stay open and new ones are not accepted
+};
+
+struct crash_kind {
+    crash_point point{crash_point::before_head};
+    crash_end end{crash_end::reset};
+    std::string route{"chat"};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Simulated fleet
+//-----------------------------------------------------------------------------
+
+inline constexpr duration step = 20ms;
+inline constexpr std::uint64_t shared_part = 1;
+inline constexpr std::uint64_t crashing_part = 666;
+inline constexpr std::string_view crashing_body = "crash";
+inline constexpr std::string_view repeated_body = "repeated";
+
+struct open_send {
+    test_router* router{};
+    std::uint64_t send_id{};
+    caller_id caller{};
+    bool crashes{};
+    bool sound{};    // of the load whose service is measured
+    bool repeated{}; // copy of the sound request that is repeated
+    time_point begins_at{};
+    time_point ends_at{};
+    bool begun{};
+};
+
+struct simulated_engine {
+    std::string id;
+    std::vector<open_send> sends;
+    std::optional<time_point> crashed_at;
+};
+
+/// Routers that report to each other, and targets that answer after 60 ms, for 540 ms. A target crashes after
+/// it has begun a request with the crashing part or body; it returns under a new id 4 s later.
+struct crash_fleet {
+    std::vector<std::unique_ptr<test_router>> routers;
+    std::vector<simulated_engine> engines;
+    crash_kind kind;
+    time_point now{1000s};
+    std::uint64_t next_id{1};
+    std::vector<time_point> crashes;
+    std::vector<time_point> crashing_arrivals;
+    std::size_t sound_sent{};
+    std::size_t sound_begun{};
+    std::size_t repeated_sent{};
+    std::size_t repeated_ended{};
+
+    crash_fleet(std::size_t router_count, std::size_t engine_count, crash_kind k = {}) : kind(std::move(k)) {
+        for (std::size_t i = 0; i < engine_count; ++i)
+            engines.push_back({"e-" + std::to_string(next_id++), {}, {}});
+        for (std::size_t i = 0; i < router_count; ++i) {
+            routers.push_back(std::make_unique<test_router>("10.0.0." + std::to_string(i + 1) + ":7"));
+            routers.back()->state.settings.seeds = {"10.0.0.1:7"};
+        }
+        publish();
+    }
+    void publish() {
+        catalog contents = make_catalog();
+        contents.targets.clear();
+        const std::string service = kind.route == "stock" ? "app" : "lm";
+        for (const simulated_engine& engine : engines) {
+            const bool registered = !engine.crashed_at || now - *engine.crashed_at < 2s;
+            if (registered) contents.targets[engine.id] = make_target(engine.id, service, 64);
+        }
+        for (const auto& router : routers)
+            router->publish(contents);
+    }
+    /// Without a body, the request is like no other one.
+    void submit(test_router& router, std::vector<std::uint64_t> parts, std::string_view body = {}) {
+        request_arrived request;
+        request.caller = router.next_caller++;
+        request.attempt = "attempt-" + std::to_string(next_id++);
+        request.method = "POST";
+        request.host = "h.example";
+        request.path = "/" + kind.route + "/x";
+        request.api_key = "key-1";
+        request.body = body.empty() ? request.attempt : std::string{body};
+        request.remaining = 8s;
+        if (kind.route != "stock") request.prompt = {800, 100, 0, {}};
+        const std::uint64_t last_part = body.empty() ? next_id++ : stable_hash(body) % 1'000'000;
+        parts.push_back(1'000'000 + last_part);
+        for (const std::uint64_t part : parts)
+            request.prompt.segments.push_back({part, 200});
+        router.process(request);
+    }
+    void handle_effects() {
+        for (const auto& router : routers) {
+            direct::effects out;
+            out.swap(router->out);
+            for (const direct::effect& item : out) {
+                if (const auto* sent = std::get_if<send_request>(&item)) start(*router, *sent);
+                if (const auto* probe = std::get_if<probe_target>(&item)) answer_probe(*router, *probe);
+                if (const auto* cancelled = std::get_if<cancel_send>(&item)) {
+                    for (simulated_engine& engine : engines)
+                        std::erase_if(engine.sends, [&](const open_send& open) {
+                            return open.router == router.get() && open.send_id == cancelled->send_id;
+                        });
+                }
+                const auto* report = std::get_if<send_report>(&item);
+                if (report == nullptr) continue;
+                for (const auto& to : routers) {
+                    if (std::ranges::find(report->addresses, to->state.settings.report_address) !=
+                        report->addresses.end())
+                        to->process(report_received{*report->report});
+                }
+            }
+        }
+    }
+    void answer_probe(test_router& router, const probe_target& probe) {
+        const auto found = router.state.caller_by_send.find(probe.send_id);
+        if (found == router.state.caller_by_send.end()) return;
+        const std::string& target = router.state.requests.at(found->second)->target;
+        const auto engine = std::ranges::find(engines, target, &simulated_engine::id);
+        const bool up = engine != engines.end() && !engine->crashed_at;
+        router.process(target_probed{probe.send_id, up ? probe_outcome::accepted : probe_outcome::refused});
+    }
+    void start(test_router& router, const send_request& sent) {
+        const auto engine = std::ranges::find(engines, sent.target, &simulated_engine::id);
+        if (engine == engines.end() || engine->crashed_at) {
+            router.process(response_end{sent.send_id, send_result::not_sent});
+            return;
+        }
+        const request_arrived& arrived = sent.content->input;
+        const bool crashing = arrived.body == crashing_body ||
+                              std::ranges::find(arrived.prompt.segments, crashing_part,
+                                                &prompt_segment::id) != arrived.prompt.segments.end();
+        if (crashing) crashing_arrivals.push_back(now);
+        const bool repeated = arrived.body == repeated_body;
+        const duration crash_delay = kind.point == crash_point::after_a_second ? 1060ms : 100ms;
+        engine->sends.push_back({&router, sent.send_id, arrived.caller, crashing,
+                                 !crashing && !repeated && sent.content->sends <= 1, repeated, now + 60ms,
+                                 now + (crashing ? crash_delay : 600ms), false});
+    }
+    void crash(simulated_engine& engine) {
+        crashes.push_back(now);
+        engine.crashed_at = now;
+        if (kind.end == crash_end::silent) return;
+        break_connections(engine);
+    }
+    void break_connections(simulated_engine& engine) {
+        std::vector<open_send> broken;
+        broken.swap(engine.sends);
+        for (const open_send& open : broken) {
+            const bool orderly = kind.end == crash_end::orderly && open.begun;
+            open.router->process(
+                response_end{open.send_id, orderly ? send_result::complete : send_result::broken});
+        }
+    }
+    void begin_answer(open_send& open) {
+        open.begun = true;
+        sound_begun += open.sound ? 1 : 0;
+        response_head head = open.router->head(open.send_id);
+        head.close_delimited = kind.end == crash_end::orderly;
+        open.router->process(head);
+        if (open.crashes && kind.point == crash_point::after_head) return;
+        const bool partial = open.crashes && kind.point == crash_point::inside_event;
+        open.router->process(response_data{open.send_id, partial ? "id: 1\nda" : "id: 1\ndata: x\n\n"});
+    }
+    void run_engine(simulated_engine& engine) {
+        if (engine.crashed_at) {
+            // Callers leave a stream that has been silent for this long.
+            if (now - *engine.crashed_at < 2s) return;
+            std::vector<open_send> left;
+            left.swap(engine.sends);
+            for (const open_send& open : left)
+                open.router->process(caller_closed{open.caller});
+            return;
+        }
+        for (std::size_t i = 0; i < engine.sends.size(); ++i) {
+            open_send& open = engine.sends[i];
+            const bool answers = !open.crashes || kind.point != crash_point::before_head;
+            if (answers && !open.begun && now >= open.begins_at) begin_answer(open);
+            if (now < open.ends_at) continue;
+            if (open.crashes) {
+                crash(engine);
+                return;
+            }
+            const open_send ended = open;
+            engine.sends.erase(engine.sends.begin() + static_cast<std::ptrdiff_t>(i--));
+            repeated_ended += ended.repeated ? 1 : 0;
+            ended.router->process(response_end{ended.send_id, send_result::complete});
+        }
+    }
+    /// Runs the fleet; `arrive` is called in each step with the step's number and submits requests.
+    template <class F>
+    void run_for(duration time, F&& arrive) {
+        for (duration passed{}; passed < time; passed += step) {
+            now += step;
+            bool changed = false;
+            for (simulated_engine& engine : engines) {
+                run_engine(engine);
+                if (!engine.crashed_at) continue;
+                const duration since = now - *engine.crashed_at;
+                changed = changed || (since >= 2s && since < 2s + step);
+                if (since < 4s) continue;
+                engine = {"e-" + std::to_string(next_id++), {}, {}};
+                changed = true;
+            }
+            if (changed) publish();
+            for (const auto& router : routers) {
+                router->now = now;
+                router->confirm_now();
+                router->process(timer_fired{});
+            }
+            arrive(static_cast<std::size_t>((now - time_point{1000s}) / step));
+            for (int hop = 0; hop < 3; ++hop)
+                handle_effects();
+        }
+    }
+    void submit_sound(std::size_t number) {
+        ++sound_sent;
+        submit(*routers[number % routers.size()], {shared_part, 100 + number % 7});
+    }
+    void submit_repeated(std::size_t number) {
+        ++repeated_sent;
+        submit(*routers[number % routers.size()], {shared_part, 105}, repeated_body);
+    }
+    void submit_crashing(std::size_t number) {
+        submit(*routers[number % routers.size()], {shared_part, 106}, crashing_body);
+    }
+    [[nodiscard]] std::size_t crashing_arrivals_after(time_point at) const {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(crashing_arrivals, [&](time_point arrived) { return arrived > at; }));
+    }
+};
+
+} // namespace damaskhill::direct
