Log the crashes known of a request, and whether a broken answer had a head

The logs could not tell the hypotheses of the incident apart: a request whose crashes were never counted looked like one whose count was lost. The line of a request now gives the count at its arrival, and answer_end is written for answers that broke before their head too. Decisions are unchanged.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -366,6 +366,7 @@
     bool measures_speed{};            // the current attempt is a sample for the service's engine model
     double recompute_ms{};            // expected prefill of shared segments that other engines have cached
     duration capacity_in{};           // estimated time until capacity, if no target had any
+    std::uint32_t known_crashes{};    // of targets under copies of the request, at its arrival
     // Progress over all attempts.
     bool reply_started{};
     std::vector<std::string> tried_targets; // ids
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -49,6 +49,7 @@
         ",\"predicted_ms\":" + format_ms(item.predicted_first_token) +
         ",\"first_byte_ms\":" + format_ms(item.first_byte_delay) +
         ",\"read_again_ms\":" + std::to_string(std::lround(item.recompute_ms)) +
+        ",\"known_crashes\":" + std::to_string(item.known_crashes) +
         ",\"room_in_ms\":" + format_ms(item.capacity_in) + ",\"ms\":" + format_ms(state.now - item.arrived) +
         ",\"belief_age_ms\":" + format_catalog_age(state) +
         ",\"targets_age_ms\":" + format_age(state.targets_freshness, state.now) +
@@ -562,7 +563,8 @@
     state.deadlines.emplace(item->deadline, event.caller);
     record_first_attempt(state.retry_windows[item->service], state.settings.retries, state.now);
     state.shares.on_requested(item->account_hash, item->tokens, state.now);
-    if (total_crashes(state, item->request_fingerprint) >= state.settings.max_target_crashes) {
+    item->known_crashes = total_crashes(state, item->request_fingerprint);
+    if (item->known_crashes >= state.settings.max_target_crashes) {
         refuse(state, item, status_bad_gateway, std::nullopt, "crashes_targets", out);
         return;
     }
@@ -837,12 +839,13 @@
 
 /// Logs how an answer ended whose end is in doubt: it broke, or only the end of the connection marks it.
 void log_doubtful_end(const request& item, send_result result, effects& out) {
-    if (!item.head_received || (result == send_result::complete && !item.close_delimited)) return;
+    if (result == send_result::not_sent || (result == send_result::complete && !item.close_delimited)) return;
     out.emplace_back(log_event{
         "answer_end",
         "\"id\":" + quoted(item.input.attempt) + ",\"target\":" + quoted(item.target) + ",\"route\":" +
             quoted(item.route.name) + ",\"close_delimited\":" + (item.close_delimited ? "true" : "false") +
-            ",\"end\":" + quoted(name_of(result)) + ",\"body_bytes\":" + std::to_string(item.body_bytes) +
+            ",\"end\":" + quoted(name_of(result)) + ",\"head\":" + (item.head_received ? "true" : "false") +
+            ",\"body_bytes\":" + std::to_string(item.body_bytes) +
             ",\"inside_event\":" + (position_of(item) == body_position::inside_event ? "true" : "false") +
             ",\"reply_started\":" + (item.reply_started ? "true" : "false"),
         false});
