Count every crash of a target for the requests in flight, and acquit those that are answered

Callers saw: one request ended target after target; sound requests that were repeated beside it got 502 for as long as the crashes went on. Cause: a crash was counted for a request only while no response head had come, so that a target that crashed after its head accused nobody; class: evidence taken from where an answer stood instead of from the crash. The count had neither an acquittal nor an end that a sound request could reach, and was kept beside the group testing of prompt parts. Fix: one owner. The request as a whole is one more part in the group testing, named by its fingerprint; a confirmed crash accuses every request in flight, those with an answer that had been going on more weakly; a whole answer acquits. A target that falls silent, or starts again, is a crash too. The count by request (crash_row, max_target_crashes) is gone.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -151,6 +151,7 @@
         target.entry.position = entry.position;
         return;
     }
+    if (!inserted && entry.boot > target.entry.boot) confirm_crash(state, target, out);
     const bool address_changed = !inserted && target.entry.address != entry.address;
     if (address_changed) {
         target.load.cached_segments.clear();
@@ -371,7 +372,6 @@
             state.shares.update(static_cast<double>(state.active_catalog->tokens_per_second), state.now);
         end_restore(state, out);
         remove_missing_targets(state, out);
-        expire_crash_records(state);
         settle_begun_answers(state, out);
         advance_rollouts(state, out);
     }
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -111,12 +111,6 @@
     // Timer lag above which new requests are refused. At 0.09 cores, one full pass of the event loop takes
     // 100 ms.
     duration shed_lag{90ms};
-    // A request is no longer suspected of crashing targets this long after the last crash.
-    duration crash_record_lifetime{120s};
-    // Upper bound, because every crash record adds a row to every report.
-    std::size_t max_crash_records{512};
-    // A request that has crashed this many targets is rejected.
-    std::uint32_t max_target_crashes{2};
 };
 
 //-----------------------------------------------------------------------------
@@ -397,8 +391,10 @@
     time_point ejected_until{}; // not selected before this time
     std::uint32_t consecutive_failures{};
     double smoothed_failure_rate{};
-    std::optional<engine_crash> broken; // unanswered requests lost their connections: a crash, if confirmed
+    std::optional<engine_crash>
+        broken; // requests lost their connections or got no answer: a crash, if confirmed
     time_point last_crash{};
+    time_point last_head{}; // of a response
 };
 
 /// First byte of an answer; acquits the parts of the prompt once the target has lived on.
@@ -441,13 +437,6 @@
 // [SECTION] State
 //-----------------------------------------------------------------------------
 
-/// Targets that crashed while they executed one request; copies with the same account, path and body count as
-/// the same request.
-struct crash_record {
-    std::uint32_t crashes{};
-    time_point last_crash{};
-};
-
 struct router_state {
     explicit router_state(router_settings s);
 
@@ -488,7 +477,6 @@
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
     // Next report to the addresses that get no regular reports.
     time_point next_probe{};
-    std::unordered_map<std::uint64_t, crash_record> crashes; // seen by this router, by request fingerprint
     prompt_suspects suspects;
     std::deque<begun_answer> begun_answers;                        // by time
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -4,7 +4,7 @@
 // [SECTION] Requests
 // [SECTION] Targets
 // [SECTION] Speed of services
-// [SECTION] Prompt parts that crash targets
+// [SECTION] Requests that crash targets
 // [SECTION] Peers
 // [SECTION] Log lines
 
@@ -74,24 +74,33 @@
 void adopt_speeds(router_state& state, const router_report& report);
 
 //-----------------------------------------------------------------------------
-// [SECTION] Prompt parts that crash targets
+// [SECTION] Requests that crash targets
 //-----------------------------------------------------------------------------
 
-/// Records that the connection of a request broke before its answer began. That is a crash only if
-/// confirm_crash follows before note_sign_of_life.
-void note_unanswered_break(router_state& state, const request& item, target_state& target);
-/// The target accepts no connections any more, or its registration is gone.
+/// Records that the connection of the current attempt broke. That is a crash only if confirm_crash follows
+/// before note_sign_of_life.
+void note_break(router_state& state, const request& item, target_state& target);
+/// The same for an attempt that the router ends, if its target has been silent; a target that has lost its
+/// registration as well has crashed.
+void note_silence(router_state& state, const request& item, effects& out);
+/// The target accepts no connections any more, has started again, or its registration is gone.
 void confirm_crash(router_state& state, target_state& target, effects& out);
 /// The target has sent a response head.
 void note_sign_of_life(const router_state& state, target_state& target);
 /// Records the first byte of an answer, for settle_begun_answers.
 void note_answer_begun(router_state& state, const request& item, const target_state& target);
+/// Acquits a suspected request: its target has answered it to the end.
+void note_answer_complete(router_state& state, const request& item);
+/// Whether any response of this target has had bytes after the given time.
+[[nodiscard]] bool has_sent_since(const router_state& state, std::string_view target, time_point at);
 /// Acquits the prompt parts of answers whose targets have lived on.
 void settle_begun_answers(router_state& state, effects& out);
 /// Whether the request may be sent now (verdict `clear`); else the reason to refuse it or let it wait.
 [[nodiscard]] prompt_judgement judge_request(const router_state& state, const request& item);
+/// Crashes of targets of which copies of the request are accused.
+[[nodiscard]] std::uint32_t known_crashes(const router_state& state, const request& item);
 void add_suspect_rows(const router_state& state, router_report& report);
-/// Returns whether the report tells of a crash that was unknown.
+/// Returns whether the report accuses a request that was not accused before.
 bool apply_suspect_rows(router_state& state, const router_report& report, effects& out);
 
 //-----------------------------------------------------------------------------
@@ -102,10 +111,6 @@
 void send_reports(router_state& state, effects& out);
 /// Rank of this router among all routers by rendezvous hash for a target; 0 is the first.
 [[nodiscard]] std::size_t rank_for_target(const router_state& state, std::uint64_t target_hash);
-/// Removes expired crash records, and the oldest ones above the limit.
-void expire_crash_records(router_state& state);
-/// Target crashes that all routers have counted for a request.
-[[nodiscard]] std::uint32_t total_crashes(const router_state& state, std::uint64_t request_fingerprint);
 void record_version_response(router_state& state, const request& item, const target_state& target,
                              bool failed);
 /// Follows the current rollout orders. The router that leads the rollouts also writes their status.
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -1,5 +1,5 @@
-// Reports exchanged by direct routers: target load, account usage, catalog age, crash records, rollout
-// outcomes.
+// Reports exchanged by direct routers: target load, account usage, catalog age, crashes of targets, rollout
+// outcomes. Field numbers that are left out belonged to earlier releases and must not be used again.
 //
 // Index of this file:
 // [SECTION] Rows
@@ -42,25 +42,18 @@
     }
 };
 
-/// Target crashes that the sender has counted for a request.
-struct crash_row {
-    std::uint64_t request{}; // hash of account, path and body
-    std::uint32_t crashes{};
-    static constexpr auto fields() {
-        using t = crash_row;
-        return std::tuple{field{1, "request", &t::request}, field{2, "crashes", &t::crashes}};
-    }
-};
-
-/// Crash of an engine, with the prompt parts of one request that was unanswered there.
+/// Crash of a target, with one request that was in flight there.
 struct engine_crash_row {
     std::uint64_t engine{}; // hash of its id
     std::uint64_t age_us{};
-    std::vector<std::uint64_t> parts;
+    std::vector<std::uint64_t> parts; // of the prompt; empty if the answer had been going on
+    std::uint64_t request{};          // hash of account, path and body
+    bool begun{};                     // the answer had been going on
     static constexpr auto fields() {
         using t = engine_crash_row;
         return std::tuple{field{1, "engine", &t::engine}, field{2, "age_us", &t::age_us},
-                          field{3, "parts", &t::parts}};
+                          field{3, "parts", &t::parts}, field{4, "request", &t::request},
+                          field{5, "begun", &t::begun}};
     }
 };
 
@@ -165,14 +158,13 @@
     std::vector<echo_row> echoes;
     std::vector<target_load_row> targets;
     std::vector<account_usage_row> accounts;
-    std::vector<crash_row> crashes;
     std::vector<version_row> versions;
     std::vector<speed_row> speeds;            // estimates with enough samples only
     std::uint64_t targets_changed_revision{}; // as operator_changed_revision, of the latest registration
     bool store_unreachable{};                 // the sender's last call to the store failed
     // Age of the sender's list of targets at the time of sending; 0 if it has none.
     std::uint64_t targets_age_us{};
-    std::vector<engine_crash_row> engine_crashes; // recent ones, seen by the sender
+    std::vector<engine_crash_row> engine_crashes; // recent ones, seen by the sender; a row for each request
     std::vector<acquittal_row> acquittals;        // recent ones, seen by the sender
     std::vector<quarantine_row> quarantines;
     store_position operator_changed_at; // latest operator change in the sender's catalog
@@ -195,7 +187,6 @@
                           field{14, "echoes", &t::echoes},
                           field{15, "targets", &t::targets},
                           field{16, "accounts", &t::accounts},
-                          field{17, "crashes", &t::crashes},
                           field{18, "versions", &t::versions},
                           field{19, "operator_changed_revision", &t::operator_changed_revision},
                           field{20, "speeds", &t::speeds},
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -170,7 +170,8 @@
     if (report.router == state.settings.incarnation) return;
     add_peer_addresses(state, report);
     adopt_speeds(state, report);
-    // A crash is passed on at once: requests with the same prompt part are arriving everywhere.
+    // A crash is passed on at once: copies of the request, and others with the same prompt part, are arriving
+    // everywhere.
     if (apply_suspect_rows(state, report, out) && is_relay(state, live_neighbours(state)))
         state.next_report = state.now;
     if (report.is_summary) {
@@ -287,8 +288,6 @@
         report->accounts.push_back({account, static_cast<std::uint32_t>(usage.requested),
                                     static_cast<std::uint32_t>(usage.dispatched)});
     }
-    for (const auto& [hash, record] : state.crashes)
-        report->crashes.push_back({hash, record.crashes});
     add_version_rows(state, *report);
     add_suspect_rows(state, *report);
     return report;
@@ -298,7 +297,6 @@
 struct report_sums {
     std::map<std::uint64_t, target_load_row> targets;
     std::map<std::uint64_t, account_usage_row> accounts;
-    std::map<std::uint64_t, crash_row> crashes;
     std::map<std::pair<store_position, bool>, version_row> versions; // by order
     std::vector<engine_crash_row> engine_crashes;
     std::map<std::uint64_t, acquittal_row> acquittals;
@@ -314,10 +312,6 @@
             account_usage_row& sum = accounts[row.account];
             sum = {row.account, sum.requested + row.requested, sum.dispatched + row.dispatched};
         }
-        for (const crash_row& row : report.crashes) {
-            crash_row& sum = crashes[row.request];
-            sum = {row.request, sum.crashes + row.crashes};
-        }
         engine_crashes.insert(engine_crashes.end(), report.engine_crashes.begin(),
                               report.engine_crashes.end());
         for (const acquittal_row& row : report.acquittals)
@@ -362,7 +356,6 @@
     };
     values(sums.targets, summary->targets);
     values(sums.accounts, summary->accounts);
-    values(sums.crashes, summary->crashes);
     values(sums.versions, summary->versions);
     values(sums.acquittals, summary->acquittals);
     values(sums.quarantines, summary->quarantines);
@@ -540,29 +533,6 @@
 
 } // namespace
 
-void expire_crash_records(router_state& state) {
-    std::erase_if(state.crashes, [&](const auto& entry) {
-        return state.now - entry.second.last_crash > state.settings.crash_record_lifetime;
-    });
-    // A crashing target breaks the connections of all its requests, so most records belong to requests that
-    // did not cause the crash.
-    while (state.crashes.size() > state.settings.max_crash_records) {
-        state.crashes.erase(std::ranges::min_element(
-            state.crashes, {}, [](const auto& entry) { return entry.second.last_crash; }));
-    }
-}
-
-std::uint32_t total_crashes(const router_state& state, std::uint64_t request_fingerprint) {
-    const auto own = state.crashes.find(request_fingerprint);
-    std::uint32_t sum = own == state.crashes.end() ? 0 : own->second.crashes;
-    for_each_report(state, [&](const router_report& report) {
-        for (const crash_row& row : report.crashes) {
-            if (row.request == request_fingerprint) sum += row.crashes;
-        }
-    });
-    return sum;
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Rollouts
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -302,20 +302,25 @@
 
 constexpr duration no_target_retry = 400ms; // the first ejection of a target ends after this time
 
-/// Outcome for a request that must not be sent now because of a part of its prompt.
-placement_outcome blocked_outcome(const router_state& state, const prompt_judgement& judged) {
+/// Outcome for a request that must not be sent now because it, or a part of its prompt, may crash targets.
+placement_outcome blocked_outcome(const router_state& state, const request& item,
+                                  const prompt_judgement& judged) {
     constexpr duration trial_time = 200ms; // until another request with the part has an answer, mostly
     placement_outcome outcome;
     outcome.exact_retry = judged.verdict == prompt_verdict::quarantined;
     outcome.has_candidates = !outcome.exact_retry;
     outcome.capacity_in = outcome.exact_retry ? judged.until - state.now : trial_time;
-    outcome.refusal = outcome.exact_retry ? "prompt_quarantined" : "prompt_suspected";
+    const bool is_whole_request = judged.part == item.request_fingerprint;
+    if (outcome.exact_retry)
+        outcome.refusal = is_whole_request ? "request_quarantined" : "prompt_quarantined";
+    else
+        outcome.refusal = is_whole_request ? "request_suspected" : "prompt_suspected";
     return outcome;
 }
 
 placement_outcome place(router_state& state, request& item) {
     const prompt_judgement judged = judge_request(state, item);
-    if (judged.verdict != prompt_verdict::clear) return blocked_outcome(state, judged);
+    if (judged.verdict != prompt_verdict::clear) return blocked_outcome(state, item, judged);
     const candidate_list list = find_candidates(state, item);
     placement_outcome outcome;
     outcome.has_candidates = !list.options.empty();
@@ -563,11 +568,7 @@
     state.deadlines.emplace(item->deadline, event.caller);
     record_first_attempt(state.retry_windows[item->service], state.settings.retries, state.now);
     state.shares.on_requested(item->account_hash, item->tokens, state.now);
-    item->known_crashes = total_crashes(state, item->request_fingerprint);
-    if (item->known_crashes >= state.settings.max_target_crashes) {
-        refuse(state, item, status_bad_gateway, std::nullopt, "crashes_targets", out);
-        return;
-    }
+    item->known_crashes = known_crashes(state, *item);
     const placement_outcome found = place(state, *item);
     if (found.target != nullptr) {
         start_attempt(state, item, *found.target, found.choice, out);
@@ -583,6 +584,7 @@
     if (found == state.requests.end()) return;
     const request_ptr item = found->second;
     log_outcome(state, *item, "caller_left", 0, out);
+    note_silence(state, *item, out);
     cancel_attempt(state, *item, out);
     remove_request(state, item);
 }
@@ -769,6 +771,7 @@
 namespace {
 
 void on_response_complete(router_state& state, const request_ptr& item, effects& out) {
+    note_answer_complete(state, *item);
     if (is_stream(*item)) {
         start_reply(*item, out);
         clear_attempt(state, *item);
@@ -801,12 +804,9 @@
 void on_connection_broken(router_state& state, const request_ptr& item, send_result result, effects& out) {
     item->may_have_run = true;
     if (target_state* target = find_target(state, item->target)) {
-        if (result == send_result::broken) note_unanswered_break(state, *item, *target);
-        if (!item->head_received && result == send_result::broken) {
-            record_target_result(*target, true);
-            crash_record& record = state.crashes[item->request_fingerprint];
-            ++record.crashes;
-            record.last_crash = state.now;
+        if (result == send_result::broken) {
+            note_break(state, *item, *target);
+            if (!item->head_received) record_target_result(*target, true);
         }
         record_version_response(state, *item, *target, true);
     }
@@ -868,13 +868,6 @@
     out.emplace_back(probe_target{item->send_id, target->entry.address});
 }
 
-/// Whether any response of this target has had bytes after the given time.
-bool has_sent_since(const router_state& state, std::string_view target, time_point at) {
-    return std::ranges::any_of(state.requests, [&](const auto& entry) {
-        return entry.second->target == target && entry.second->last_data > at;
-    });
-}
-
 } // namespace
 
 void on_target_probed(router_state& state, const target_probed& event, effects& out) {
@@ -963,6 +956,7 @@
         const request_ptr item = found->second;
         const bool was_sent = item->sends > 0;
         if (was_sent) item->may_have_run = true;
+        note_silence(state, *item, out);
         cancel_attempt(state, *item, out);
         fail(state, item, was_sent ? status_gateway_timeout : status_unavailable, "timeout", out);
     }
--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -29,6 +29,11 @@
     return list + "]";
 }
 
+std::string format_accused(const accused_request& item) {
+    return "{\"request\":" + format_parts({&item.fingerprint, 1}) +
+           ",\"begun\":" + (item.begun ? "true" : "false") + ",\"parts\":" + format_parts(item.parts) + "}";
+}
+
 void log_new_quarantines(const router_state& state, const std::vector<std::uint64_t>& before, effects& out) {
     for (const auto& [part, quarantined] : state.suspects.quarantined) {
         if (std::ranges::find(before, part) != before.end()) continue;
@@ -52,31 +57,65 @@
 
 } // namespace
 
-void note_unanswered_break(router_state& state, const request& item, target_state& target) {
-    if (item.parts.empty() || item.first_byte_received) return;
-    const bool expired =
-        target.broken && state.now - target.broken->at > state.settings.suspects.max_unconfirmed;
-    if (!target.broken || expired) target.broken = engine_crash{target.hash, state.now, true, {}};
-    if (target.broken->accused.size() < state.settings.suspects.max_sets)
-        target.broken->accused.push_back(item.parts);
+namespace {
+
+// Bytes that were on the way when the target crashed arrive within this time.
+constexpr duration in_transit = 50ms;
+
+/// Accuses the request of a crash at the given time, should it be confirmed.
+void accuse(router_state& state, const request& item, target_state& target, time_point at) {
+    const prompt_suspect_settings& settings = state.settings.suspects;
+    const bool expired = target.broken && state.now - target.broken->noticed > settings.max_unconfirmed;
+    if (!target.broken || expired) target.broken = engine_crash{target.hash, at, {}, state.now};
+    if (target.broken->accused.size() >= settings.max_accused) return;
+    const bool begun =
+        item.first_byte_received && at - (item.sent_at + item.first_byte_delay) > settings.proof_of_life;
+    target.broken->accused.push_back(
+        {begun ? prompt_parts{} : item.parts, item.request_fingerprint, begun, true});
+}
+
+} // namespace
+
+void note_break(router_state& state, const request& item, target_state& target) {
+    accuse(state, item, target, state.now);
+}
+
+void note_silence(router_state& state, const request& item, effects& out) {
+    // A target that works sends the next event, or another response, sooner than this.
+    constexpr duration min_silence = 1s;
+    if (item.send_id == 0) return;
+    target_state* const target = find_target(state, item.target);
+    if (target == nullptr) return;
+    const time_point last_sign = std::max({item.sent_at, item.last_data, target->last_head});
+    if (state.now - last_sign < min_silence || has_sent_since(state, item.target, last_sign)) return;
+    accuse(state, item, *target, last_sign);
+    if (target->missing_since != time_point{}) confirm_crash(state, *target, out);
+}
+
+bool has_sent_since(const router_state& state, std::string_view target, time_point at) {
+    return std::ranges::any_of(state.requests, [&](const auto& entry) {
+        return entry.second->target == target && entry.second->last_data > at;
+    });
 }
 
 void confirm_crash(router_state& state, target_state& target, effects& out) {
     if (!target.broken) return;
     const engine_crash crash = *target.broken;
     target.broken.reset();
-    if (state.now - crash.at > state.settings.suspects.max_unconfirmed) return;
+    if (state.now - crash.noticed > state.settings.suspects.max_unconfirmed) return;
+    if (has_sent_since(state, target.entry.id, crash.at + in_transit)) return;
     target.last_crash = crash.at;
-    std::string sets;
-    for (const prompt_parts& accused : crash.accused)
-        sets += (sets.empty() ? "" : ",") + format_parts(accused);
+    std::string accused;
+    for (const accused_request& item : crash.accused)
+        accused += (accused.empty() ? "" : ",") + format_accused(item);
     out.emplace_back(count{"engine_crashes_total", target.entry.service, 1});
     out.emplace_back(log_event{"target_crashed",
                                "\"target\":" + quoted(target.entry.id) + ",\"ms_ago\":" +
-                                   format_ms(state.now - crash.at) + ",\"unanswered\":[" + sets + "]",
+                                   format_ms(state.now - crash.at) + ",\"accused\":[" + accused + "]",
                                true});
     const auto before = quarantined_parts(state);
-    if (add_crash(state.suspects, state.settings.suspects, crash, state.now)) state.next_report = state.now;
+    if (add_crashes(state.suspects, state.settings.suspects, {crash}, state.now))
+        state.next_report = state.now;
     log_new_quarantines(state, before, out);
 }
 
@@ -85,8 +124,7 @@
 //-----------------------------------------------------------------------------
 
 void note_sign_of_life(const router_state& state, target_state& target) {
-    // Bytes that were on the way when the target crashed arrive within this time.
-    constexpr duration in_transit = 50ms;
+    target.last_head = state.now;
     if (target.broken && state.now - target.broken->at > in_transit) target.broken.reset();
 }
 
@@ -94,6 +132,13 @@
     if (!item.parts.empty()) state.begun_answers.push_back({state.now, target.hash, item.parts});
 }
 
+void note_answer_complete(router_state& state, const request& item) {
+    const std::uint64_t fingerprint = item.request_fingerprint;
+    if (!state.suspects.suspected.contains(fingerprint) && !state.suspects.quarantined.contains(fingerprint))
+        return;
+    add_answer(state.suspects, state.settings.suspects, {&fingerprint, 1}, state.now, true);
+}
+
 void settle_begun_answers(router_state& state, effects& out) {
     const prompt_suspect_settings& settings = state.settings.suspects;
     while (!state.begun_answers.empty() &&
@@ -119,20 +164,29 @@
 //-----------------------------------------------------------------------------
 
 prompt_judgement judge_request(const router_state& state, const request& item) {
-    prompt_judgement judged = judge_prompt(state.suspects, state.settings.suspects, item.parts, state.now);
+    if (state.suspects.suspected.empty() && state.suspects.quarantined.empty()) return {};
+    prompt_judgement judged = judge_prompt(state.suspects, state.settings.suspects,
+                                           parts_of_request(item.parts, item.request_fingerprint), state.now);
     if (judged.verdict == prompt_verdict::clear || judged.verdict == prompt_verdict::quarantined)
         return judged;
     const bool may_try =
         judged.verdict == prompt_verdict::one_per_router || rank_for_target(state, judged.part) == 0;
     const bool is_tried = std::ranges::any_of(state.requests, [&](const auto& entry) {
         const request& other = *entry.second;
-        return &other != &item && other.send_id != 0 && !other.first_byte_received &&
-               std::ranges::find(other.parts, judged.part) != other.parts.end();
+        if (&other == &item || other.send_id == 0) return false;
+        return other.request_fingerprint == judged.part ||
+               (!other.first_byte_received &&
+                std::ranges::find(other.parts, judged.part) != other.parts.end());
     });
     if (may_try && !is_tried) judged.verdict = prompt_verdict::clear;
     return judged;
 }
 
+std::uint32_t known_crashes(const router_state& state, const request& item) {
+    const auto suspected = state.suspects.suspected.find(item.request_fingerprint);
+    return suspected == state.suspects.suspected.end() ? 0 : suspected->second.crashes;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Reports
 //-----------------------------------------------------------------------------
@@ -148,9 +202,12 @@
 void add_suspect_rows(const router_state& state, router_report& report) {
     const prompt_suspects& suspects = state.suspects;
     for (const engine_crash& crash : suspects.crashes) {
-        if (!crash.is_own || state.now - crash.at > state.settings.suspects.announce_time) continue;
-        for (const prompt_parts& accused : crash.accused)
-            report.engine_crashes.push_back({crash.engine, age_us(state.now, crash.at), accused});
+        if (state.now - crash.noticed > state.settings.suspects.announce_time) continue;
+        for (const accused_request& item : crash.accused) {
+            if (item.is_own && report.engine_crashes.size() < state.settings.suspects.max_announced)
+                report.engine_crashes.push_back(
+                    {crash.engine, age_us(state.now, crash.at), item.parts, item.fingerprint, item.begun});
+        }
     }
     for (const auto& [part, at] : suspects.own_acquittals)
         report.acquittals.push_back({part, age_us(state.now, at)});
@@ -165,11 +222,18 @@
     const auto time_of = [&](std::uint64_t age) {
         return state.now - duration{static_cast<std::int64_t>(age)};
     };
-    bool is_news = false;
-    for (const engine_crash_row& row : report.engine_crashes)
-        is_news = add_crash(state.suspects, settings, {row.engine, time_of(row.age_us), false, {row.parts}},
-                            state.now) ||
-                  is_news;
+    std::vector<engine_crash> crashes;
+    // The requests of one crash are in consecutive rows.
+    for (auto row = report.engine_crashes.begin(); row != report.engine_crashes.end();) {
+        engine_crash crash{row->engine, time_of(row->age_us), {}, {}};
+        const auto end = std::find_if(row, report.engine_crashes.end(), [&](const engine_crash_row& other) {
+            return other.engine != row->engine || other.age_us != row->age_us;
+        });
+        for (; row != end; ++row)
+            crash.accused.push_back({row->parts, row->request, row->begun, false});
+        crashes.push_back(std::move(crash));
+    }
+    const bool is_news = add_crashes(state.suspects, settings, std::move(crashes), state.now);
     for (const acquittal_row& row : report.acquittals)
         add_answer(state.suspects, settings, {&row.part, 1}, time_of(row.age_us), false);
     for (const quarantine_row& row : report.quarantines)
--- a/core/damaskhill_prompt_suspects.cpp
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -5,6 +5,8 @@
 #include "damaskhill_prompt_suspects.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <unordered_set>
 
 namespace damaskhill {
 
@@ -12,8 +14,19 @@
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
 
+prompt_parts parts_of_request(std::span<const std::uint64_t> parts, std::uint64_t fingerprint) {
+    prompt_parts all(parts.begin(), parts.end());
+    if (fingerprint != 0) all.push_back(fingerprint);
+    std::ranges::sort(all);
+    return all;
+}
+
 namespace {
 
+bool is_same_request(const accused_request& a, const accused_request& b) {
+    return a.fingerprint == b.fingerprint && a.begun == b.begun && a.parts == b.parts;
+}
+
 /// Whether the part has been acquitted since this crash.
 bool is_acquitted(const prompt_suspects& suspects, std::uint64_t part, time_point crash) {
     const auto answered = suspects.answered.find(part);
@@ -26,8 +39,9 @@
     return both;
 }
 
-void count_crash(suspected_part& part, const prompt_suspect_settings& settings, time_point at) {
+void count_crash(suspected_part& part, const prompt_suspect_settings& settings, time_point at, bool begun) {
     ++part.crashes;
+    if (begun) ++part.begun_crashes;
     if (part.moments == 0 || at - part.last_crash > settings.same_moment) ++part.moments;
     part.last_crash = at;
 }
@@ -36,52 +50,85 @@
 void rebuild_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
     suspects.suspected.clear();
     for (const engine_crash& crash : suspects.crashes) {
-        prompt_parts counted; // a part counts once for each crash
-        for (const prompt_parts& accused : crash.accused) {
-            prompt_parts open;
-            std::ranges::copy_if(accused, std::back_inserter(open),
-                                 [&](std::uint64_t part) { return !is_acquitted(suspects, part, crash.at); });
-            for (const std::uint64_t part : open) {
-                const auto [found, is_new] = suspects.suspected.try_emplace(part);
-                suspected_part& suspected = found->second;
-                suspected.companions = is_new ? open : intersect(suspected.companions, open);
+        std::unordered_set<std::uint64_t> counted; // a part counts once for each crash
+        for (const accused_request& accused : crash.accused) {
+            for (const std::uint64_t part : parts_of_request(accused.parts, accused.fingerprint)) {
+                if (is_acquitted(suspects, part, crash.at) || !counted.insert(part).second) continue;
+                suspected_part& suspected = suspects.suspected[part];
                 suspected.answered_before = suspects.answered.contains(part);
-                if (std::ranges::find(counted, part) != counted.end()) continue;
-                counted.push_back(part);
-                count_crash(suspected, settings, crash.at);
+                count_crash(suspected, settings, crash.at, accused.begun);
             }
         }
     }
 }
 
+/// Suspected parts that are in every accused request with this one, sorted; includes it.
+prompt_parts companions_of(const prompt_suspects& suspects, std::uint64_t part) {
+    std::optional<prompt_parts> companions;
+    for (const engine_crash& crash : suspects.crashes) {
+        if (is_acquitted(suspects, part, crash.at)) continue;
+        for (const accused_request& accused : crash.accused) {
+            const bool has_part =
+                accused.fingerprint == part || std::ranges::binary_search(accused.parts, part);
+            if (!has_part) continue;
+            prompt_parts open = parts_of_request(accused.parts, accused.fingerprint);
+            std::erase_if(open, [&](std::uint64_t other) { return is_acquitted(suspects, other, crash.at); });
+            companions = companions ? intersect(*companions, open) : std::move(open);
+        }
+    }
+    return companions.value_or(prompt_parts{});
+}
+
 bool must_quarantine(const suspected_part& part, const prompt_suspect_settings& settings) {
     const std::uint32_t moments =
         part.answered_before ? settings.answered_quarantine_moments : settings.quarantine_moments;
-    return part.crashes >= settings.quarantine_crashes && part.moments >= moments;
+    const std::uint32_t crashes =
+        part.begun_crashes > 0 ? settings.begun_quarantine_crashes : settings.quarantine_crashes;
+    const bool crashed_early = part.crashes - part.begun_crashes >= settings.quarantine_crashes;
+    return (crashed_early || part.crashes >= crashes) && part.moments >= moments;
+}
+
+using crash_times = std::vector<std::pair<time_point, std::uint64_t>>; // of the last crash, and the part
+
+/// Keeps the entries with the latest crashes.
+void keep_latest(crash_times& entries, std::size_t most) {
+    if (entries.size() <= most) return;
+    std::ranges::nth_element(entries, entries.begin() + static_cast<std::ptrdiff_t>(most), std::greater{});
+    entries.resize(most);
 }
 
 void limit_quarantines(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
-    while (suspects.quarantined.size() > settings.max_quarantines) {
-        suspects.quarantined.erase(std::ranges::min_element(
-            suspects.quarantined, {}, [](const auto& entry) { return entry.second.last_crash; }));
-    }
+    if (suspects.quarantined.size() <= settings.max_quarantines) return;
+    crash_times kept;
+    for (const auto& [part, quarantined] : suspects.quarantined)
+        kept.emplace_back(quarantined.last_crash, part);
+    keep_latest(kept, settings.max_quarantines);
+    std::erase_if(suspects.quarantined, [oldest = std::ranges::min(kept)](const auto& entry) {
+        return std::pair{entry.second.last_crash, entry.first} < oldest;
+    });
 }
 
 /// Quarantines the parts that have been accused often enough, and updates those that are quarantined.
 void update_quarantines(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    crash_times added;
     for (const auto& [id, part] : suspects.suspected) {
         const auto found = suspects.quarantined.find(id);
         if (found == suspects.quarantined.end()) {
-            if (must_quarantine(part, settings))
-                suspects.quarantined[id] = {part.moments, part.last_crash, part.companions};
+            if (must_quarantine(part, settings)) added.emplace_back(part.last_crash, id);
             continue;
         }
         quarantined_part& quarantined = found->second;
-        quarantined.companions = intersect(quarantined.companions, part.companions);
-        if (part.last_crash <= quarantined.last_crash) continue;
+        if (part.last_crash < quarantined.last_crash) continue;
+        quarantined.companions = intersect(quarantined.companions, companions_of(suspects, id));
+        if (part.last_crash == quarantined.last_crash) continue;
         if (part.last_crash - quarantined.last_crash > settings.same_moment) ++quarantined.moments;
         quarantined.last_crash = part.last_crash;
     }
+    keep_latest(added, settings.max_quarantines);
+    for (const auto& [last_crash, id] : added) {
+        const suspected_part& part = suspects.suspected.at(id);
+        suspects.quarantined[id] = {part.moments, part.last_crash, companions_of(suspects, id)};
+    }
     limit_quarantines(suspects, settings);
 }
 
@@ -98,35 +145,52 @@
     std::erase_if(suspects.answered, [limit = *middle](const auto& entry) { return entry.second < limit; });
 }
 
-} // namespace
-
-bool add_crash(prompt_suspects& suspects, const prompt_suspect_settings& settings, engine_crash crash,
-               time_point now) {
+/// Adds a crash, or what is new of a known one. Returns whether anything is.
+bool merge_crash(prompt_suspects& suspects, const prompt_suspect_settings& settings, engine_crash crash,
+                 time_point now) {
     if (now - crash.at > settings.crash_lifetime) return false;
-    for (prompt_parts& accused : crash.accused) {
-        if (accused.size() > settings.max_parts) accused.resize(settings.max_parts);
-        std::ranges::sort(accused);
+    for (accused_request& accused : crash.accused) {
+        if (accused.begun) accused.parts.clear();
+        if (accused.parts.size() > settings.max_parts) accused.parts.resize(settings.max_parts);
+        std::ranges::sort(accused.parts);
     }
-    std::erase_if(crash.accused, [](const prompt_parts& accused) { return accused.empty(); });
+    std::erase_if(crash.accused, [](const accused_request& accused) {
+        return accused.parts.empty() && accused.fingerprint == 0;
+    });
     auto known = std::ranges::find_if(suspects.crashes, [&](const engine_crash& other) {
         return other.engine == crash.engine &&
                std::chrono::abs(other.at - crash.at) < settings.min_restart_time;
     });
     const bool is_new = known == suspects.crashes.end();
-    if (is_new) known = suspects.crashes.insert(known, {crash.engine, crash.at, crash.is_own, {}});
+    if (is_new) known = suspects.crashes.insert(known, {crash.engine, crash.at, {}, now});
     engine_crash& stored = *known;
+    const std::size_t accused_before = stored.accused.size();
     stored.at = std::min(stored.at, crash.at);
-    stored.is_own = stored.is_own || crash.is_own;
-    for (prompt_parts& accused : crash.accused) {
-        if (std::ranges::find(stored.accused, accused) == stored.accused.end())
+    for (accused_request& accused : crash.accused) {
+        const bool is_known = std::ranges::any_of(
+            stored.accused, [&](const accused_request& other) { return is_same_request(other, accused); });
+        if (!is_known && stored.accused.size() < settings.max_accused)
             stored.accused.push_back(std::move(accused));
     }
-    if (stored.accused.size() > settings.max_sets) stored.accused.resize(settings.max_sets);
+    const bool is_news = is_new || stored.accused.size() > accused_before;
+    if (!is_news) return false;
+    stored.noticed = now;
     std::ranges::sort(suspects.crashes, {}, &engine_crash::at);
     if (suspects.crashes.size() > settings.max_crashes) suspects.crashes.erase(suspects.crashes.begin());
+    return true;
+}
+
+} // namespace
+
+bool add_crashes(prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                 std::vector<engine_crash> crashes, time_point now) {
+    bool is_news = false;
+    for (engine_crash& crash : crashes)
+        is_news = merge_crash(suspects, settings, std::move(crash), now) || is_news;
+    if (!is_news) return false;
     rebuild_suspected(suspects, settings);
     update_quarantines(suspects, settings);
-    return is_new;
+    return true;
 }
 
 void add_answer(prompt_suspects& suspects, const prompt_suspect_settings& settings,
