Failing test: an account that asks for most takes the idle engines first

No account counts as backlogged until 4.6 s, since it takes a window of 4 s in which half of the demand was refused; until then nothing throttles the first one, which takes every engine that looks idle. Ruled out: routers that count differently (the fair level is 0.78 to 0.82 M at all of them), lost reports (22 peers everywhere).

--- a/tests/test_direct_limits.cpp
+++ b/tests/test_direct_limits.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <map>
 #include <numeric>
 
 using namespace damaskhill;
@@ -126,6 +127,107 @@
     BOOST_TEST(shares.is_within_share(1, start + 5s));
 }
 
+namespace {
+
+/// Two accounts above their shares and many small ones, whose requests wait in one queue for the engines.
+struct shared_engines {
+    static constexpr std::size_t routers = 100;
+    static constexpr std::size_t routers_of_surge = 2;
+    static constexpr std::uint64_t surging = 1; // asks for most, at few routers
+    static constexpr std::uint64_t steady = 2;  // at all routers
+    static constexpr std::uint64_t small_accounts = 58;
+    static constexpr double tokens_per_request = 4'000;
+    static constexpr double tokens_per_second = 2'000'000; // declared, and what the engines can do
+    static constexpr std::size_t requests_in_step = 10;    // that the engines begin in 20 ms
+    static constexpr std::size_t max_queue = 1000;         // two seconds of work
+    std::vector<account_shares> shares{std::vector<account_shares>(routers)};
+    std::deque<std::uint64_t> queue;                    // accounts
+    std::map<std::uint64_t, std::vector<double>> asked; // tokens by second
+    std::map<std::uint64_t, std::vector<double>> begun;
+    random_source random{1};
+    time_point now = start;
+
+    void submit(std::uint64_t account, std::size_t router, std::size_t second) {
+        shares[router].on_requested(account, tokens_per_request, now);
+        asked[account][second] += tokens_per_request;
+        if (queue.size() >= max_queue || shares[router].is_throttled(account, now)) return;
+        shares[router].on_dispatched(account, tokens_per_request, now);
+        queue.push_back(account);
+    }
+    /// Reports forwarded by relays are up to 600 ms old.
+    void exchange_reports(int step) {
+        constexpr int report_steps = 30;
+        for (std::size_t sender = 0; sender < routers; ++sender) {
+            if (static_cast<int>(sender) % report_steps != step % report_steps) continue;
+            const auto usage = shares[sender].own_usage(now);
+            for (std::size_t receiver = 0; receiver < routers; ++receiver) {
+                if (receiver != sender) shares[receiver].set_peer(sender, usage, now);
+            }
+        }
+    }
+    void run(std::size_t seconds) {
+        constexpr int steps_per_second = 50;
+        for (const std::uint64_t account : {surging, steady})
+            asked[account] = begun[account] = std::vector<double>(seconds);
+        for (int step = 0; step < static_cast<int>(seconds) * steps_per_second; ++step, now += 20ms) {
+            const auto second = static_cast<std::size_t>(step / steps_per_second);
+            std::vector<std::uint64_t> arrivals(20, surging);
+            arrivals.insert(arrivals.end(), 4, steady);
+            for (int i = 0; i < 6; ++i)
+                arrivals.push_back(10 + random.next() % small_accounts);
+            while (!arrivals.empty()) {
+                const auto next =
+                    arrivals.begin() + static_cast<std::ptrdiff_t>(random.next() % arrivals.size());
+                const std::size_t range = *next == surging ? routers_of_surge : routers;
+                asked[*next].resize(seconds);
+                submit(*next, random.next() % range, second);
+                arrivals.erase(next);
+            }
+            for (std::size_t i = 0; i < requests_in_step && !queue.empty(); ++i, queue.pop_front()) {
+                begun[queue.front()].resize(seconds);
+                begun[queue.front()][second] += tokens_per_request;
+            }
+            if (step % 10 == 0) {
+                for (account_shares& router : shares)
+                    router.update(tokens_per_second, now);
+            }
+            exchange_reports(step);
+        }
+    }
+};
+
+} // namespace
+
+// Load: all accounts begin at once; one asks for three times as much as the other one above its share, at two
+// of 100 routers. Guards against leaving idle engines to the account that asks most until the other one has
+// been refused for seconds: in no period of six seconds may the other one get less than half of what it asked
+// for or the first one got.
+BOOST_AUTO_TEST_CASE(surging_account_leaves_others_their_share_from_the_start) {
+    constexpr std::size_t seconds = 20;
+    constexpr std::size_t period = 6;
+    shared_engines engines;
+    engines.run(seconds);
+    const auto& asked = engines.asked[shared_engines::steady];
+    const auto& got = engines.begun[shared_engines::steady];
+    const auto& best = engines.begun[shared_engines::surging];
+    for (std::size_t first = 1; first + period <= seconds; ++first) {
+        double owed = 0;
+        double begun = 0;
+        for (std::size_t second = first; second < first + period; ++second) {
+            owed += std::min(asked[second], best[second]) / 2;
+            begun += got[second];
+        }
+        BOOST_TEST_CONTEXT("from second " << first) BOOST_TEST(begun >= owed);
+    }
+    // The engines are not left idle while accounts wait.
+    for (std::size_t second = 1; second < seconds; ++second) {
+        double all = 0;
+        for (const auto& [account, tokens] : engines.begun)
+            all += tokens[second];
+        BOOST_TEST(all > 0.9 * shared_engines::tokens_per_second);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Cold targets
 //-----------------------------------------------------------------------------
