Compare usage and capacity over the same time when demand has just begun

Callers saw: in the first seconds of load one account got several times its share while others were refused for seconds, and was refused itself afterwards. Cause: the demand of a window that has just begun was compared with what the engines do in a whole window of 4 s, so that all demand seemed to fit; class: a rate taken over a window that is not filled. Evidence: logs of the shares: level 13.6 M tokens for 2 s, then 0.8 M, while one account was sent 5.9 M. Ruled out: different levels at different routers, missing peers. Fix: reports say for how long there has been demand, and the level and the pace of the token buckets cover that time. The fraction of the backlog that an account may use moves to account_shares unchanged. Test: surging_account_leaves_others_their_share_from_the_start, 2.01 M of 2.29 M owed before, passes now.

--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -46,6 +46,8 @@
 //-----------------------------------------------------------------------------
 
 void account_shares::on_requested(std::uint64_t account, double tokens, time_point now) {
+    if (!demand_since_ || now - last_request_ >= window()) demand_since_ = now;
+    last_request_ = now;
     add_to(own_[account].requested, tokens, now, settings_.slice);
 }
 
@@ -57,8 +59,20 @@
 }
 
 void account_shares::set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
-                              time_point now) {
-    peers_[router] = {std::move(rows), now};
+                              time_point now, std::optional<duration> demand_age) {
+    const bool is_used = !rows.empty();
+    const std::optional<time_point> since =
+        is_used ? std::optional{now - demand_age.value_or(window())} : std::nullopt;
+    peers_[router] = {std::move(rows), now, since};
+}
+
+duration account_shares::demand_age(time_point now) const {
+    time_point since = now;
+    if (demand_since_ && now - last_request_ < window()) since = *demand_since_;
+    for (const auto& [router, peer] : peers_) {
+        if (peer.demand_since) since = std::min(since, *peer.demand_since);
+    }
+    return std::min(now - since, window());
 }
 
 std::unordered_map<std::uint64_t, account_usage> account_shares::own_usage(time_point now) const {
@@ -89,7 +103,11 @@
     demands.reserve(requested_.size());
     for (const auto& [account, tokens] : requested_)
         demands.push_back(tokens);
-    fair_level_ = max_min_level(std::move(demands), tokens_per_second * window_seconds());
+    // Usage of a shorter time than the window is compared with what the engines can do in that time.
+    // Otherwise all demand seems to fit until the window is filled, and who asks for most fills the engines'
+    // queues.
+    covered_seconds_ = to_seconds(std::max(demand_age(now), settings_.slice));
+    fair_level_ = max_min_level(std::move(demands), tokens_per_second * covered_seconds_);
     lowest_backlogged_usage_ = 1e9;
     for (const auto& [account, tokens] : requested_) {
         const double used = used_share(account, now);
@@ -100,16 +118,14 @@
     }
 }
 
-double account_shares::window_seconds() const {
-    return to_seconds(settings_.slice) * static_cast<double>(share_slices);
-}
+duration account_shares::window() const { return settings_.slice * static_cast<int>(share_slices); }
 
 double account_shares::pace_per_second(std::uint64_t account, const own_sums& own, time_point now) const {
     const auto requested = requested_.find(account);
     if (requested == requested_.end() || requested->second <= 0) return 0;
     const double own_fraction =
         std::min(1.0, sum_at(own.requested, now, settings_.slice) / requested->second);
-    return settings_.max_lead * lowest_backlogged_usage_ * fair_level_ / window_seconds() * own_fraction;
+    return settings_.max_lead * lowest_backlogged_usage_ * fair_level_ / covered_seconds_ * own_fraction;
 }
 
 double account_shares::pace_balance_at(std::uint64_t account, const own_sums& own, time_point now) const {
@@ -134,6 +150,16 @@
     return fair_level_ > 0 ? dispatched / fair_level_ : 0.0;
 }
 
+double account_shares::backlog_share(std::uint64_t account, time_point now) const {
+    // Used share up to which the full backlog is allowed.
+    constexpr double full_backlog_until = 0.5;
+    // Used share from which only idle engines take the account's requests.
+    constexpr double idle_only_from = 1.7;
+    return std::clamp(1.0 - (used_share(account, now) - full_backlog_until) /
+                                (idle_only_from - full_backlog_until),
+                      0.0, 1.0);
+}
+
 bool account_shares::is_within_share(std::uint64_t account, time_point now) const {
     return used_share(account, now) < 1.0;
 }
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -79,7 +79,9 @@
     std::unordered_map<std::uint64_t, account_usage> usage;
     for (const account_usage_row& row : report.accounts)
         usage[row.account] = {static_cast<double>(row.requested), static_cast<double>(row.dispatched)};
-    state.shares.set_peer(sender, std::move(usage), state.now);
+    const auto demand_age =
+        report.demand_age_us > 0 ? std::optional{microseconds(report.demand_age_us)} : std::nullopt;
+    state.shares.set_peer(sender, std::move(usage), state.now, demand_age);
 }
 
 void remove_router_load(router_state& state, std::uint64_t sender) {
@@ -269,6 +271,8 @@
     report.stopping = state.stopping;
     report.overloaded = state.overloaded;
     report.store_unreachable = !state.store_up;
+    report.demand_age_us =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(1, state.shares.demand_age(state.now).count()));
     add_speed_rows(state, report);
     for (const auto& [address, peer] : state.peers) {
         if (peer.incarnation != 0) report.echoes.push_back({peer.incarnation, peer.last_report.sent_us});
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -272,23 +272,14 @@
     return list;
 }
 
-/// Fraction of the allowed backlog that an account may use. It falls with the account's used share, so that
-/// freed capacity goes to the accounts with the least usage, whatever the length of their prompts.
-double share_factor(double used_share) {
-    // Used share up to which the full backlog is allowed.
-    constexpr double full_backlog_until = 0.5;
-    // Used share from which only idle engines take the account's requests.
-    constexpr double idle_only_from = 1.7;
-    return std::clamp(1.0 - (used_share - full_backlog_until) / (idle_only_from - full_backlog_until), 0.0,
-                      1.0);
-}
-
 first_token_limits first_token_limits_of(const router_state& state, const request& item) {
     const auto latency_us = static_cast<double>(item.route.target_latency.count());
     const duration limit{static_cast<std::int64_t>(latency_us * state.settings.first_token_share)};
     const duration time_waited = state.now - item.arrived;
     const bool throttled = !item.account.empty() && state.shares.is_throttled(item.account_hash, state.now);
-    return {limit - time_waited, throttled ? 0.0 : share_factor(item.used_share), !throttled};
+    const double backlog_share =
+        item.account.empty() ? 1.0 : state.shares.backlog_share(item.account_hash, state.now);
+    return {limit - time_waited, throttled ? 0.0 : backlog_share, !throttled};
 }
 
 struct placement_outcome {
