Keep to the limit, the departure and the pause that targets state in their responses

Cause: no code read Server-Limit, Server-Leaving or a target's Retry-After; class: news about a target that comes with its responses and not through the store had no owner. Fix: core/damaskhill_target_notices and core/damaskhill_direct_notices own it. A limit is divided among routers by rank with the same function as the rate of cold targets, which becomes a case of it; reports carry limits and departures with their age; a new start of the target (born) forgets them. Refusals give the time of the next request that may be sent. Headers that occur twice, are negative, no number or too large are ignored with a log line. Ruled out: an equal part for each router (at 2.5/s a hundred routers would get one request in 40 s each); widening the set of senders with silence (senders that fire together leave silences of their own: 24 and 32 requests where 20 are allowed, in the test).

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -52,7 +52,8 @@
 bool is_cold(const router_state& state, const target_state& target) { return state.now < target.cold_until; }
 
 bool is_available(const router_state& state, const target_state& target) {
-    if (target.entry.draining || target.gone || state.now < target.ejected_until) return false;
+    if (target.entry.draining || target.notices.leaving || target.gone || state.now < target.ejected_until)
+        return false;
     if (target.missing_since != time_point{} &&
         !may_have_lapsed(state.outage, state.settings.outages, state.now))
         return false;
@@ -151,7 +152,10 @@
         target.entry.position = entry.position;
         return;
     }
-    if (!inserted && entry.boot > target.entry.boot) confirm_crash(state, target, out);
+    if (!inserted && entry.boot > target.entry.boot) {
+        confirm_crash(state, target, out);
+        forget_notices(target);
+    }
     const bool address_changed = !inserted && target.entry.address != entry.address;
     if (address_changed) {
         target.load.cached_segments.clear();
@@ -402,6 +406,7 @@
     state.settings.shared_read_wait = changed.shared_read_wait;
     state.settings.retries = changed.retries;
     state.settings.cold_limits = changed.cold_limits;
+    state.settings.notices = changed.notices;
     state.settings.stop_timeout = changed.stop_timeout;
     out.emplace_back(log_event{"settings_read", "\"seeds\":" + std::to_string(changed.seeds.size()), true});
 }
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -23,6 +23,7 @@
 #include "damaskhill_prompt_suspects.hpp"
 #include "damaskhill_rate_gate.hpp"
 #include "damaskhill_store_history.hpp"
+#include "damaskhill_target_notices.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -53,6 +54,7 @@
     engine_model_settings service_model{service_model_defaults()}; // of plain services
     account_share_settings shares;
     cold_limit_settings cold_limits;
+    target_notice_settings notices;
     retry_window_settings retries;
     prompt_suspect_settings suspects;
     // Interval between reports to other routers.
@@ -146,6 +148,7 @@
     bool has_seal{};     // the response has the header by which a target marks it as its own
     // The body has neither a length nor chunks: the end of the connection is its end.
     bool close_delimited{};
+    response_notices notices;
 };
 
 struct response_data {
@@ -386,7 +389,10 @@
     bool gone{};                // not in the catalog, and not lapsed during an outage of the store
     time_point missing_since{}; // first time at which the catalog lacked the target; zero if it has it
     target_load load;
-    cold_target_limiter cold_limiter;
+    std::optional<time_point> last_send; // of this router
+    target_notices notices;
+    std::size_t rank{}; // of this router among those of the target, at `rank_at`
+    time_point rank_at{};
     time_point cold_until{};
     time_point ejected_until{}; // not selected before this time
     std::uint32_t consecutive_failures{};
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Requests
 // [SECTION] Targets
+// [SECTION] Notices of targets
 // [SECTION] Speed of services
 // [SECTION] Requests that crash targets
 // [SECTION] Peers
@@ -59,6 +60,22 @@
 /// Whether the target is still in its cold start.
 [[nodiscard]] bool is_cold(const router_state& state, const target_state& target);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Notices of targets
+//-----------------------------------------------------------------------------
+
+/// Applies what a response says of its target.
+void note_response_notices(router_state& state, target_state& target, const response_notices& notices,
+                           effects& out);
+/// A new start of the target knows nothing of what the one before has said.
+void forget_notices(target_state& target);
+/// Earliest time at which this router may send a request to the target, for the limits that all routers share
+/// and for what the target has asked of this router; none if other routers are to send.
+[[nodiscard]] std::optional<time_point> earliest_send(const router_state& state, target_state& target,
+                                                      double cold_per_s);
+void add_notice_rows(const router_state& state, router_report& report);
+void apply_notice_rows(router_state& state, const router_report& report, effects& out);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Speed of services
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -79,6 +79,25 @@
     }
 };
 
+/// What a target has said of itself in its responses.
+struct target_notice_row {
+    std::uint64_t target{}; // hash of its id
+    std::uint64_t boot{};   // of the start that said it, in Unix milliseconds; 0: unknown
+    bool leaving{};
+    bool has_limit_news{}; // the next three are set
+    bool limited{};        // false: a limit has ended
+    std::uint64_t limit_per_1000_s{};
+    std::uint64_t age_us{}; // of the response
+    static constexpr auto fields() {
+        using t = target_notice_row;
+        return std::tuple{
+            field{1, "target", &t::target},   field{2, "boot", &t::boot},
+            field{3, "leaving", &t::leaving}, field{4, "has_limit_news", &t::has_limit_news},
+            field{5, "limited", &t::limited}, field{6, "limit_per_1000_s", &t::limit_per_1000_s},
+            field{7, "age_us", &t::age_us}};
+    }
+};
+
 /// Responses of a service version since the start of its rollout, as counted by the sender.
 struct version_row {
     std::uint64_t order{}; // revision of the rollout order in the store
@@ -167,10 +186,11 @@
     std::vector<engine_crash_row> engine_crashes; // recent ones, seen by the sender; a row for each request
     std::vector<acquittal_row> acquittals;        // recent ones, seen by the sender
     std::vector<quarantine_row> quarantines;
-    store_position operator_changed_at; // latest operator change in the sender's catalog
-    store_position targets_changed_at;  // latest registration of a target in it
-    declarations_rank declarations;     // in force at the sender
-    std::uint64_t demand_age_us{};      // time covered by the rows of accounts; 0: the whole window
+    store_position operator_changed_at;     // latest operator change in the sender's catalog
+    store_position targets_changed_at;      // latest registration of a target in it
+    declarations_rank declarations;         // in force at the sender
+    std::vector<target_notice_row> notices; // heard by the sender lately, and of targets that leave
+    std::uint64_t demand_age_us{};          // time covered by the rows of accounts; 0: the whole window
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -200,7 +220,8 @@
                           field{28, "operator_changed_at", &t::operator_changed_at},
                           field{29, "targets_changed_at", &t::targets_changed_at},
                           field{30, "declarations", &t::declarations},
-                          field{31, "demand_age_us", &t::demand_age_us}};
+                          field{31, "demand_age_us", &t::demand_age_us},
+                          field{32, "notices", &t::notices}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -174,6 +174,7 @@
     adopt_speeds(state, report);
     // A crash is passed on at once: copies of the request, and others with the same prompt part, are arriving
     // everywhere.
+    apply_notice_rows(state, report, out);
     if (apply_suspect_rows(state, report, out) && is_relay(state, live_neighbours(state)))
         state.next_report = state.now;
     if (report.is_summary) {
@@ -294,6 +295,7 @@
     }
     add_version_rows(state, *report);
     add_suspect_rows(state, *report);
+    add_notice_rows(state, *report);
     return report;
 }
 
@@ -305,6 +307,7 @@
     std::vector<engine_crash_row> engine_crashes;
     std::map<std::uint64_t, acquittal_row> acquittals;
     std::map<std::uint64_t, quarantine_row> quarantines;
+    std::map<std::uint64_t, target_notice_row> notices; // the latest of each target
 
     void add(const router_report& report) {
         for (const target_load_row& row : report.targets) {
@@ -322,6 +325,8 @@
             acquittals.try_emplace(row.part, row);
         for (const quarantine_row& row : report.quarantines)
             quarantines.try_emplace(row.part, row);
+        for (const target_notice_row& row : report.notices)
+            add_notice(row);
         for (const version_row& row : report.versions) {
             version_row& sum = versions[{{row.order_era, row.order}, row.is_new}];
             sum = {row.order,
@@ -333,6 +338,15 @@
                    row.order_era};
         }
     }
+    void add_notice(const target_notice_row& row) {
+        const auto [found, is_new] = notices.try_emplace(row.target, row);
+        target_notice_row& sum = found->second;
+        const bool leaving = sum.leaving || row.leaving;
+        const bool is_later =
+            row.has_limit_news && (!sum.has_limit_news || row.age_us < sum.age_us) && row.boot >= sum.boot;
+        if (!is_new && is_later) sum = row;
+        sum.leaving = leaving;
+    }
 };
 
 std::shared_ptr<const router_report> make_summary(const router_state& state, const router_report& own) {
@@ -363,6 +377,7 @@
     values(sums.versions, summary->versions);
     values(sums.acquittals, summary->acquittals);
     values(sums.quarantines, summary->quarantines);
+    values(sums.notices, summary->notices);
     summary->engine_crashes = std::move(sums.engine_crashes);
     return summary;
 }
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -182,6 +182,8 @@
 struct candidate_list {
     std::vector<placement_option> options;
     std::vector<target_state*> targets; // indexed by placement_option::target
+    std::optional<time_point>
+        next_send; // earliest time at which a target left out by a limit may get a request
 };
 
 // All routers prefer the same targets in the same order for a shared prefix. A request that spills over to
@@ -239,10 +241,9 @@
         if (!is_available(state, target) || (rollout_active && !is_version_allowed(state, item, target)))
             continue;
         if (std::ranges::find(item.tried_targets, target.entry.id) != item.tried_targets.end()) continue;
-        if (is_cold(state, target) &&
-            !may_send_to_cold_target(target.cold_limiter, state.settings.cold_limits, cold_per_s,
-                                     rank_for_target(state, target.hash), routers_for_limits(state),
-                                     state.now)) {
+        const auto earliest = earliest_send(state, target, cold_per_s);
+        if (!earliest || *earliest > state.now) {
+            if (earliest) list.next_send = std::min(list.next_send.value_or(*earliest), *earliest);
             continue;
         }
         if (prefix_id != 0)
@@ -317,8 +318,13 @@
     outcome.has_candidates = !list.options.empty();
     if (outcome.has_candidates) outcome.refusal = "no_room";
     outcome.capacity_in = no_target_retry;
+    if (!outcome.has_candidates && list.next_send) {
+        outcome.has_candidates = true;
+        outcome.refusal = "target_limit";
+        outcome.capacity_in = *list.next_send - state.now;
+    }
     item.used_share = item.account.empty() ? 0.0 : state.shares.used_share(item.account_hash, state.now);
-    if (!outcome.has_candidates) return outcome;
+    if (list.options.empty()) return outcome;
     const placement_result result =
         is_generation(state, item)
             ? place_prompt(list.options, item.input.prompt, first_token_limits_of(state, item),
@@ -355,7 +361,7 @@
     count_buffered_bytes(state, *item);
     item->tried_targets.push_back(target.entry.id);
     state.caller_by_send[item->send_id] = item->input.caller;
-    if (is_cold(state, target)) target.cold_limiter.last_send = state.now;
+    target.last_send = state.now;
     target_load& load = target.load;
     ++load.running;
     if (is_generation(state, *item)) {
@@ -666,6 +672,9 @@
 void on_response_head(router_state& state, const response_head& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item) return;
+    // Another target at the same address says nothing of this one.
+    if (target_state* target = find_target(state, item->target); target != nullptr && !event.wrong_target)
+        note_response_notices(state, *target, event.notices, out);
     if (event.not_executed || event.wrong_target) {
         on_not_executed(state, item, event, out);
         return;
--- a/core/damaskhill_rate_gate.cpp
+++ b/core/damaskhill_rate_gate.cpp
@@ -1,4 +1,5 @@
 // Index of this file:
+// [SECTION] Shared rate
 // [SECTION] Cold targets
 // [SECTION] Retries
 
@@ -8,19 +9,29 @@
 
 namespace damaskhill {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Shared rate
+//-----------------------------------------------------------------------------
+
+std::optional<time_point> next_send_time(std::optional<time_point> last_send, const shared_rate& rate,
+                                         std::size_t rank, std::size_t routers) {
+    const std::size_t senders = std::clamp<std::size_t>(rate.senders, 1, std::max<std::size_t>(1, routers));
+    const std::size_t groups = (std::max<std::size_t>(1, routers) + senders - 1) / senders;
+    const std::size_t group = rank / senders;
+    if ((group != 0 && group != rate.turn % groups) || rate.per_s <= 0) return std::nullopt;
+    if (!last_send) return time_point{};
+    // In one second, all senders together send at most per_s + senders requests.
+    constexpr double longest_period_s = 1e6;
+    const double period_s = std::min(longest_period_s, static_cast<double>(senders) / rate.per_s);
+    return *last_send + duration{static_cast<std::int64_t>(period_s * 1e6)};
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Cold targets
 //-----------------------------------------------------------------------------
 
-bool may_send_to_cold_target(const cold_target_limiter& limiter, const cold_limit_settings& settings,
-                             double cold_per_s, std::size_t rank, std::size_t routers, time_point now) {
-    // In one second, all senders together send at most rate * share + senders requests, since each of them
-    // has a burst of one request.
-    const std::size_t senders = std::clamp<std::size_t>(routers, 1, settings.max_senders);
-    if (rank >= senders || cold_per_s <= 0) return false;
-    if (!limiter.last_send) return true;
-    const double period_s = static_cast<double>(senders) / (cold_per_s * settings.rate_share);
-    return to_seconds(now - *limiter.last_send) >= period_s;
+shared_rate cold_rate(const cold_limit_settings& settings, double cold_per_s) {
+    return {cold_per_s * settings.rate_share, settings.max_senders, 0};
 }
 
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_rate_gate.hpp
+++ b/core/damaskhill_rate_gate.hpp
@@ -4,6 +4,7 @@
 // load. Both limits must also hold while routers cannot reach each other.
 //
 // Index of this file:
+// [SECTION] Shared rate
 // [SECTION] Cold targets
 // [SECTION] Retries
 
@@ -15,6 +16,23 @@
 
 namespace damaskhill {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Shared rate
+//-----------------------------------------------------------------------------
+
+/// Rate of requests to one target, divided among some of the routers.
+struct shared_rate {
+    double per_s{};
+    std::size_t senders{}; // routers that share it: the first ones by rank
+    std::size_t turn{}; // the senders of this turn may send as well; turn n has the n-th group of that size
+};
+
+/// Earliest time at which this router may send its next request, given its rank among the routers of this
+/// target and its last send; none if it may not send at all. Each sender has a burst of one request.
+[[nodiscard]] std::optional<time_point> next_send_time(std::optional<time_point> last_send,
+                                                       const shared_rate& rate, std::size_t rank,
+                                                       std::size_t routers);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Cold targets
 //-----------------------------------------------------------------------------
@@ -24,15 +42,8 @@
     double rate_share{0.75};      // fraction of the declared rate that all senders together may use
 };
 
-/// Limits the requests of this router to one cold target.
-struct cold_target_limiter {
-    std::optional<time_point> last_send;
-};
-
-/// Whether this router may send now, given its rank among the routers of this target.
-[[nodiscard]] bool may_send_to_cold_target(const cold_target_limiter& limiter,
-                                           const cold_limit_settings& settings, double cold_per_s,
-                                           std::size_t rank, std::size_t routers, time_point now);
+/// Rate of a cold target, for next_send_time.
+[[nodiscard]] shared_rate cold_rate(const cold_limit_settings& settings, double cold_per_s);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Retries
--- a/tests/test_direct_limits.cpp
+++ b/tests/test_direct_limits.cpp
@@ -239,14 +239,15 @@
     constexpr double rate_per_s = 13;
     constexpr double bound = rate_per_s * 1.5 + 5;
     for (const std::size_t routers : {1U, 4U, 22U, 370U}) {
-        std::vector<cold_target_limiter> limiters(routers);
+        std::vector<std::optional<time_point>> last_sends(routers);
         std::deque<time_point> sent;
         const cold_limit_settings settings;
         for (time_point now = start; now < start + 5s; now += 5ms) {
             for (std::size_t rank = 0; rank < routers; ++rank) {
-                if (!may_send_to_cold_target(limiters[rank], settings, rate_per_s, rank, routers, now))
-                    continue;
-                limiters[rank].last_send = now;
+                const auto next =
+                    next_send_time(last_sends[rank], cold_rate(settings, rate_per_s), rank, routers);
+                if (!next || *next > now) continue;
+                last_sends[rank] = now;
                 sent.push_back(now);
             }
             while (!sent.empty() && now - sent.front() >= 1s)
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -118,6 +118,35 @@
     BOOST_TEST(compressed.content_encoded);
 }
 
+// Guards against a limit, a rest or a departure that is misread: unreadable values are ignored and reported,
+// and a response to another attempt says nothing.
+BOOST_AUTO_TEST_CASE(notices_of_targets_are_decoded) {
+    const auto decode = [](std::uint32_t status, http_headers headers) {
+        headers.emplace_back("Damaskhill-Attempt-Id", "9c41");
+        return decode_response(1, "9c41", edge_response_head{status, std::move(headers), false}).head.notices;
+    };
+    const response_notices none;
+    BOOST_TEST((decode(200, {}) == none));
+    BOOST_TEST(decode(200, {{"Server-Limit", "2.5"}}).limit_per_s.value() == 2.5);
+    BOOST_TEST(decode(500, {{"server-limit", " 0 "}}).limit_per_s.value() == 0.0);
+    BOOST_TEST(decode(503, {{"Server-Leaving", "1"}}).leaving);
+    BOOST_TEST(!decode(200, {{"Server-Leaving", "0"}}).leaving);
+    BOOST_TEST((decode(503, {{"Retry-After", "1.5"}}).rest == duration{1500ms}));
+    BOOST_TEST((decode(200, {{"Retry-After", "1.5"}}) == none)); // only a refusal asks for a rest
+    for (const char* value : {"", "-1", "nan", "inf", "1e3", "x", "2.5 ", "99999999999", "2,5"}) {
+        const bool readable = std::string_view{value} == "2.5 ";
+        BOOST_TEST_CONTEXT(value) {
+            BOOST_TEST(decode(200, {{"Server-Limit", value}}).unreadable == !readable);
+            BOOST_TEST(decode(200, {{"Server-Limit", value}}).limit_per_s.has_value() == readable);
+            BOOST_TEST(decode(503, {{"Retry-After", value}}).rest.has_value() == readable);
+        }
+    }
+    BOOST_TEST(decode(200, {{"Server-Limit", "2"}, {"Server-Limit", "3"}}).unreadable);
+    const auto other = decode_response(
+        1, "ffff", {200, {{"Damaskhill-Attempt-Id", "9c41"}, {"Server-Leaving", "1"}}, false});
+    BOOST_TEST((other.head.notices == none));
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Store items
 //-----------------------------------------------------------------------------
