--- a/core/damaskhill_account_share.hpp
+++ b/core/damaskhill_account_share.hpp
@@ -30,7 +30,7 @@
     // An account is backlogged if it requests more than this factor times the tokens that are dispatched.
     double backlog_factor{2.0};
     // Factor by which an account above its share may exceed the usage of the least served backlogged account.
-    double max_lead{1.3};
+    double max_lead{1.15};
     // Depth of the token bucket of a throttled account, as time at its rate; also the largest debt.
     duration pace_burst{300ms};
 };
