Resume a stream only with an answer that continues it

Callers of systems like this one found the text of an error in the middle of their streams, or streams that ended as complete. Here: an answer with a status of 300 or more to a resumed attempt already aborted the reply, but one with another status below 300, another content type, no events of the stream's type, or events that the caller had already was passed on. Cause: the head of a resumed attempt was judged by its status alone; class: bytes taken for part of an answer to which they do not belong. Fix: status and content type must be those of the head that the caller has, and the first event's id must be larger. Test: answer_that_does_not_continue_a_stream_is_not_passed_on; 204, an empty 200, 206 and repeated ids failed before (16 checks).

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -148,6 +148,7 @@
     bool has_seal{};     // the response has the header by which a target marks it as its own
     // The body has neither a length nor chunks: the end of the connection is its end.
     bool close_delimited{};
+    std::string content_type;
     response_notices notices;
 };
 
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <functional>
 
@@ -636,6 +637,28 @@
     return complete_events;
 }
 
+std::optional<std::uint64_t> parse_event_id(std::string_view text) {
+    std::uint64_t id{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+    return error == std::errc{} && end == text.data() + text.size() ? std::optional{id} : std::nullopt;
+}
+
+/// Whether the events go on after the last one that the caller has. Ids of events increase; those that are no
+/// numbers cannot be compared.
+bool continues_after(std::string_view events, std::string_view last_id) {
+    std::string event;
+    std::string first_id;
+    extract_complete_events(event, events.substr(0, events.find(event_end) + event_end.size()), first_id);
+    const auto first = parse_event_id(first_id);
+    const auto last = parse_event_id(last_id);
+    return !first || !last || *first > *last;
+}
+
+/// Whether a response may go on with a stream of which the caller has the head of `first`.
+bool continues_reply(const response_head& first, const response_head& resumed) {
+    return resumed.status == first.status && resumed.content_type == first.content_type;
+}
+
 void start_reply(request& item, effects& out) {
     if (item.reply_started) return;
     item.reply_started = true;
@@ -697,7 +720,7 @@
     const bool may_retry =
         failed && !item->reply_started && is_retryable(*item) && item->sends < item->route.max_attempts;
     if (may_retry && retry_elsewhere(state, item, "target_failed", out)) return;
-    if (item->reply_started && event.status >= 300) {
+    if (item->reply_started && !continues_reply(item->head, event)) {
         cancel_attempt(state, *item, out);
         fail(state, item, status_bad_gateway, "resume_failed", out);
         return;
@@ -757,7 +780,15 @@
         return;
     }
     // Only complete events are forwarded, so that another target can resume after the last one.
+    const bool resumed = item->reply_started && item->sends > 1;
+    const std::string last_id = resumed ? item->last_event_id : std::string{};
     const std::string complete_events = extract_complete_events(item->body, event.data, item->last_event_id);
+    if (resumed && !complete_events.empty() && !continues_after(complete_events, last_id)) {
+        item->last_event_id = last_id;
+        out.emplace_back(cancel_send{item->send_id});
+        on_connection_broken(state, item, send_result::garbled, out);
+        return;
+    }
     if (complete_events.empty()) {
         limit_buffered_bytes(state, item, state.settings.max_event_bytes, out);
         return;
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -239,6 +239,70 @@
     BOOST_TEST(router.has<reply_end>());
 }
 
+namespace {
+
+/// Breaks a stream after its first event and answers the resumed attempt with this head and body.
+void answer_resumed_stream(test_router& router, const response_head& resumed, std::string_view body) {
+    router.submit_request("chat");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    response_head head = router.head(first->send_id);
+    head.content_type = "text/event-stream";
+    router.process(head);
+    router.process(response_data{first->send_id, "id: 5\ndata: a\n\n"});
+    router.process(response_end{first->send_id, send_result::broken});
+    const auto second = router.last<send_request>();
+    BOOST_REQUIRE(second.has_value());
+    response_head answer = resumed;
+    answer.send_id = second->send_id;
+    router.process(answer);
+    router.process(response_data{second->send_id, body});
+    router.process(response_end{second->send_id, send_result::complete});
+}
+
+} // namespace
+
+// Guards against the text of an error, or another stream, in the middle of a stream, and against a stream
+// that ends as if it were complete: a resumed attempt that does not go on with the stream aborts the reply.
+BOOST_AUTO_TEST_CASE(answer_that_does_not_continue_a_stream_is_not_passed_on) {
+    struct resumed_answer {
+        std::uint32_t status;
+        std::string content_type;
+        bool not_executed;
+        std::string body;
+    };
+    const std::string events = "text/event-stream";
+    const std::vector<resumed_answer> answers{{404, "text/plain", false, "not found\n\n"},
+                                              {500, events, false, "id: 6\ndata: error\n\n"},
+                                              {503, "text/plain", true, "busy\n\n"},
+                                              {200, "application/json", false, "{}\n\n"},
+                                              {204, events, false, ""},
+                                              {200, "", false, ""},
+                                              {200, events, false, "id: 1\ndata: again\n\n"},
+                                              {200, events, false, "id: 5\ndata: again\n\n"},
+                                              {206, events, false, "id: 6\ndata: b\n\n"}};
+    for (const resumed_answer& answer : answers) {
+        test_router router;
+        response_head head = router.head(0, answer.status);
+        head.content_type = answer.content_type;
+        head.not_executed = answer.not_executed;
+        answer_resumed_stream(router, head, answer.body);
+        BOOST_TEST_CONTEXT(answer.status << ' ' << answer.content_type << ' ' << answer.body) {
+            BOOST_TEST(!router.has<reply_data>());
+            BOOST_TEST(!router.has<reply_end>());
+            BOOST_TEST(!router.has<reply_full>());
+            BOOST_TEST(!router.has<reply_refused>());
+            BOOST_TEST(router.has<reply_abort>());
+        }
+    }
+    test_router router;
+    response_head head = router.head(0);
+    head.content_type = events;
+    answer_resumed_stream(router, head, "id: 6\ndata: b\n\n");
+    BOOST_TEST(router.has<reply_data>());
+    BOOST_TEST(router.has<reply_end>());
+}
+
 // Guards against a resume after the wrong event: data that contains the characters of an id field is no id.
 BOOST_AUTO_TEST_CASE(event_id_is_read_from_its_line) {
     test_router router;
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -144,6 +144,22 @@
          edge_result::interrupted));
 }
 
+// Guards against a response whose head is cut off and that counts as a whole one with an empty body, wherever
+// the head ends and however the connection does.
+BOOST_AUTO_TEST_CASE(response_with_a_truncated_head_is_no_response) {
+    constexpr std::string_view head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    for (std::size_t size = 1; size < head.size(); ++size) {
+        for (const bool reset : {false, true}) {
+            const auto outcome = call_scripted_target(std::string{head.substr(0, size)}, false, reset);
+            BOOST_TEST_CONTEXT(size << " bytes, reset " << reset) {
+                BOOST_REQUIRE(outcome.result.has_value());
+                BOOST_TEST((*outcome.result != edge_result::complete));
+                BOOST_TEST(outcome.body.empty());
+            }
+        }
+    }
+}
+
 // Guards against reporting a close-delimited response as complete after a connection reset.
 BOOST_AUTO_TEST_CASE(only_orderly_close_completes_close_delimited_response) {
     const auto whole = call_scripted_target("HTTP/1.1 200 OK\r\n\r\nabc");
