Believe a refusal only of the request that it answers

Callers of systems like this one were told 'not run, try again' for requests that had run: a target wrote an earlier refusal once more on a kept connection. Here such a refusal with the id of another attempt was skipped, but one without any id was taken for the answer to the request that used the connection next. Cause: the statement that a request has not run was accepted without the attempt's id. Fix: judge_head in the core accepts a response only with the id of its own attempt; without one the outcome is unknown, and a request that must not be repeated gets 502. Test: response_is_believed_of_the_request_that_it_answers; before, the decision stood in the program, untested, and accepted the third case if it was a refusal.

--- a/core/damaskhill_answer_end.cpp
+++ b/core/damaskhill_answer_end.cpp
@@ -1,10 +1,20 @@
 // Index of this file:
+// [SECTION] Head
 // [SECTION] Verdict
 
 #include "damaskhill_answer_end.hpp"
 
 namespace damaskhill {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Head
+//-----------------------------------------------------------------------------
+
+head_verdict judge_head(const received_head& head) {
+    if (head.attempt_differs) return head_verdict::of_another_request;
+    return head.attempt_matches && !head.content_encoded ? head_verdict::accepted : head_verdict::unusable;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Verdict
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_answer_end.hpp
+++ b/core/damaskhill_answer_end.hpp
@@ -1,6 +1,8 @@
-// Decides whether a target's response is whole, from how its transfer ended and what is known of its body.
+// Decides whether a response belongs to the request that it is received for, and whether it is whole, from
+// how its transfer ended and what is known of its body.
 //
 // Index of this file:
+// [SECTION] Head
 // [SECTION] Verdict
 
 #pragma once
@@ -9,6 +11,25 @@
 
 namespace damaskhill {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Head
+//-----------------------------------------------------------------------------
+
+struct received_head {
+    bool attempt_matches{}; // has the id of this attempt
+    bool attempt_differs{}; // has another id
+    bool content_encoded{}; // the body is not the target's own bytes
+};
+
+enum class head_verdict : std::uint8_t {
+    accepted,
+    of_another_request, // an earlier response once more: the one to this request may follow
+    unusable            // nothing shows that it answers this request
+};
+
+/// Judges any response, a refusal too: "not executed" counts only for the request that it answers.
+[[nodiscard]] head_verdict judge_head(const received_head& head);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Verdict
 //-----------------------------------------------------------------------------
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -230,14 +230,12 @@
     handlers.on_head = [this, send, content = outgoing.content](edge_response_head&& head) {
         platform::decoded_response response =
             platform::decode_response(send, content->input.attempt, std::move(head));
-        if (response.attempt_differs) {
+        const head_verdict verdict = judge_head(response.checks);
+        if (verdict == head_verdict::of_another_request) {
             metrics_.add(count{"foreign_answers_total", "", 1});
             return edge_response_action::skip;
         }
-        // Without the attempt's ID it is not certain that the target produced this response; only a statement
-        // that the request was not executed is accepted without it. An encoded body is not the target's own.
-        const bool reports_not_executed = response.head.not_executed || response.head.wrong_target;
-        if ((!response.attempt_matches && !reports_not_executed) || response.content_encoded) {
+        if (verdict == head_verdict::unusable) {
             const auto open_call = calls_.find(send);
             if (open_call != calls_.end()) client_.cancel(open_call->second);
             calls_.erase(send);
--- a/tests/test_answer_end.cpp
+++ b/tests/test_answer_end.cpp
@@ -1,4 +1,5 @@
 // Index of this file:
+// [SECTION] Head
 // [SECTION] Verdict
 
 #include "damaskhill_answer_end.hpp"
@@ -11,6 +12,19 @@
 
 BOOST_AUTO_TEST_SUITE(answer_end)
 
+//-----------------------------------------------------------------------------
+// [SECTION] Head
+//-----------------------------------------------------------------------------
+
+// Guards against an earlier refusal that a target writes once more and that is taken for the answer to the
+// next request: the caller would be told that a request has not run which has.
+BOOST_AUTO_TEST_CASE(response_is_believed_of_the_request_that_it_answers) {
+    BOOST_TEST((judge_head({true, false, false}) == head_verdict::accepted));
+    BOOST_TEST((judge_head({false, true, false}) == head_verdict::of_another_request));
+    BOOST_TEST((judge_head({false, false, false}) == head_verdict::unusable));
+    BOOST_TEST((judge_head({true, false, true}) == head_verdict::unusable));
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Verdict
 //-----------------------------------------------------------------------------
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -107,15 +107,15 @@
                              {"Content-Type", "text/event-stream"}},
                             false};
     const auto matching = decode_response(1, "9c41", edge_response_head{head});
-    BOOST_TEST(matching.attempt_matches);
+    BOOST_TEST(matching.checks.attempt_matches);
     BOOST_TEST(matching.head.has_seal);
     BOOST_TEST(find_header(matching.head.headers, "Keep-Alive").empty());
     const auto other = decode_response(1, "ffff", std::move(head));
-    BOOST_TEST(other.attempt_differs);
+    BOOST_TEST(other.checks.attempt_differs);
     const auto misdirected = decode_response(1, "9c41", {421, {}, false});
     BOOST_TEST(misdirected.head.wrong_target);
     const auto compressed = decode_response(1, "9c41", {200, {{"Content-Encoding", "gzip"}}, false});
-    BOOST_TEST(compressed.content_encoded);
+    BOOST_TEST(compressed.checks.content_encoded);
 }
 
 // Guards against a limit, a rest or a departure that is misread: unreadable values are ignored and reported,
