Report at once only when a limit of a target starts or ends

A limit whose value changes from answer to answer would have sent a report and an essential log line for each of them; found by reading. Another value waits for the next report.

--- a/core/damaskhill_direct_notices.cpp
+++ b/core/damaskhill_direct_notices.cpp
@@ -37,8 +37,9 @@
     }
     // An unreadable limit is not the end of one.
     const bool knows_limit = notices.limit_per_s || !notices.unreadable;
-    const bool limit_changed =
-        knows_limit && note_limit(target.notices, settings, notices.limit_per_s, state.now);
+    const bool had_limit = target.notices.limit_per_s.has_value();
+    if (knows_limit) note_limit(target.notices, settings, notices.limit_per_s, state.now);
+    const bool starts_or_ends = target.notices.limit_per_s.has_value() != had_limit;
     const bool leaves_now = notices.leaving && !target.notices.leaving;
     target.notices.leaving = target.notices.leaving || notices.leaving;
     if (notices.rest) {
@@ -47,9 +48,10 @@
             "target_rests",
             "\"target\":" + quoted(target.entry.id) + ",\"for_ms\":" + format_ms(*notices.rest), false});
     }
-    if (!limit_changed && !leaves_now) return;
+    if (!starts_or_ends && !leaves_now) return;
     log_notice(target, "response", out);
-    state.next_report = state.now; // the other routers use the target too
+    // The other routers use the target too. Another value of a limit can wait for the next report.
+    state.next_report = state.now;
 }
 
 void forget_notices(target_state& target) { target.notices = {}; }
@@ -116,7 +118,8 @@
         const auto found = state.target_by_hash.find(row.target);
         if (found == state.target_by_hash.end() || found->second->entry.boot > row.boot) continue;
         target_state& target = *found->second;
-        bool changed = row.leaving && !target.notices.leaving;
+        const bool leaves_now = row.leaving && !target.notices.leaving;
+        const bool had_limit = target.notices.limit_per_s.has_value();
         target.notices.leaving = target.notices.leaving || row.leaving;
         if (row.has_limit_news) {
             constexpr double per_thousand_s = 1000;
@@ -124,9 +127,10 @@
                 row.limited ? std::optional{static_cast<double>(row.limit_per_1000_s) / per_thousand_s}
                             : std::nullopt;
             const time_point as_of = state.now - duration{static_cast<std::int64_t>(row.age_us)};
-            changed = note_reported_limit(target.notices, state.settings.notices, limit, as_of) || changed;
+            note_reported_limit(target.notices, state.settings.notices, limit, as_of);
         }
-        if (changed) log_notice(target, report.address, out);
+        const bool starts_or_ends = target.notices.limit_per_s.has_value() != had_limit;
+        if (starts_or_ends || leaves_now) log_notice(target, report.address, out);
     }
 }
 
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -183,8 +183,8 @@
 struct candidate_list {
     std::vector<placement_option> options;
     std::vector<target_state*> targets; // indexed by placement_option::target
-    std::optional<time_point>
-        next_send; // earliest time at which a target left out by a limit may get a request
+    // Earliest time at which a target that a limit leaves out may get a request.
+    std::optional<time_point> next_send;
 };
 
 // All routers prefer the same targets in the same order for a shared prefix. A request that spills over to
--- a/core/damaskhill_target_notices.cpp
+++ b/core/damaskhill_target_notices.cpp
@@ -15,30 +15,28 @@
 namespace {
 
 /// An end of the limit counts only if it is surely later than the last response that named one.
-bool apply_limit(target_notices& notices, std::optional<double> limit_per_s, time_point as_of,
+void apply_limit(target_notices& notices, std::optional<double> limit_per_s, time_point as_of,
                  duration reordering) {
-    const bool is_newer = limit_per_s || !notices.limit_per_s ? as_of >= notices.limit_as_of
-                                                              : as_of > notices.limit_as_of + reordering;
-    if (!is_newer) return false;
-    const bool changed = notices.limit_per_s != limit_per_s;
+    const bool ends = !limit_per_s && notices.limit_per_s;
+    const bool is_newer = ends ? as_of > notices.limit_as_of + reordering : as_of >= notices.limit_as_of;
+    if (!is_newer) return;
     notices.limit_per_s = limit_per_s;
     notices.limit_as_of = as_of;
-    return changed;
 }
 
 } // namespace
 
-bool note_limit(target_notices& notices, const target_notice_settings& settings,
+void note_limit(target_notices& notices, const target_notice_settings& settings,
                 std::optional<double> limit_per_s, time_point now) {
     // Most targets never name a limit.
-    if (!limit_per_s && !notices.limit_per_s) return false;
+    if (!limit_per_s && !notices.limit_per_s) return;
     notices.own_as_of = now;
-    return apply_limit(notices, limit_per_s, now, settings.own_reordering);
+    apply_limit(notices, limit_per_s, now, settings.own_reordering);
 }
 
-bool note_reported_limit(target_notices& notices, const target_notice_settings& settings,
+void note_reported_limit(target_notices& notices, const target_notice_settings& settings,
                          std::optional<double> limit_per_s, time_point as_of) {
-    return apply_limit(notices, limit_per_s, as_of, settings.report_reordering);
+    apply_limit(notices, limit_per_s, as_of, settings.report_reordering);
 }
 
 bool must_announce_limit(const target_notices& notices, const target_notice_settings& settings,
--- a/core/damaskhill_target_notices.hpp
+++ b/core/damaskhill_target_notices.hpp
@@ -58,11 +58,11 @@
     time_point resting_until{}; // for this router only
 };
 
-/// Applies what a response to this router says of the limit. Returns whether the limit has changed.
-bool note_limit(target_notices& notices, const target_notice_settings& settings,
+/// Applies what a response to this router says of the limit.
+void note_limit(target_notices& notices, const target_notice_settings& settings,
                 std::optional<double> limit_per_s, time_point now);
 /// The same for news of another router.
-bool note_reported_limit(target_notices& notices, const target_notice_settings& settings,
+void note_reported_limit(target_notices& notices, const target_notice_settings& settings,
                          std::optional<double> limit_per_s, time_point as_of);
 /// Whether reports must pass on what this router has heard of the limit.
 [[nodiscard]] bool must_announce_limit(const target_notices& notices, const target_notice_settings& settings,
