--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -103,10 +103,9 @@
     demands.reserve(requested_.size());
     for (const auto& [account, tokens] : requested_)
         demands.push_back(tokens);
-    // Usage of a shorter time than the window is compared with what the engines can do in that time.
-    // Otherwise all demand seems to fit until the window is filled, and who asks for most fills the engines'
-    // queues.
-    covered_seconds_ = to_seconds(std::max(demand_age(now), settings_.slice));
+    // A level for the time since the demand began (demand_age) left engines idle and broke fairness when all
+    // accounts began at once.
+    covered_seconds_ = to_seconds(window());
     fair_level_ = max_min_level(std::move(demands), tokens_per_second * covered_seconds_);
     lowest_backlogged_usage_ = 1e9;
     for (const auto& [account, tokens] : requested_) {
