--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -46,8 +46,6 @@
 //-----------------------------------------------------------------------------
 
 void account_shares::on_requested(std::uint64_t account, double tokens, time_point now) {
-    if (!demand_since_ || now - last_request_ >= window()) demand_since_ = now;
-    last_request_ = now;
     add_to(own_[account].requested, tokens, now, settings_.slice);
 }
 
@@ -59,20 +57,8 @@
 }
 
 void account_shares::set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
-                              time_point now, std::optional<duration> demand_age) {
-    const bool is_used = !rows.empty();
-    const std::optional<time_point> since =
-        is_used ? std::optional{now - demand_age.value_or(window())} : std::nullopt;
-    peers_[router] = {std::move(rows), now, since};
-}
-
-duration account_shares::demand_age(time_point now) const {
-    time_point since = now;
-    if (demand_since_ && now - last_request_ < window()) since = *demand_since_;
-    for (const auto& [router, peer] : peers_) {
-        if (peer.demand_since) since = std::min(since, *peer.demand_since);
-    }
-    return std::min(now - since, window());
+                              time_point now) {
+    peers_[router] = {std::move(rows), now};
 }
 
 std::unordered_map<std::uint64_t, account_usage> account_shares::own_usage(time_point now) const {
@@ -103,10 +89,9 @@
     demands.reserve(requested_.size());
     for (const auto& [account, tokens] : requested_)
         demands.push_back(tokens);
-    // A level for the time since the demand began (demand_age) left engines idle and broke fairness when all
-    // accounts began at once.
-    covered_seconds_ = to_seconds(window());
-    fair_level_ = max_min_level(std::move(demands), tokens_per_second * covered_seconds_);
+    // A level for the time since the demand began left engines idle and broke fairness when all accounts
+    // began at once.
+    fair_level_ = max_min_level(std::move(demands), tokens_per_second * window_seconds());
     lowest_backlogged_usage_ = 1e9;
     for (const auto& [account, tokens] : requested_) {
         const double used = used_share(account, now);
@@ -117,14 +102,16 @@
     }
 }
 
-duration account_shares::window() const { return settings_.slice * static_cast<int>(share_slices); }
+double account_shares::window_seconds() const {
+    return to_seconds(settings_.slice) * static_cast<double>(share_slices);
+}
 
 double account_shares::pace_per_second(std::uint64_t account, const own_sums& own, time_point now) const {
     const auto requested = requested_.find(account);
     if (requested == requested_.end() || requested->second <= 0) return 0;
     const double own_fraction =
         std::min(1.0, sum_at(own.requested, now, settings_.slice) / requested->second);
-    return settings_.max_lead * lowest_backlogged_usage_ * fair_level_ / covered_seconds_ * own_fraction;
+    return settings_.max_lead * lowest_backlogged_usage_ * fair_level_ / window_seconds() * own_fraction;
 }
 
 double account_shares::pace_balance_at(std::uint64_t account, const own_sums& own, time_point now) const {
--- a/core/damaskhill_account_share.hpp
+++ b/core/damaskhill_account_share.hpp
@@ -1,8 +1,7 @@
 // Max-min fair shares of the engines' total token throughput among client accounts.
 //
 // Load pattern: one account sends many times its usual load. From the first seconds of the surge, its demand
-// above the fair share must wait behind the requests of all accounts within their share, at every router. All
-// accounts may begin at once, when the window of usage is still empty.
+// above the fair share must wait behind the requests of all accounts within their share, at every router.
 //
 // Index of this file:
 // [SECTION] Account usage
@@ -58,12 +57,9 @@
 
     void on_requested(std::uint64_t account, double tokens, time_point now);
     void on_dispatched(std::uint64_t account, double tokens, time_point now);
-    /// `demand_age` is the peer's demand_age at the time of its report; the whole window if it sends none.
-    void set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows, time_point now,
-                  std::optional<duration> demand_age = {});
+    void set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
+                  time_point now);
     [[nodiscard]] std::unordered_map<std::uint64_t, account_usage> own_usage(time_point now) const;
-    /// Time for which any router has had requests without a pause of a window; at most the window.
-    [[nodiscard]] duration demand_age(time_point now) const;
 
     /// Recomputes the fair level, the tokens per window up to which every account may be served. Sorts the
     /// accounts: O(n log n).
@@ -88,25 +84,21 @@
         double balance{}; // token bucket level at `balance_time`; negative: debt
         time_point balance_time{};
     };
-    [[nodiscard]] duration window() const;
+    [[nodiscard]] double window_seconds() const;
     /// Refill rate of the account's token bucket at this router, tokens per second.
     [[nodiscard]] double pace_per_second(std::uint64_t account, const own_sums& own, time_point now) const;
     [[nodiscard]] double pace_balance_at(std::uint64_t account, const own_sums& own, time_point now) const;
     struct peer_rows {
         std::unordered_map<std::uint64_t, account_usage> rows;
         time_point received_at{};
-        std::optional<time_point> demand_since;
     };
     account_share_settings settings_;
     std::unordered_map<std::uint64_t, own_sums> own_;
     std::unordered_map<std::uint64_t, peer_rows> peers_;
     std::unordered_map<std::uint64_t, double> peers_dispatched_; // at the last update
     std::unordered_map<std::uint64_t, double> requested_;        // at all routers, at the last update
-    double lowest_backlogged_usage_{1e9};    // used share of the least served backlogged account, at least 1
-    double fair_level_{1e18};                // tokens per covered_seconds_
-    double covered_seconds_{};               // part of the window since the demand began, at the last update
-    std::optional<time_point> demand_since_; // at this router
-    time_point last_request_{};
+    double lowest_backlogged_usage_{1e9}; // used share of the least served backlogged account, at least 1
+    double fair_level_{1e18};             // tokens per window
 };
 
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -190,7 +190,6 @@
     store_position targets_changed_at;      // latest registration of a target in it
     declarations_rank declarations;         // in force at the sender
     std::vector<target_notice_row> notices; // heard by the sender lately, and of targets that leave
-    std::uint64_t demand_age_us{};          // time covered by the rows of accounts; 0: the whole window
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -220,7 +219,6 @@
                           field{28, "operator_changed_at", &t::operator_changed_at},
                           field{29, "targets_changed_at", &t::targets_changed_at},
                           field{30, "declarations", &t::declarations},
-                          field{31, "demand_age_us", &t::demand_age_us},
                           field{32, "notices", &t::notices}};
     }
 };
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -79,9 +79,7 @@
     std::unordered_map<std::uint64_t, account_usage> usage;
     for (const account_usage_row& row : report.accounts)
         usage[row.account] = {static_cast<double>(row.requested), static_cast<double>(row.dispatched)};
-    const auto demand_age =
-        report.demand_age_us > 0 ? std::optional{microseconds(report.demand_age_us)} : std::nullopt;
-    state.shares.set_peer(sender, std::move(usage), state.now, demand_age);
+    state.shares.set_peer(sender, std::move(usage), state.now);
 }
 
 void remove_router_load(router_state& state, std::uint64_t sender) {
@@ -172,9 +170,9 @@
     if (report.router == state.settings.incarnation) return;
     add_peer_addresses(state, report);
     adopt_speeds(state, report);
+    apply_notice_rows(state, report, out);
     // A crash is passed on at once: copies of the request, and others with the same prompt part, are arriving
     // everywhere.
-    apply_notice_rows(state, report, out);
     if (apply_suspect_rows(state, report, out) && is_relay(state, live_neighbours(state)))
         state.next_report = state.now;
     if (report.is_summary) {
@@ -272,8 +270,6 @@
     report.stopping = state.stopping;
     report.overloaded = state.overloaded;
     report.store_unreachable = !state.store_up;
-    report.demand_age_us =
-        static_cast<std::uint64_t>(std::max<std::int64_t>(1, state.shares.demand_age(state.now).count()));
     add_speed_rows(state, report);
     for (const auto& [address, peer] : state.peers) {
         if (peer.incarnation != 0) report.echoes.push_back({peer.incarnation, peer.last_report.sent_us});
--- a/tests/test_direct_limits.cpp
+++ b/tests/test_direct_limits.cpp
@@ -160,9 +160,8 @@
         for (std::size_t sender = 0; sender < routers; ++sender) {
             if (static_cast<int>(sender) % report_steps != step % report_steps) continue;
             const auto usage = shares[sender].own_usage(now);
-            const auto age = shares[sender].demand_age(now);
             for (std::size_t receiver = 0; receiver < routers; ++receiver) {
-                if (receiver != sender) shares[receiver].set_peer(sender, usage, now, age);
+                if (receiver != sender) shares[receiver].set_peer(sender, usage, now);
             }
         }
     }
