--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double memory_limit_mb = 260;  // memory_mb of the site's front machines
+constexpr double memory_limit_mb = 260;    // memory_mb of the site's front machines
 constexpr double link_bytes_per_s = 120e6; // under the 1,000 Mbit/s of a front machine
 constexpr int order_clients = 12;
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr int events = 60;        // of each stream
-constexpr double event_s = 0.15;  // between two events
-constexpr double freeze_s = 3.5;  // at most 4.0: node_freeze of the site
-constexpr double down_s = 2.0;    // srv_crash of the site: for_s = 2.0 to 5.0
+constexpr int events = 60;       // of each stream
+constexpr double event_s = 0.15; // between two events
+constexpr double freeze_s = 3.5; // at most 4.0: node_freeze of the site
+constexpr double down_s = 2.0;   // srv_crash of the site: for_s = 2.0 to 5.0
 constexpr int streams = 8;
 
 std::string event_text(int number) {
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -395,8 +395,8 @@
         }
         if (path.starts_with("/damaskhill/kv-watch")) {
             const unsigned long after = std::strtoul(query_value(path, "after").c_str(), nullptr, 10);
-            const auto until = clock::now() + std::chrono::milliseconds(
-                                                  std::atol(query_value(path, "waitMs").c_str()));
+            const auto until =
+                clock::now() + std::chrono::milliseconds(std::atol(query_value(path, "waitMs").c_str()));
             std::unique_lock lock(mutex_);
             std::map<std::string, unsigned long> changed;
             for (;;) {
@@ -498,7 +498,8 @@
         int capacity{};
         long long born{};
     };
-    check_ins(store& into, std::vector<registration> replicas) : store_(into), replicas_(std::move(replicas)) {
+    check_ins(store& into, std::vector<registration> replicas)
+        : store_(into), replicas_(std::move(replicas)) {
         write();
         std::thread([this] {
             for (;;) {
@@ -544,7 +545,8 @@
                                 int remaining_ms, const std::string& body, const std::string& more = {}) {
     return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nDamaskhill-Attempt-Id: " + id +
            "\r\nDamaskhill-Deadline-Remaining: " + std::to_string(remaining_ms) + "\r\n" + more +
-           (body.empty() && method == "GET" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+           (body.empty() && method == "GET" ? ""
+                                            : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
            "\r\n" + body;
 }
 
@@ -580,8 +582,8 @@
                            const std::string& service, const std::string& more) {
         return R"({"name":"r-)" + name + R"(","host":"h.example","pathPrefix":"/)" + name + R"(/","kind":")" +
                kind + R"(","timeoutMs":)" + std::to_string(timeout_ms) + R"(,"targetLatencyMs":)" +
-               std::to_string(aim_ms) + R"(,"priority":1,"service":")" + service + R"(","maxAttempts":1,"public":)" +
-               access + more + "}";
+               std::to_string(aim_ms) + R"(,"priority":1,"service":")" + service +
+               R"(","maxAttempts":1,"public":)" + access + more + "}";
     };
     const auto service = [](const std::string& name) {
         return R"({"name":")" + name +
@@ -659,7 +661,9 @@
 struct router_ports {
     int front{}, ready{}, control{}, report{};
     explicit router_ports(const std::string& on)
-        : front(free_port(on)), ready(free_port(on)), control(free_port(on)),
+        : front(free_port(on)),
+          ready(free_port(on)),
+          control(free_port(on)),
           report(free_port(on, SOCK_DGRAM)) {}
 };
 
