--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -100,12 +100,13 @@
 
     // The platform kills a process that exceeds its memory.
     std::atomic<bool> killed{false};
+    std::atomic<bool> over{false}; // a process that this thread has started ends with it
     std::atomic<double> most{0};
     std::thread watch([&] {
-        while (!stop && !killed) {
+        while (!over) {
             const double used = r.memory_mb();
-            most = std::max(most.load(), used);
-            if (used > memory_limit_mb) {
+            if (!killed) most = std::max(most.load(), used);
+            if (!killed && used > memory_limit_mb) {
                 killed = true;
                 note("platform: router uses %.0f MB of %.0f MB", used, memory_limit_mb);
                 r.signal(SIGKILL, "SIGKILL (memory over the limit)");
@@ -149,6 +150,7 @@
     for (std::thread& client : clients)
         client.join();
     slow.join();
+    over = true;
     watch.join();
     note("orders answered %d, refused %d, lost %d; most memory %.0f MB", answered.load(), refused.load(),
          lost.load(), most.load());
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <cerrno>
@@ -637,7 +638,12 @@
     if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(temporary_folder(), ignored);
 }
 
+/// Starts a process that ends with the thread that starts it.
 inline pid_t start_process(const std::vector<std::string>& words, const std::filesystem::path& output) {
+    std::vector<char*> arguments;
+    for (const std::string& word : words)
+        arguments.push_back(const_cast<char*>(word.c_str()));
+    arguments.push_back(nullptr);
     const pid_t parent = getpid();
     const pid_t pid = fork();
     if (pid == 0) {
@@ -646,13 +652,11 @@
         const int out = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(out, STDOUT_FILENO);
         dup2(out, STDERR_FILENO);
-        std::vector<char*> arguments;
-        for (const std::string& word : words)
-            arguments.push_back(const_cast<char*>(word.c_str()));
-        arguments.push_back(nullptr);
         execv(arguments[0], arguments.data());
         _exit(127);
     }
+    static std::mutex mutex;
+    std::lock_guard lock(mutex);
     children.push_back(pid);
     return pid;
 }
