--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -62,11 +62,14 @@
     }
 }
 
-/// Ends the script: the case could not run.
+inline void end_children();
+
+/// Ends the script: the case could not run. Other threads still run, so nothing is destroyed.
 [[noreturn]] inline void give_up(const std::string& reason) {
     note("COULD NOT RUN: %s", reason.c_str());
     std::fprintf(stderr, "could not run: %s\n", reason.c_str());
-    std::exit(2);
+    end_children();
+    std::_Exit(2);
 }
 
 inline bool trouble() {
@@ -787,9 +790,12 @@
     std::signal(SIGPIPE, SIG_IGN);
     record_file = std::fopen(record, "w");
     if (record_file == nullptr) give_up("cannot write the record");
-    std::atexit(end_children);
-    for (const int number : {SIGTERM, SIGINT, SIGHUP})
-        std::signal(number, [](int) { std::exit(2); });
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        std::signal(number, [](int) {
+            end_children();
+            std::_Exit(2);
+        });
+    }
     note("TROUBLE=%d", trouble() ? 1 : 0);
 }
 
