--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -50,8 +50,8 @@
         if (order("held" + std::to_string(i), key_of(i)) != std::pair{1, 200})
             give_up("a request with a key in force was not served");
     }
-    if (order("never-held", "key-that-no-manifest-held").first != 0 || order("no-key", "").first != 0)
-        return finish(true, "a request without a known key ran while keys were in force");
+    if (order("never-held", "key-that-no-manifest-held").first != 0)
+        return finish(true, "a request whose key no manifest held ran while keys were in force");
 
     // Three keys at a time, 0.3 s between them, as the site's days do it; then the next three.
     if (trouble()) {
@@ -60,20 +60,31 @@
             note("operator: version %d acknowledged, the key of tenant-%d is taken away", 7 + 3 * revoked,
                  revoked - 1);
             sleep_for(revoked % 3 == 0 ? 1.0 : 0.3);
+            if (revoked != tenants - 1) continue;
+            sleep_for(6.0); // revokeMs is 5 s
+            int ran = 0;
+            for (int i = 0; i < revoked; ++i)
+                ran += order("one-left" + std::to_string(i), key_of(i)).first;
+            note("with one key left, %d of %d requests whose keys had been taken away ran", ran, revoked);
         }
     }
     sleep_for(7.0); // revokeMs is 5 s
     note("7 s later");
-    int wrong = 0;
+    int revoked_ran = 0; // CONFIG
+    int unknown_ran = 0; // ROUTE
+    int without_key = 0; // no rule judges them
     for (int round = 0; round < 5; ++round) {
         if (trouble()) {
             for (int i = 0; i < tenants; ++i)
-                wrong += order("revoked" + std::to_string(i), key_of(i)).first;
+                revoked_ran += order("revoked" + std::to_string(i), key_of(i)).first;
         }
-        wrong += order("never-held", "key-that-no-manifest-held").first;
-        wrong += order("no-key", "").first;
+        unknown_ran += order("never-held", "key-that-no-manifest-held").first;
+        without_key += order("no-key", "").first;
         sleep_for(0.3);
     }
-    return finish(wrong > 0, std::to_string(wrong) +
-                                 " requests ran whose key had been taken away 7 s before or was never held");
+    note("without a key %d of 5 ran; not judged", without_key);
+    return finish(revoked_ran + unknown_ran > 0,
+                  std::to_string(revoked_ran) +
+                      " requests ran whose key had been taken away 7 s before, and " +
+                      std::to_string(unknown_ran) + " whose key no manifest ever held");
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -51,9 +51,11 @@
 void order_client(int number, const router& r) {
     std::string buffered;
     int fd = -1;
+    bool kept = false; // the channel has served a request before
     for (int order = 0; !stop; ++order) {
         if (fd < 0) {
             buffered.clear();
+            kept = false;
             fd = connect_to(r.front, 1.0);
             if (fd < 0) {
                 sleep_for(0.2);
@@ -62,7 +64,7 @@
         }
         const std::string id = "o" + std::to_string(number) + "-" + std::to_string(order);
         write_all(fd, request_text("POST", "/order/1", id, 4000, "plate"));
-        note("client %d: sends %s on a kept channel", number, id.c_str());
+        note("client %d: sends %s on a %s channel", number, id.c_str(), kept ? "kept" : "new");
         message answer;
         const ending end = read_message(fd, buffered, answer, 4.0, true);
         const bool has_run = runs.count(id) > 0;
@@ -72,12 +74,13 @@
         } else {
             note("client %d: %s has no answer; the replica %s it", number, id.c_str(),
                  has_run ? "runs" : "has not seen");
-            if (has_run) ++lost;
+            if (has_run && kept) ++lost;
         }
         if (end != ending::complete || answer.header("Connection") == "close") {
             close(fd);
             fd = -1;
         }
+        kept = true;
     }
     if (fd >= 0) close(fd);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -185,8 +185,9 @@
     std::sort(crashes.begin(), crashes.end());
     const double fifth = crashes.size() < 5 ? ended_at : crashes[4];
     int late = 0;
+    constexpr double on_the_way_s = 0.1; // the rule goes by the time of sending
     for (const double at : bad_arrivals)
-        late += at > fifth + contact_s ? 1 : 0;
+        late += at > fifth + contact_s + on_the_way_s ? 1 : 0;
     const auto share = [&](double from, double to) {
         int asked = 0;
         int begun = 0;
