Bound what slow callers and endless responses make the router hold

Cause: nothing slowed the reading from a target when its caller read slowly. The limit of unsent bytes was checked only when the socket was written, not while it was awaited, and chunks were appended without a check. Streams that are passed on, unsent answers and request bodies counted in no sum.

Fix: a caller with over 256 KB of unsent bytes pauses the reading of its attempt until 64 KB are left; the target is not blamed meanwhile. What is held for others has a limit for the process, divided in one place; beyond it the largest holder is ended with a true reply. A caller that acknowledges no byte for 15 s is reset. The limit of 4 MB for each connection, which also cut slow readers of large answers, is gone.

Ruled out: that the limit of one connection would do if it held: 2,460 connections of 4 MB are forty times the memory.

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -8,6 +8,7 @@
 #include <ctime>
 
 #include <fcntl.h>
+#include <sys/sysinfo.h>
 #include <unistd.h>
 
 namespace damaskhill {
@@ -57,9 +58,33 @@
                  "at least 256"};
         return std::nullopt;
     }
+    constexpr std::uint64_t min_memory_mb = 32;
+    constexpr std::uint64_t max_memory_mb = 1U << 20U;
+    if (s->memory_mb != 0 && (s->memory_mb < min_memory_mb || s->memory_mb > max_memory_mb)) {
+        error = {failure_kind::out_of_range, file + ": $.memory_mb", std::to_string(s->memory_mb),
+                 "0, or from 32 to 1048576"};
+        return std::nullopt;
+    }
     return s;
 }
 
+memory_limits divide_memory(std::size_t bytes) {
+    // A string that grows holds up to twice its size, and three times while it moves.
+    constexpr std::size_t caller_share = 8; // one part in this many
+    constexpr std::size_t request_share = 10;
+    constexpr std::size_t control_share = 40;
+    return {bytes / caller_share, bytes / request_share, bytes / control_share};
+}
+
+memory_limits memory_limits_of(const direct_daemon_settings& settings) {
+    constexpr std::size_t megabyte = 1U << 20U;
+    constexpr std::size_t most_by_default = 256 * megabyte; // other processes of the VM need memory, too
+    if (settings.memory_mb != 0) return divide_memory(settings.memory_mb * megabyte);
+    struct sysinfo vm {};
+    if (::sysinfo(&vm) != 0) return divide_memory(most_by_default);
+    return divide_memory(std::min<std::size_t>(most_by_default, vm.totalram * vm.mem_unit));
+}
+
 std::size_t caller_connection_limit(const direct_daemon_settings& settings) {
     // The rest is left to connections to targets: the largest routers had 1,400 of them open under the
     // highest load.
@@ -103,6 +128,8 @@
     core.restores.rewrite_time =
         duration{static_cast<std::int64_t>(settings.check_in_ms * 1e3)} * intervals_of_silence +
         core.outages.return_time;
+    core.max_buffered_bytes = memory_limits_of(settings).requests;
+    core.max_response_bytes = std::min(core.max_response_bytes, core.max_buffered_bytes);
     core.retries.ratio = settings.repeat_ratio;
     core.retries.slack = settings.repeat_slack;
     core.retries.window = duration{static_cast<std::int64_t>(settings.repeat_window_s * 1e6)};
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -38,6 +38,7 @@
     std::uint64_t max_descriptors{4096}; // file descriptors that this process may open
     double check_in_ms{1200};            // interval at which targets renew their registrations
     double drain_limit_ms{2000};         // requests must not reach a target this long after it has left
+    std::uint64_t memory_mb{};           // for this process; 0: that of the VM, at most 256
     static constexpr auto fields() {
         using t = direct_daemon_settings;
         return std::tuple{field{1, "name", &t::name},
@@ -58,7 +59,8 @@
                           field{16, "cold_slack", &t::cold_slack},
                           field{17, "max_descriptors", &t::max_descriptors},
                           field{18, "check_in_ms", &t::check_in_ms},
-                          field{19, "drain_limit_ms", &t::drain_limit_ms}};
+                          field{19, "drain_limit_ms", &t::drain_limit_ms},
+                          field{20, "memory_mb", &t::memory_mb}};
     }
 };
 
@@ -67,6 +69,18 @@
                                                                          failure& error);
 /// Maximum number of caller connections; leaves descriptors for targets, the store and files.
 [[nodiscard]] std::size_t caller_connection_limit(const direct_daemon_settings& settings);
+
+/// Memory that may hold bytes on behalf of callers and targets.
+struct memory_limits {
+    std::size_t caller_connections{}; // requests that are being received, and unsent replies
+    std::size_t requests{};           // bodies of admitted requests, and buffered responses
+    std::size_t control_connections{};
+};
+/// Divides the memory of the process. The larger part is left to everything else, and to what strings
+/// allocate beyond their size.
+[[nodiscard]] memory_limits divide_memory(std::size_t bytes);
+/// The same for the memory that the settings name or that the VM has.
+[[nodiscard]] memory_limits memory_limits_of(const direct_daemon_settings& settings);
 [[nodiscard]] direct::router_settings make_core_settings(const direct_daemon_settings& settings,
                                                          std::uint64_t incarnation);
 
--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -49,6 +49,8 @@
     bool connected{};
     bool sent_bytes{};
     bool writing{};
+    bool reading{};        // an asynchronous read is under way
+    bool reading_paused{}; // see edge_client::set_reading_paused
     bool closed{};
     clock::time_point usable_until;
     clock::time_point idle_since;
@@ -265,6 +267,7 @@
 void edge_client::implementation::finish_call(const connection_ptr& connection, edge_result result) {
     const auto on_end = std::move(connection->handlers.on_end);
     connection->handlers = {};
+    connection->reading_paused = false;
     calls.erase(connection->call);
     connection->call = 0;
     if (result == edge_result::complete && connection->reusable && connection->unsent.empty()) {
@@ -298,9 +301,12 @@
 //-----------------------------------------------------------------------------
 
 void edge_client::implementation::read(const connection_ptr& connection) {
+    if (connection->reading || connection->reading_paused) return;
+    connection->reading = true;
     connection->socket.async_read_some(
         asio::buffer(connection->buffer),
         [self = shared_from_this(), connection](const asio::error_code& ec, std::size_t size) {
+            connection->reading = false;
             if (connection->closed) return;
             if (ec) {
                 self->on_read_error(connection, ec == asio::error::eof);
@@ -416,6 +422,14 @@
     impl_->close(connection);
 }
 
+void edge_client::set_reading_paused(std::uint64_t call_id, bool paused) {
+    const auto found = impl_->calls.find(call_id);
+    if (found == impl_->calls.end()) return;
+    const connection_ptr connection = found->second;
+    connection->reading_paused = paused;
+    if (!paused && connection->connected) impl_->read(connection);
+}
+
 void edge_client::probe(const std::string& address, std::function<void(edge_connect_result)> done) {
     const connection_ptr connection{new client_connection{impl_->context}};
     connection->address = address;
--- a/backends/damaskhill_impl_edge_client.hpp
+++ b/backends/damaskhill_impl_edge_client.hpp
@@ -89,6 +89,9 @@
     std::uint64_t start(edge_call call, edge_handlers handlers);
     /// Aborts a call and closes its connection. None of its handlers run afterwards.
     void cancel(std::uint64_t call_id);
+    /// Stops reading the response of a call, so that its server has to wait, or goes on. Bytes that are being
+    /// read already still arrive.
+    void set_reading_paused(std::uint64_t call_id, bool paused);
     /// Finds out whether anybody accepts connections at this address ("IP:port"); sends nothing. `done` runs
     /// on the event loop, at the latest after the connect timeout.
     void probe(const std::string& address, std::function<void(edge_connect_result)> done);
--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -2,6 +2,8 @@
 // [SECTION] Connection
 // [SECTION] Server
 // [SECTION] Parser callbacks
+// [SECTION] Memory
+// [SECTION] Slow callers
 // [SECTION] Responses
 
 #include "damaskhill_impl_edge_server.hpp"
@@ -12,9 +14,13 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <http_parser.h>
 
+#include <algorithm>
 #include <set>
 #include <unordered_map>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace damaskhill {
 
 //-----------------------------------------------------------------------------
@@ -24,11 +30,14 @@
 namespace {
 
 constexpr std::size_t read_buffer_size = 16U << 10U;
+using clock = std::chrono::steady_clock;
 
 enum class response_state : std::uint8_t { none, awaited, chunked };
 
 using idle_hook =
     boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+using blocked_hook =
+    boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
 /// The idle_hook is linked into idle_connections while no request is received or processed.
 struct edge_connection : boost::intrusive_ref_counter<edge_connection, boost::thread_unsafe_counter>,
@@ -47,14 +56,26 @@
     std::uint64_t exchange{};
     response_state response{response_state::none};
     std::string unsent;
-    std::string writing;
+    std::size_t written{}; // bytes at the front of `unsent` that the socket has taken
     bool awaiting_writable{};
+    bool congested{};                    // see edge_server_settings::congested_bytes
+    std::size_t held_bytes{};            // as counted in the server's sum
+    blocked_hook blocked;                // linked into blocked_connections while awaiting_writable
+    clock::time_point progress_at;       // time at which the caller was last seen to take bytes
+    std::optional<int> unacknowledged{}; // bytes in the kernel's send queue at progress_at
     bool flush_posted{};
     bool close_after_write{};
     bool closed{};
 };
 using connection_ptr = boost::intrusive_ptr<edge_connection>;
 using idle_list = boost::intrusive::list<edge_connection, boost::intrusive::constant_time_size<false>>;
+using blocked_list = boost::intrusive::list<
+    edge_connection, boost::intrusive::member_hook<edge_connection, blocked_hook, &edge_connection::blocked>,
+    boost::intrusive::constant_time_size<false>>;
+
+std::size_t unsent_size(const edge_connection& connection) {
+    return connection.unsent.size() - connection.written;
+}
 
 const char* reason_phrase(std::uint32_t status) { return http_status_str(static_cast<http_status>(status)); }
 
@@ -66,7 +87,7 @@
 
 struct edge_server::implementation : std::enable_shared_from_this<implementation> {
     implementation(asio::io_context& c, edge_server_settings s, handlers h)
-        : context(c), settings(s), callbacks(std::move(h)), acceptor(c) {}
+        : context(c), settings(s), callbacks(std::move(h)), acceptor(c), stall_timer(c) {}
 
     void open(asio::ip::tcp::socket socket);
     /// Refuses a request that has already arrived on a new connection without parsing it. False if there is
@@ -79,7 +100,15 @@
     void on_bytes(const connection_ptr& connection, std::string_view bytes);
     void parse(const connection_ptr& connection, std::string_view bytes);
     void on_request_complete(const connection_ptr& connection);
-    void reject(const connection_ptr& connection, std::uint32_t status);
+    void reject(const connection_ptr& connection, std::uint32_t status, const http_headers& headers = {});
+    /// Updates the sum of held bytes. While it is exceeded, the largest holders are ended, from the event
+    /// loop.
+    void count_held_bytes(const connection_ptr& connection);
+    void end_largest_holder();
+    void set_congested(const connection_ptr& connection, bool congested);
+    void await_writable(const connection_ptr& connection);
+    void arm_stall_timer();
+    void check_stalled();
     void write(const connection_ptr& connection);
     void schedule_flush(const connection_ptr& connection);
     void close(const connection_ptr& connection, bool reset);
@@ -100,6 +129,13 @@
     std::uint64_t idle_closed{};
     std::uint64_t refused_connections{};
     std::uint64_t shed_requests{};
+    std::size_t held_bytes{};
+    bool memory_check_posted{};
+    std::uint64_t ended_for_memory{};
+    std::uint64_t stalled{};
+    blocked_list blocked_connections; // longest without progress first
+    asio::steady_timer stall_timer;
+    bool stall_timer_armed{};
     bool draining{};
     bool shedding{};
     bool close_after_response{};
@@ -212,6 +248,7 @@
         // Pipelined request: buffered until the current response is complete.
         connection->pipelined_bytes.append(bytes);
     }
+    count_held_bytes(connection);
 }
 
 //-----------------------------------------------------------------------------
@@ -326,13 +363,119 @@
     callbacks.on_request(connection->exchange, std::move(request));
 }
 
-void edge_server::implementation::reject(const connection_ptr& connection, std::uint32_t status) {
+void edge_server::implementation::reject(const connection_ptr& connection, std::uint32_t status,
+                                         const http_headers& headers) {
     connection->keep_alive = false;
-    append_head(*connection, status, {}, 0);
+    connection->request = {};
+    append_head(*connection, status, headers, 0);
     connection->close_after_write = true;
     write(connection);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Memory
+//-----------------------------------------------------------------------------
+
+void edge_server::implementation::count_held_bytes(const connection_ptr& connection) {
+    const std::size_t now = connection->closed
+                                ? 0
+                                : connection->unsent.size() + connection->pipelined_bytes.size() +
+                                      connection->request.body.size();
+    held_bytes += now;
+    held_bytes -= connection->held_bytes;
+    connection->held_bytes = now;
+    if (held_bytes <= settings.max_held_bytes || memory_check_posted) return;
+    memory_check_posted = true;
+    asio::post(context, [self = shared_from_this()] {
+        self->memory_check_posted = false;
+        while (self->held_bytes > self->settings.max_held_bytes)
+            self->end_largest_holder();
+    });
+}
+
+void edge_server::implementation::end_largest_holder() {
+    const connection_ptr largest = *std::ranges::max_element(
+        connections, {}, [](const connection_ptr& connection) { return connection->held_bytes; });
+    ++ended_for_memory;
+    if (largest->response != response_state::none || unsent_size(*largest) > 0) {
+        close(largest, true);
+        return;
+    }
+    // A request of which a part is still missing has not been passed on.
+    constexpr std::uint32_t unavailable = 503;
+    reject(largest, unavailable, {{"Retry-After", "1"}});
+    count_held_bytes(largest);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Slow callers
+//-----------------------------------------------------------------------------
+
+void edge_server::implementation::set_congested(const connection_ptr& connection, bool congested) {
+    if (connection->congested == congested) return;
+    connection->congested = congested;
+    if (!callbacks.on_congestion) return;
+    asio::post(context, [self = shared_from_this(), exchange = connection->exchange, congested] {
+        if (self->exchanges.contains(exchange)) self->callbacks.on_congestion(exchange, congested);
+    });
+}
+
+namespace {
+
+/// Bytes that the kernel holds for the caller; none if it does not tell.
+std::optional<int> kernel_unacknowledged(asio::ip::tcp::socket& socket) {
+    int bytes = 0;
+    if (ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) return std::nullopt;
+    return bytes;
+}
+
+} // namespace
+
+void edge_server::implementation::await_writable(const connection_ptr& connection) {
+    connection->awaiting_writable = true;
+    connection->progress_at = clock::now();
+    connection->unacknowledged = kernel_unacknowledged(connection->socket);
+    blocked_connections.push_back(*connection);
+    arm_stall_timer();
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_write,
+                                  [self = shared_from_this(), connection](const asio::error_code& failed) {
+                                      connection->awaiting_writable = false;
+                                      connection->blocked.unlink();
+                                      if (!failed) self->write(connection);
+                                  });
+}
+
+void edge_server::implementation::arm_stall_timer() {
+    if (stall_timer_armed || blocked_connections.empty()) return;
+    stall_timer_armed = true;
+    stall_timer.expires_at(blocked_connections.front().progress_at + settings.write_stall_timeout);
+    stall_timer.async_wait([self = shared_from_this()](const asio::error_code& failed) {
+        self->stall_timer_armed = false;
+        if (!failed) self->check_stalled();
+    });
+}
+
+// The socket becomes writable only when a good part of the kernel's buffer is free, which takes a slow caller
+// long. Whether it takes bytes at all shows in what the kernel still holds.
+void edge_server::implementation::check_stalled() {
+    const clock::time_point now = clock::now();
+    while (!blocked_connections.empty()) {
+        const connection_ptr connection{&blocked_connections.front()};
+        if (now - connection->progress_at < settings.write_stall_timeout) break;
+        const std::optional<int> before = connection->unacknowledged;
+        connection->unacknowledged = kernel_unacknowledged(connection->socket);
+        if (before && connection->unacknowledged && *connection->unacknowledged < *before) {
+            connection->progress_at = now;
+            connection->blocked.unlink();
+            blocked_connections.push_back(*connection);
+            continue;
+        }
+        ++stalled;
+        close(connection, true);
+    }
+    arm_stall_timer();
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Responses
 //-----------------------------------------------------------------------------
@@ -363,34 +506,48 @@
     out.append("\r\n");
 }
 
-void edge_server::implementation::write(const connection_ptr& connection) {
-    if (connection->closed || connection->awaiting_writable) return;
-    if (connection->unsent.empty()) {
-        if (connection->close_after_write) close(connection, false);
-        return;
+namespace {
+
+/// Forgets what the socket has taken, and memory that a keep-alive connection would hold without need.
+void discard_written(edge_connection& connection) {
+    constexpr std::size_t kept_capacity = 64U << 10U;
+    if (connection.written == connection.unsent.size()) {
+        connection.unsent.clear();
+        connection.written = 0;
+        if (connection.unsent.capacity() > kept_capacity) connection.unsent.shrink_to_fit();
+    } else if (connection.written > connection.unsent.size() / 2) {
+        // Moves each byte a bounded number of times.
+        connection.unsent.erase(0, connection.written);
+        connection.written = 0;
     }
-    asio::error_code ec;
-    const std::size_t sent = connection->socket.write_some(asio::buffer(connection->unsent), ec);
-    if (ec && ec != asio::error::would_block) {
-        close(connection, false);
+}
+
+} // namespace
+
+void edge_server::implementation::write(const connection_ptr& connection) {
+    if (connection->closed) return;
+    if (connection->awaiting_writable) {
+        count_held_bytes(connection);
         return;
     }
-    if (sent == connection->unsent.size()) {
-        connection->unsent.clear();
-        if (connection->close_after_write) close(connection, false);
-        return;
+    if (unsent_size(*connection) > 0) {
+        asio::error_code ec;
+        const std::string_view rest = std::string_view{connection->unsent}.substr(connection->written);
+        const std::size_t sent = connection->socket.write_some(asio::buffer(rest), ec);
+        if (ec && ec != asio::error::would_block) {
+            close(connection, false);
+            return;
+        }
+        connection->written += sent;
+        discard_written(*connection);
     }
-    connection->unsent.erase(0, sent);
-    if (connection->unsent.size() > settings.max_unsent_bytes) {
-        close(connection, true);
-        return;
+    if (unsent_size(*connection) < settings.relieved_bytes) set_congested(connection, false);
+    if (unsent_size(*connection) > 0) {
+        await_writable(connection);
+    } else if (connection->close_after_write) {
+        close(connection, false);
     }
-    connection->awaiting_writable = true;
-    connection->socket.async_wait(asio::ip::tcp::socket::wait_write,
-                                  [self = shared_from_this(), connection](const asio::error_code& failed) {
-                                      connection->awaiting_writable = false;
-                                      if (!failed) self->write(connection);
-                                  });
+    count_held_bytes(connection);
 }
 
 // Combines the chunks produced in the same iteration of the loop into one write.
@@ -410,7 +567,13 @@
     if (reset) connection->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
     connection->socket.close(ignored);
     connection->unlink();
+    connection->blocked.unlink();
     connections.erase(connection);
+    connection->request = {};
+    connection->unsent = {};
+    connection->written = 0;
+    connection->pipelined_bytes = {};
+    count_held_bytes(connection);
     if (connection->response == response_state::none) return;
     connection->response = response_state::none;
     exchanges.erase(connection->exchange);
@@ -420,6 +583,7 @@
 void edge_server::implementation::finish_response(const connection_ptr& connection) {
     exchanges.erase(connection->exchange);
     connection->response = response_state::none;
+    connection->congested = false;
     if (connection->close_announced || draining) connection->close_after_write = true;
     write(connection);
     if (connection->closed || connection->close_after_write) return;
@@ -488,6 +652,8 @@
     std::array<char, 16> size{};
     const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
     connection->unsent.append(size.data(), static_cast<std::size_t>(digits)).append(data).append("\r\n");
+    if (unsent_size(*connection) > impl_->settings.congested_bytes) impl_->set_congested(connection, true);
+    impl_->count_held_bytes(connection);
     impl_->schedule_flush(connection);
 }
 
@@ -503,12 +669,21 @@
     if (!connection) return;
     impl_->exchanges.erase(exchange);
     connection->response = response_state::none;
+    connection->congested = false;
     connection->close_after_write = true;
     impl_->write(connection);
 }
 
 edge_server_counts edge_server::counts() const {
-    return {impl_->connections.size(), impl_->idle_closed, impl_->refused_connections, impl_->shed_requests};
+    edge_server_counts counts;
+    counts.open_connections = impl_->connections.size();
+    counts.idle_closed = impl_->idle_closed;
+    counts.refused_connections = impl_->refused_connections;
+    counts.shed_requests = impl_->shed_requests;
+    counts.held_bytes = impl_->held_bytes;
+    counts.ended_for_memory = impl_->ended_for_memory;
+    counts.stalled = impl_->stalled;
+    return counts;
 }
 
 void edge_server::set_shedding(bool shedding) { impl_->shedding = shedding; }
--- a/backends/damaskhill_impl_edge_server.hpp
+++ b/backends/damaskhill_impl_edge_server.hpp
@@ -20,7 +20,15 @@
 struct edge_server_settings {
     std::size_t max_header_bytes{64U << 10U}; // of a request
     std::size_t max_body_bytes{8U << 20U};    // of a request
-    std::size_t max_unsent_bytes{4U << 20U};  // unsent response data above which a slow connection is reset
+    // Unsent bytes of a chunked response at which its caller counts as congested, and below which it no
+    // longer does.
+    std::size_t congested_bytes{256U << 10U};
+    std::size_t relieved_bytes{64U << 10U};
+    // Sum of unsent response data and received request data over all connections. Above it, the connection
+    // that holds the most is ended.
+    std::size_t max_held_bytes{16U << 20U};
+    // A connection whose caller acknowledges no byte of a response for this long is reset.
+    duration write_stall_timeout{15s};
     // At the limit, the connection that has been idle the longest is closed.
     std::size_t max_connections{3000};
 };
@@ -30,6 +38,9 @@
     std::uint64_t idle_closed{};         // idle connections closed to make room for new ones
     std::uint64_t refused_connections{}; // new connections closed because no connection was idle
     std::uint64_t shed_requests{};       // requests refused without being parsed, see set_shedding()
+    std::size_t held_bytes{};            // see edge_server_settings::max_held_bytes
+    std::uint64_t ended_for_memory{};    // connections ended because max_held_bytes was exceeded
+    std::uint64_t stalled{};             // connections reset after write_stall_timeout
 };
 
 /// Each request is assigned an exchange ID, to which its response is addressed. Calls for an exchange whose
@@ -39,6 +50,9 @@
     struct handlers {
         std::function<void(std::uint64_t exchange, http_request&&)> on_request;
         std::function<void(std::uint64_t exchange)> on_closed; // before the response was complete
+        // The caller of a chunked response reads more slowly than the response comes, or does so no longer.
+        // Not called from within a call of this class; may be empty.
+        std::function<void(std::uint64_t exchange, bool congested)> on_congestion;
     };
 
     edge_server(event_loop& loop, edge_server_settings settings, handlers callbacks);
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -418,6 +418,7 @@
     void operator()(const timer_fired& /*unused*/) const { on_timer(state, out); }
     void operator()(const request_arrived& event) const { on_request(state, event, out); }
     void operator()(const caller_closed& event) const { on_caller_closed(state, event.caller, out); }
+    void operator()(const caller_congested& event) const { on_caller_congested(state, event, out); }
     void operator()(const response_head& event) const { on_response_head(state, event, out); }
     void operator()(const response_data& event) const { on_response_data(state, event, out); }
     void operator()(const response_end& event) const { on_response_end(state, event, out); }
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -85,7 +85,8 @@
     // Largest buffered response, and largest event of a stream. A target that sends more has failed.
     std::size_t max_response_bytes{8U << 20U};
     std::size_t max_event_bytes{1U << 20U};
-    // Sum over all requests. Above it, the request with the most buffered bytes is failed.
+    // Sum of buffered responses and of request bodies over all requests. Above it, the request with the most
+    // bytes is failed.
     std::size_t max_buffered_bytes{16U << 20U};
     // Requests are not retried this close to their deadline, so that the final response reaches the caller.
     duration deadline_margin{30ms};
@@ -138,6 +139,12 @@
     caller_id caller{};
 };
 
+/// The caller reads its reply more slowly than the target sends it, or does so no longer.
+struct caller_congested {
+    caller_id caller{};
+    bool congested{};
+};
+
 /// Response head of a target.
 struct response_head {
     std::uint64_t send_id{};
@@ -218,9 +225,10 @@
     router_settings settings;
 };
 
-using input = std::variant<timer_fired, request_arrived, caller_closed, response_head, response_data,
-                           response_end, target_probed, catalog_updated, catalog_confirmed, targets_confirmed,
-                           store_reachable, report_received, stop_requested, settings_changed>;
+using input =
+    std::variant<timer_fired, request_arrived, caller_closed, caller_congested, response_head, response_data,
+                 response_end, target_probed, catalog_updated, catalog_confirmed, targets_confirmed,
+                 store_reachable, report_received, stop_requested, settings_changed>;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Effects
@@ -243,6 +251,12 @@
     std::uint64_t send_id{};
 };
 
+/// Stops reading the response of an attempt, or goes on.
+struct pause_reading {
+    std::uint64_t send_id{};
+    bool paused{};
+};
+
 /// Finds out whether the target of an attempt still accepts connections.
 struct probe_target {
     std::uint64_t send_id{};
@@ -313,8 +327,8 @@
     time_point at{};
 };
 
-using effect = std::variant<send_request, cancel_send, probe_target, reply_begin, reply_data, reply_end,
-                            reply_abort, reply_full, reply_refused, send_report, fetch_snapshot,
+using effect = std::variant<send_request, cancel_send, pause_reading, probe_target, reply_begin, reply_data,
+                            reply_end, reply_abort, reply_full, reply_refused, send_report, fetch_snapshot,
                             write_rollout_status, log_event, count, observe, wake_at, exit_process>;
 using effects = std::vector<effect>;
 
@@ -349,7 +363,7 @@
     std::uint64_t body_bytes{};  // of the response body so far
     std::string body;            // buffered response, or the incomplete last event of a stream
     std::string passed_tail;     // last bytes of a stream that is passed on as it comes
-    std::size_t counted_bytes{}; // of `body`, in router_state::buffered_bytes
+    std::size_t counted_bytes{}; // of `body` and `input.body`, in router_state::buffered_bytes
     std::uint64_t charged_kv_tokens{};
     // All attempts.
     std::uint32_t sends{}; // attempts that reached a target or may have reached it
@@ -367,6 +381,8 @@
     std::uint32_t known_crashes{};    // of targets under copies of the request, at its arrival
     // Progress over all attempts.
     bool reply_started{};
+    bool caller_is_congested{}; // responses are not read meanwhile
+    time_point congestion_ended_at{};
     std::vector<std::string> tried_targets; // ids
     std::string last_event_id;              // last event id sent to the caller
     std::string pending_reply;              // storage behind the latest reply_data
@@ -472,7 +488,7 @@
     std::set<std::pair<time_point, caller_id>> deadlines;
     std::set<std::pair<time_point, caller_id>> attempt_deadlines; // of idempotent calls only
     std::uint64_t next_send{1};
-    std::size_t buffered_bytes{}; // of all responses and incomplete events
+    std::size_t buffered_bytes{}; // see router_settings::max_buffered_bytes
 
     std::map<std::string, target_state, std::less<>> targets; // by id
     std::map<std::string, std::vector<target_state*>, std::less<>> targets_by_service;
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -21,6 +21,7 @@
 
 void on_request(router_state& state, const request_arrived& event, effects& out);
 void on_caller_closed(router_state& state, caller_id caller, effects& out);
+void on_caller_congested(router_state& state, const caller_congested& event, effects& out);
 void on_response_head(router_state& state, const response_head& event, effects& out);
 void on_response_data(router_state& state, const response_data& event, effects& out);
 void on_response_end(router_state& state, const response_end& event, effects& out);
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -3,6 +3,7 @@
 // [SECTION] End of an attempt
 // [SECTION] Target selection
 // [SECTION] Start of an attempt
+// [SECTION] Memory
 // [SECTION] Arrival
 // [SECTION] Responses
 // [SECTION] Failed attempts
@@ -67,11 +68,12 @@
     return item.sent_at + std::min(timeout, state.settings.max_attempt_timeout);
 }
 
-/// Updates the sum of buffered bytes after a change of the request's body.
+/// Updates the sum of buffered bytes after a change of the request's buffered response.
 void count_buffered_bytes(router_state& state, request& item) {
-    state.buffered_bytes += item.body.size();
+    const std::size_t bytes = item.body.size() + item.input.body.size();
+    state.buffered_bytes += bytes;
     state.buffered_bytes -= item.counted_bytes;
-    item.counted_bytes = item.body.size();
+    item.counted_bytes = bytes;
 }
 
 void remove_request(router_state& state, const request_ptr& item) {
@@ -389,6 +391,7 @@
     effect.remaining = item->deadline - state.now;
     effect.recent_connection_only = !is_retryable(*item);
     out.emplace_back(std::move(effect));
+    if (item->caller_is_congested) out.emplace_back(pause_reading{item->send_id, true});
 }
 
 /// Whether the request may be sent to another target. Takes a retry from the shared limit if it was sent
@@ -426,6 +429,33 @@
 
 } // namespace
 
+//-----------------------------------------------------------------------------
+// [SECTION] Memory
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Fails the requests with the most buffered bytes while the sum exceeds the limit of the process. Their
+/// targets are not at fault, and another attempt would need the same memory.
+void limit_total_bytes(router_state& state, effects& out) {
+    while (state.buffered_bytes > state.settings.max_buffered_bytes) {
+        const auto largest = std::ranges::max_element(
+            state.requests, {}, [](const auto& entry) { return entry.second->counted_bytes; });
+        const request_ptr item = largest->second;
+        out.emplace_back(count{"requests_ended_for_memory_total", item->service, 1});
+        out.emplace_back(log_event{"memory_limit",
+                                   "\"id\":" + quoted(item->input.attempt) +
+                                       ",\"bytes\":" + std::to_string(item->counted_bytes) +
+                                       ",\"buffered\":" + std::to_string(state.buffered_bytes),
+                                   false});
+        if (item->send_id != 0) item->may_have_run = true;
+        cancel_attempt(state, *item, out);
+        fail(state, item, status_unavailable, "memory_limit", out);
+    }
+}
+
+} // namespace
+
 //-----------------------------------------------------------------------------
 // [SECTION] Arrival
 //-----------------------------------------------------------------------------
@@ -564,6 +594,9 @@
     const request_ptr item = make_request(state, event, *admitted);
     state.requests[event.caller] = item;
     state.deadlines.emplace(item->deadline, event.caller);
+    count_buffered_bytes(state, *item);
+    limit_total_bytes(state, out);
+    if (!state.requests.contains(event.caller)) return;
     record_first_attempt(state.retry_windows[item->service], state.settings.retries, state.now);
     state.shares.on_requested(item->account_hash, item->tokens, state.now);
     item->known_crashes = known_crashes(state, *item);
@@ -587,6 +620,18 @@
     remove_request(state, item);
 }
 
+void on_caller_congested(router_state& state, const caller_congested& event, effects& out) {
+    const auto found = state.requests.find(event.caller);
+    if (found == state.requests.end()) return;
+    request& item = *found->second;
+    if (item.caller_is_congested == event.congested) return;
+    item.caller_is_congested = event.congested;
+    if (!event.congested) item.congestion_ended_at = state.now;
+    out.emplace_back(
+        count{event.congested ? "replies_congested_total" : "replies_relieved_total", item.service, 1});
+    if (item.send_id != 0) out.emplace_back(pause_reading{item.send_id, event.congested});
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Responses
 //-----------------------------------------------------------------------------
@@ -745,16 +790,11 @@
     on_connection_broken(state, item, send_result::garbled, out);
 }
 
-/// Counts the bytes that the request has buffered. Fails it if it exceeds its limit, and the request with the
-/// most bytes while the sum exceeds the limit of the process.
+/// Counts the bytes that the request has buffered. Fails it if its response exceeds its limit.
 void limit_buffered_bytes(router_state& state, const request_ptr& item, std::size_t limit, effects& out) {
     count_buffered_bytes(state, *item);
     if (item->body.size() > limit) fail_oversized(state, item, out);
-    while (state.buffered_bytes > state.settings.max_buffered_bytes) {
-        const auto largest = std::ranges::max_element(
-            state.requests, {}, [](const auto& entry) { return entry.second->counted_bytes; });
-        fail_oversized(state, request_ptr{largest->second}, out);
-    }
+    limit_total_bytes(state, out);
 }
 
 } // namespace
--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -77,16 +77,19 @@
 } // namespace
 
 void note_break(router_state& state, const request& item, target_state& target) {
+    // A response that is not read breaks unnoticed; when, is not known.
+    if (item.caller_is_congested) return;
     accuse(state, item, target, state.now);
 }
 
 void note_silence(router_state& state, const request& item, effects& out) {
     // A target that works sends the next event, or another response, sooner than this.
     constexpr duration min_silence = 1s;
-    if (item.send_id == 0) return;
+    if (item.send_id == 0 || item.caller_is_congested) return;
     target_state* const target = find_target(state, item.target);
     if (target == nullptr) return;
-    const time_point last_sign = std::max({item.sent_at, item.last_data, target->last_head});
+    const time_point last_sign =
+        std::max({item.sent_at, item.last_data, item.congestion_ended_at, target->last_head});
     if (state.now - last_sign < min_silence || has_sent_since(state, item.target, last_sign)) return;
     accuse(state, item, *target, last_sign);
     if (target->missing_since != time_point{}) confirm_crash(state, *target, out);
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -35,7 +35,10 @@
                          {[this](std::uint64_t exchange, http_request&& request) {
                               submit(platform::decode_request(exchange, std::move(request)));
                           },
-                          [this](std::uint64_t exchange) { submit(direct::caller_closed{exchange}); }}),
+                          [this](std::uint64_t exchange) { submit(direct::caller_closed{exchange}); },
+                          [this](std::uint64_t exchange, bool congested) {
+                              submit(direct::caller_congested{exchange, congested});
+                          }}),
           client_(loop, {}),
           reports_(loop, make_link_keys(settings.link_keys),
                    [this](router_report&& report) { submit(direct::report_received{std::move(report)}); }),
@@ -73,6 +76,8 @@
     static edge_server_settings edge_settings_of(const direct_daemon_settings& settings) {
         edge_server_settings edge;
         edge.max_connections = caller_connection_limit(settings);
+        edge.max_held_bytes = memory_limits_of(settings).caller_connections;
+        edge.max_body_bytes = std::min(edge.max_body_bytes, memory_limits_of(settings).requests);
         return edge;
     }
     static platform::store_settings store_settings_of(const direct_daemon_settings& settings) {
@@ -105,9 +110,11 @@
 
 std::optional<bool> direct_host::start(const direct_daemon_settings& settings, failure& error) {
     const auto make_server = [&](auto handler) {
+        edge_server_settings edge;
+        edge.max_body_bytes = edge.max_header_bytes; // these requests have no bodies
+        edge.max_held_bytes = memory_limits_of(settings).control_connections;
         return std::make_unique<edge_server>(
-            loop_, edge_server_settings{},
-            edge_server::handlers{std::move(handler), [](std::uint64_t /*unused*/) {}});
+            loop_, edge, edge_server::handlers{std::move(handler), [](std::uint64_t /*unused*/) {}, {}});
     };
     ready_server_ = make_server([this](std::uint64_t exchange, http_request&& /*unused*/) {
         constexpr std::uint32_t status_ok = 200;
@@ -138,6 +145,10 @@
         metrics_.set(gauge{"caller_connections", "", static_cast<double>(callers.open_connections)});
         metrics_.set(gauge{"caller_connections_closed_idle", "", static_cast<double>(callers.idle_closed)});
         metrics_.set(gauge{"caller_requests_shed", "", static_cast<double>(callers.shed_requests)});
+        metrics_.set(gauge{"caller_held_bytes", "", static_cast<double>(callers.held_bytes)});
+        metrics_.set(
+            gauge{"caller_connections_ended_for_memory", "", static_cast<double>(callers.ended_for_memory)});
+        metrics_.set(gauge{"caller_connections_stalled", "", static_cast<double>(callers.stalled)});
         metrics_.set(
             gauge{"caller_connections_turned_down", "", static_cast<double>(callers.refused_connections)});
         metrics_.set(gauge{"connections_opened", "", static_cast<double>(client_.connections_opened())});
@@ -156,7 +167,9 @@
     log_.write("start",
                "\"name\":" + direct::quoted(settings.name) +
                    ",\"callers\":" + direct::quoted(settings.http_address) +
-                   ",\"incarnation\":" + std::to_string(state_.settings.incarnation),
+                   ",\"incarnation\":" + std::to_string(state_.settings.incarnation) +
+                   ",\"max_caller_bytes\":" + std::to_string(memory_limits_of(settings).caller_connections) +
+                   ",\"max_request_bytes\":" + std::to_string(state_.settings.max_buffered_bytes),
                true, boot_clock());
 }
 
@@ -164,7 +177,9 @@
     const edge_server_counts callers = caller_server_.counts();
     const bool changed = callers.idle_closed != last_logged_counts_.idle_closed ||
                          callers.refused_connections != last_logged_counts_.refused_connections ||
-                         callers.shed_requests != last_logged_counts_.shed_requests;
+                         callers.shed_requests != last_logged_counts_.shed_requests ||
+                         callers.ended_for_memory != last_logged_counts_.ended_for_memory ||
+                         callers.stalled != last_logged_counts_.stalled;
     if (changed) {
         log_.write(
             "connections_refused",
@@ -172,7 +187,10 @@
                 ",\"shed\":" + std::to_string(callers.shed_requests - last_logged_counts_.shed_requests) +
                 ",\"idle_closed\":" + std::to_string(callers.idle_closed - last_logged_counts_.idle_closed) +
                 ",\"turned_down\":" +
-                std::to_string(callers.refused_connections - last_logged_counts_.refused_connections),
+                std::to_string(callers.refused_connections - last_logged_counts_.refused_connections) +
+                ",\"held_bytes\":" + std::to_string(callers.held_bytes) + ",\"ended_for_memory\":" +
+                std::to_string(callers.ended_for_memory - last_logged_counts_.ended_for_memory) +
+                ",\"stalled\":" + std::to_string(callers.stalled - last_logged_counts_.stalled),
             true, boot_clock());
         last_logged_counts_ = callers;
     }
@@ -261,6 +279,9 @@
         if (open_call == calls_.end()) return;
         client_.cancel(open_call->second);
         calls_.erase(open_call);
+    } else if (auto* pause = std::get_if<direct::pause_reading>(&item)) {
+        const auto open_call = calls_.find(pause->send_id);
+        if (open_call != calls_.end()) client_.set_reading_paused(open_call->second, pause->paused);
     } else if (auto* probe = std::get_if<direct::probe_target>(&item)) {
         client_.probe(probe->address, [this, send = probe->send_id](edge_connect_result result) {
             submit(direct::target_probed{send, static_cast<direct::probe_outcome>(result)});
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -367,6 +367,91 @@
     BOOST_TEST(router.has<reply_full>());
 }
 
+// Guards against a slow caller whose target sends without end: the target is not read meanwhile, also by a
+// later attempt, the target is not blamed, and the deadline ends the request all the same.
+BOOST_AUTO_TEST_CASE(response_is_not_read_while_its_caller_is_congested) {
+    test_router router;
+    const caller_id caller = router.submit_request("chat");
+    const auto first = router.last<send_request>();
+    BOOST_REQUIRE(first.has_value());
+    router.process(router.head(first->send_id));
+    router.process(response_data{first->send_id, "id: 1\ndata: x\n\n"});
+    router.out.clear();
+    router.process(caller_congested{caller, true});
+    router.process(caller_congested{caller, true});
+    auto pauses = router.take<pause_reading>();
+    BOOST_REQUIRE(pauses.size() == 1U);
+    BOOST_TEST(pauses[0].send_id == first->send_id);
+    BOOST_TEST(pauses[0].paused);
+    router.process(response_end{first->send_id, send_result::broken});
+    std::uint64_t second = 0;
+    bool second_is_paused = false;
+    for (const direct::effect& item : std::exchange(router.out, {})) {
+        if (const auto* sent = std::get_if<send_request>(&item)) second = sent->send_id;
+        if (const auto* pause = std::get_if<pause_reading>(&item))
+            second_is_paused = pause->send_id == second && pause->paused;
+    }
+    BOOST_REQUIRE(second != 0U);
+    BOOST_TEST(second_is_paused);
+    router.process(caller_congested{caller, false});
+    pauses = router.take<pause_reading>();
+    BOOST_REQUIRE(pauses.size() == 1U);
+    BOOST_TEST(!pauses[0].paused);
+    router.process(caller_congested{caller, true});
+    router.advance_time(3s);
+    router.out.clear();
+    router.process(caller_closed{caller});
+    for (const auto& [id, target] : router.state.targets)
+        BOOST_TEST(!target.broken.has_value());
+    const caller_id late = router.submit_request("chat");
+    const auto third = router.last<send_request>();
+    BOOST_REQUIRE(third.has_value());
+    router.process(router.head(third->send_id));
+    router.process(response_data{third->send_id, "id: 1\ndata: x\n\n"});
+    router.process(caller_congested{late, true});
+    router.out.clear();
+    router.advance_time(9s);
+    BOOST_TEST(router.has<reply_abort>());
+    BOOST_TEST(router.state.requests.empty());
+}
+
+// Guards against request bodies that exhaust the memory: the largest request is refused as not executed, and
+// no target is blamed.
+BOOST_AUTO_TEST_CASE(request_bodies_count_in_the_memory_limit) {
+    test_router router;
+    router.state.settings.max_buffered_bytes = 1U << 20U;
+    const auto submit = [&](std::size_t size) {
+        request_arrived request;
+        request.caller = router.next_caller++;
+        request.attempt = "attempt-" + std::to_string(request.caller);
+        request.method = "POST";
+        request.host = "h.example";
+        request.path = "/order/x";
+        request.api_key = "key-1";
+        request.body = std::string(size, 'b');
+        router.process(request);
+        return request.caller;
+    };
+    submit(400U << 10U);
+    submit(300U << 10U);
+    BOOST_TEST(router.take<send_request>().size() == 2U);
+    submit(600U << 10U);
+    const auto refused = router.last<reply_refused>();
+    BOOST_REQUIRE(refused.has_value());
+    BOOST_TEST(refused->status == 503U);
+    BOOST_TEST(refused->retry_after.has_value());
+    submit(380U << 10U);
+    // A target may have executed the largest one.
+    const auto ended = router.last<reply_refused>();
+    BOOST_REQUIRE(ended.has_value());
+    BOOST_TEST(ended->caller == 1U);
+    BOOST_TEST(ended->status == 502U);
+    BOOST_TEST(router.state.buffered_bytes <= router.state.settings.max_buffered_bytes);
+    BOOST_TEST(router.state.requests.size() == 2U);
+    for (const auto& [id, target] : router.state.targets)
+        BOOST_TEST(target.smoothed_failure_rate == 0.0);
+}
+
 // Guards against a truncated stream that looks complete.
 BOOST_AUTO_TEST_CASE(non_resumable_stream_is_aborted) {
     test_router router;
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -80,4 +80,28 @@
     BOOST_TEST(caller_connection_limit(*settings) < settings->max_descriptors);
 }
 
+// Guards against limits that are each small enough and together exceed the memory of the smallest VM: strings
+// hold up to twice their size.
+BOOST_AUTO_TEST_CASE(held_bytes_fit_into_the_memory) {
+    failure error;
+    json document = valid_settings();
+    for (const std::size_t megabytes : {88U, 260U, 4096U}) {
+        document["memory_mb"] = megabytes;
+        const auto settings = load(document, error);
+        BOOST_REQUIRE(settings.has_value());
+        const memory_limits limits = memory_limits_of(*settings);
+        const std::size_t sum = limits.caller_connections + limits.requests + 2 * limits.control_connections;
+        BOOST_TEST(2 * sum <= (megabytes << 20U) * 6 / 10);
+        const auto core = make_core_settings(*settings, 7);
+        BOOST_TEST(core.max_buffered_bytes == limits.requests);
+        BOOST_TEST(core.max_response_bytes <= limits.requests);
+    }
+    document["memory_mb"] = 8;
+    BOOST_TEST(!load(document, error).has_value());
+    document["memory_mb"] = 0;
+    const auto settings = load(document, error);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(memory_limits_of(*settings).caller_connections <= (256U << 20U) / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_edge.cpp
+++ b/tests/test_edge.cpp
@@ -2,6 +2,7 @@
 // [SECTION] Helpers
 // [SECTION] Responses of targets
 // [SECTION] Responses to callers
+// [SECTION] Slow callers
 
 #include "damaskhill_impl_edge_client.hpp"
 #include "damaskhill_impl_edge_server.hpp"
@@ -344,4 +345,219 @@
     BOOST_TEST(server.counts().shed_requests == 1U);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Slow callers
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Target that answers each request with a head and then bytes without end, as fast as they are taken.
+struct endless_target {
+    event_loop& loop;
+    asio::ip::tcp::acceptor acceptor{*static_cast<asio::io_context*>(loop.native()),
+                                     {asio::ip::make_address("127.0.0.1"), 0}};
+    std::shared_ptr<asio::ip::tcp::socket> socket;
+    std::array<char, 4096> request{};
+    std::string block = std::string(64U << 10U, 'x');
+    std::size_t sent{};
+
+    explicit endless_target(event_loop& l) : loop(l) {
+        acceptor.async_accept([this](const asio::error_code& ec, asio::ip::tcp::socket accepted) {
+            if (ec) return;
+            socket = std::make_shared<asio::ip::tcp::socket>(std::move(accepted));
+            socket->async_read_some(
+                asio::buffer(request), [this](const asio::error_code& failed, std::size_t) {
+                    if (failed) return;
+                    asio::write(*socket, asio::buffer(std::string{"HTTP/1.1 200 OK\r\n\r\n"}));
+                    write();
+                });
+        });
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+    void write() {
+        socket->async_write_some(asio::buffer(block), [this](const asio::error_code& ec, std::size_t size) {
+            sent += size;
+            if (!ec) write();
+        });
+    }
+};
+
+/// Caller that reads up to `bytes` each 20 ms.
+struct slow_caller {
+    event_loop& loop;
+    asio::ip::tcp::socket socket{*static_cast<asio::io_context*>(loop.native())};
+    std::size_t bytes;
+    std::size_t received{};
+    bool closed{};
+    std::string buffer;
+
+    slow_caller(event_loop& l, std::size_t bytes_each_time, std::string_view request, int window = 4096)
+        : loop(l), bytes(bytes_each_time) {
+        failure error;
+        const auto parts = split_address(server_address, error);
+        socket.open(asio::ip::tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size{window});
+        socket.connect({asio::ip::make_address(parts->first), parts->second});
+        asio::write(socket, asio::buffer(request));
+        socket.non_blocking(true);
+        loop.every(20ms, [this] { read(); });
+    }
+    void read() {
+        if (bytes == 0 || closed) return;
+        buffer.resize(bytes);
+        asio::error_code ec;
+        received += socket.read_some(asio::buffer(buffer), ec);
+        closed = ec && ec != asio::error::would_block;
+    }
+    /// Whether the server has closed the connection; discards what has arrived.
+    bool is_closed() {
+        std::array<char, 65536> rest{};
+        asio::error_code ec;
+        while (!ec)
+            socket.read_some(asio::buffer(rest), ec);
+        return ec != asio::error::would_block;
+    }
+};
+
+constexpr const char* plain_request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+void run_for(event_loop& loop, duration time) {
+    loop.after(time, [&] { loop.stop(); });
+    loop.run();
+}
+
+} // namespace
+
+// Guards against memory that grows with what a target sends while its caller reads slowly: the target has to
+// wait, and goes on when the caller does.
+BOOST_AUTO_TEST_CASE(endless_response_to_a_slow_caller_holds_bounded_memory) {
+    event_loop loop;
+    endless_target target{loop};
+    edge_client client{loop, {}};
+    edge_server* server_pointer = nullptr;
+    std::uint64_t call_id = 0;
+    std::size_t most = 0;
+    const edge_server_settings settings;
+    edge_server server{
+        loop,
+        settings,
+        {[&](std::uint64_t exchange, http_request&&) {
+             edge_handlers handlers;
+             handlers.on_head = [&, exchange](edge_response_head&&) {
+                 server_pointer->begin_response(exchange, 200, {});
+                 return edge_response_action::accept;
+             };
+             handlers.on_data = [&, exchange](std::string_view data) {
+                 server_pointer->send_chunk(exchange, data);
+                 most = std::max(most, server_pointer->counts().held_bytes);
+             };
+             call_id = client.start({target.address(), plain_request, {}, false, false}, std::move(handlers));
+         },
+         [](std::uint64_t) {},
+         [&](std::uint64_t, bool congested) { client.set_reading_paused(call_id, congested); }}};
+    server_pointer = &server;
+    failure error;
+    BOOST_REQUIRE(server.listen(server_address, error).has_value());
+    slow_caller caller{loop, 2000, plain_request, 64 << 10};
+    run_for(loop, 1s);
+    constexpr std::size_t reads_until_paused = 64U << 10U;
+    BOOST_TEST(most > settings.congested_bytes); // the case is reached
+    BOOST_TEST(most <= settings.congested_bytes + reads_until_paused);
+    const std::size_t sent_before = target.sent;
+    caller.bytes = 4U << 20U;
+    run_for(loop, 1s);
+    BOOST_TEST(target.sent > sent_before + settings.congested_bytes);
+    BOOST_TEST(most <= settings.congested_bytes + reads_until_paused);
+}
+
+// Guards against a process that many slow callers together exhaust, and against ending the wrong one: the
+// largest holder is ended, the others go on.
+BOOST_AUTO_TEST_CASE(largest_holder_is_ended_when_memory_is_short) {
+    event_loop loop;
+    edge_server* server_pointer = nullptr;
+    edge_server_settings settings;
+    settings.max_held_bytes = 6U << 20U;
+    edge_server server{loop,
+                       settings,
+                       {[&](std::uint64_t exchange, http_request&& request) {
+                            const std::size_t size = request.target == "/large" ? 12U << 20U : 5U << 20U;
+                            server_pointer->send_response(exchange, 200, {}, std::string(size, 'x'));
+                        },
+                        [](std::uint64_t) {},
+                        {}}};
+    server_pointer = &server;
+    failure error;
+    BOOST_REQUIRE(server.listen(server_address, error).has_value());
+    slow_caller small{loop, 0, plain_request};
+    run_for(loop, 100ms);
+    slow_caller large{loop, 0, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"};
+    run_for(loop, 200ms);
+    BOOST_TEST(server.counts().held_bytes <= settings.max_held_bytes);
+    BOOST_TEST(server.counts().ended_for_memory == 1U);
+    BOOST_TEST(large.is_closed());
+    BOOST_TEST(!small.is_closed());
+}
+
+// Guards against uploads that exhaust the memory together, each within its own limit: the largest one is
+// refused, with a reply that says when to come back.
+BOOST_AUTO_TEST_CASE(largest_upload_is_refused_when_memory_is_short) {
+    event_loop loop;
+    std::size_t requests = 0;
+    edge_server_settings settings;
+    settings.max_held_bytes = 3U << 20U;
+    edge_server server{
+        loop, settings, {[&](std::uint64_t, http_request&&) { ++requests; }, [](std::uint64_t) {}, {}}};
+    failure error;
+    BOOST_REQUIRE(server.listen(server_address, error).has_value());
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n";
+    std::vector<std::unique_ptr<slow_caller>> callers;
+    for (const std::size_t megabytes : {1U, 2U, 1U}) {
+        callers.push_back(std::make_unique<slow_caller>(loop, 0, head));
+        // A task of its own for each part, as the server reads in the same thread.
+        for (std::size_t part = 0; part < megabytes * 16; ++part) {
+            loop.after(0ms, [&, socket = &callers.back()->socket] {
+                asio::error_code ignored;
+                socket->write_some(asio::buffer(std::string(64U << 10U, 'b')), ignored);
+            });
+            run_for(loop, 3ms);
+        }
+    }
+    run_for(loop, 100ms);
+    BOOST_TEST(requests == 0U);
+    BOOST_TEST(server.counts().held_bytes <= settings.max_held_bytes);
+    BOOST_TEST(server.counts().ended_for_memory == 1U);
+    std::string refusal(4096, '\0');
+    asio::error_code ec;
+    refusal.resize(callers[1]->socket.read_some(asio::buffer(refusal), ec));
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST((refusal.find("Retry-After: ") != std::string::npos));
+    BOOST_TEST(!callers[0]->is_closed());
+    BOOST_TEST(!callers[2]->is_closed());
+}
+
+// Guards against connections that callers hold for ever without reading, and against cutting a caller that is
+// only slow.
+BOOST_AUTO_TEST_CASE(only_a_caller_that_takes_no_byte_is_reset) {
+    event_loop loop;
+    edge_server* server_pointer = nullptr;
+    edge_server_settings settings;
+    settings.write_stall_timeout = 300ms;
+    edge_server server{loop,
+                       settings,
+                       {[&](std::uint64_t exchange, http_request&&) {
+                            server_pointer->send_response(exchange, 200, {}, std::string(7U << 20U, 'x'));
+                        },
+                        [](std::uint64_t) {},
+                        {}}};
+    server_pointer = &server;
+    failure error;
+    BOOST_REQUIRE(server.listen(server_address, error).has_value());
+    slow_caller silent{loop, 0, plain_request};
+    slow_caller slow{loop, 4000, plain_request};
+    run_for(loop, 1500ms);
+    BOOST_TEST(server.counts().stalled == 1U);
+    BOOST_TEST(!slow.closed);
+    BOOST_TEST(silent.is_closed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
