Cut an event without end on streams that are passed on

Callers saw: bytes without end from one target took the router's link and processor until the time limit of the stream (up to 15 s); only resumable streams, which are buffered by event, were cut at 1 MB of one event.

Cause: the limit of an event was checked on the buffer of incomplete events, which streams that are passed on do not use.

Fix: their incomplete event is counted by the end of the last one, over the bytes of each piece only. Content that is no event stream is not limited, as it has no events.

Before (check disabled): endless_event_of_a_stream_that_is_passed_on_is_cut fails in the case of an event stream without ends; after: passes, and streams of many events and other content go on.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -357,13 +357,14 @@
     bool head_received{};
     bool first_byte_received{};
     response_head head;
-    time_point last_data{};      // latest bytes of the response body
-    time_point in_doubt_since{}; // end of a response that awaits the result of a probe; zero otherwise
-    bool close_delimited{};      // see response_head; `head` is that of the first attempt
-    std::uint64_t body_bytes{};  // of the response body so far
-    std::string body;            // buffered response, or the incomplete last event of a stream
-    std::string passed_tail;     // last bytes of a stream that is passed on as it comes
-    std::size_t counted_bytes{}; // of `body` and `input.body`, in router_state::buffered_bytes
+    time_point last_data{};           // latest bytes of the response body
+    time_point in_doubt_since{};      // end of a response that awaits the result of a probe; zero otherwise
+    bool close_delimited{};           // see response_head; `head` is that of the first attempt
+    std::uint64_t body_bytes{};       // of the response body so far
+    std::string body;                 // buffered response, or the incomplete last event of a stream
+    std::string passed_tail;          // last bytes of a stream that is passed on as it comes
+    std::size_t passed_event_bytes{}; // of its incomplete last event
+    std::size_t counted_bytes{};      // of `body` and `input.body`, in router_state::buffered_bytes
     std::uint64_t charged_kv_tokens{};
     // All attempts.
     std::uint32_t sends{}; // attempts that reached a target or may have reached it
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -123,6 +123,8 @@
     item.body_bytes = 0;
     item.head_received = false;
     item.close_delimited = false;
+    item.passed_tail.clear();
+    item.passed_event_bytes = 0;
     item.last_data = {};
     item.in_doubt_since = {};
     item.first_byte_received = false;
@@ -682,6 +684,16 @@
     return complete_events;
 }
 
+constexpr std::string_view event_stream_type = "text/event-stream";
+
+/// Size of the incomplete last event after more bytes of a stream, given its size and the last bytes before.
+std::size_t incomplete_event_size(std::size_t before, std::string_view tail, std::string_view data) {
+    const auto end = data.rfind(event_end);
+    if (end != std::string_view::npos) return data.size() - end - event_end.size();
+    const bool ends_at_the_seam = tail.ends_with('\n') && data.starts_with('\n');
+    return ends_at_the_seam ? data.size() - 1 : before + data.size();
+}
+
 std::optional<std::uint64_t> parse_event_id(std::string_view text) {
     std::uint64_t id{};
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
@@ -780,11 +792,12 @@
 /// Ends the current attempt of a request whose target sends more than can be buffered.
 void fail_oversized(router_state& state, const request_ptr& item, effects& out) {
     out.emplace_back(count{"answers_oversized_total", item->service, 1});
-    out.emplace_back(log_event{"answer_oversized",
-                               "\"id\":" + quoted(item->input.attempt) + ",\"target\":" +
-                                   quoted(item->target) + ",\"bytes\":" + std::to_string(item->body.size()) +
-                                   ",\"buffered\":" + std::to_string(state.buffered_bytes),
-                               false});
+    out.emplace_back(
+        log_event{"answer_oversized",
+                  "\"id\":" + quoted(item->input.attempt) + ",\"target\":" + quoted(item->target) +
+                      ",\"bytes\":" + std::to_string(std::max(item->body.size(), item->passed_event_bytes)) +
+                      ",\"buffered\":" + std::to_string(state.buffered_bytes),
+                  false});
     if (target_state* target = find_target(state, item->target)) record_target_result(*target, true);
     out.emplace_back(cancel_send{item->send_id});
     on_connection_broken(state, item, send_result::garbled, out);
@@ -811,6 +824,13 @@
         return;
     }
     if (!item->route.resumable) {
+        item->passed_event_bytes =
+            incomplete_event_size(item->passed_event_bytes, item->passed_tail, event.data);
+        if (item->head.content_type.starts_with(event_stream_type) &&
+            item->passed_event_bytes > state.settings.max_event_bytes) {
+            fail_oversized(state, item, out);
+            return;
+        }
         start_reply(*item, out);
         item->passed_tail.append(
             event.data.substr(event.data.size() - std::min(event.data.size(), event_end.size())));
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -415,6 +415,36 @@
     BOOST_TEST(router.state.requests.empty());
 }
 
+// Guards against an event without end on a route whose streams are passed on as they come: it takes the link
+// and the processor from the other callers until the time limit. Events of any number, and other content, go
+// on.
+BOOST_AUTO_TEST_CASE(endless_event_of_a_stream_that_is_passed_on_is_cut) {
+    const std::string block(64U << 10U, 'x');
+    for (const bool is_event_stream : {true, false}) {
+        for (const bool ends_events : {true, false}) {
+            test_router router;
+            router.submit_request("review");
+            const auto sent = router.last<send_request>();
+            BOOST_REQUIRE(sent.has_value());
+            response_head head = router.head(sent->send_id);
+            head.content_type = is_event_stream ? "text/event-stream; charset=utf-8" : "text/plain";
+            router.process(head);
+            for (int i = 0; i < 32; ++i) {
+                router.process(response_data{sent->send_id, block});
+                // The end of an event may come in two pieces.
+                if (ends_events) router.process(response_data{sent->send_id, "\n"});
+                if (ends_events) router.process(response_data{sent->send_id, "\n"});
+            }
+            const bool cut = is_event_stream && !ends_events;
+            BOOST_TEST_CONTEXT(is_event_stream << ends_events) {
+                BOOST_TEST(router.has<cancel_send>() == cut);
+                BOOST_TEST(router.has<reply_abort>() == cut);
+                BOOST_TEST(router.state.requests.empty() == cut);
+            }
+        }
+    }
+}
+
 // Guards against request bodies that exhaust the memory: the largest request is refused as not executed, and
 // no target is blamed.
 BOOST_AUTO_TEST_CASE(request_bodies_count_in_the_memory_limit) {
