Admit nobody when no client account holds a key

Cause: declarations without accounts, accounts without keys and accounts that cannot be read were the same empty map, and the admission asked whether it was empty.

Fix: the catalog carries whether requests need a key: none if the list of accounts is absent, required if it is there, unknown otherwise, which is the default. Empty keys and accounts without a name match nothing.

Before (with the old decision): without_any_key_left_no_request_is_admitted, "check router.has<send_request>() == !expected.status.has_value() has failed [true != false]".

--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -58,9 +58,17 @@
     std::optional<engine_declaration> engine; // none: a plain service
 };
 
-struct account_keys {
-    std::string name;
-    std::vector<std::string> keys;
+enum class key_requirement : std::uint8_t {
+    unknown, // the declarations cannot be read in this respect
+    none,    // the declarations have no client accounts
+    required // also if no account holds a key
+};
+
+/// Who may use the routes that are not public. By default nobody.
+struct client_accounts {
+    key_requirement keys{key_requirement::unknown};
+    std::map<std::string, std::string, std::less<>> account_by_key; // neither is empty
+    friend bool operator==(const client_accounts&, const client_accounts&) = default;
 };
 
 //-----------------------------------------------------------------------------
@@ -112,7 +120,7 @@
     // By host, longest path prefix first.
     std::map<std::string, std::vector<route_declaration>, std::less<>> routes;
     std::map<std::string, service_declaration, std::less<>> services;
-    std::map<std::string, std::string, std::less<>> account_by_key;
+    client_accounts accounts;
     std::map<std::string, target_entry, std::less<>> targets;   // by id
     std::set<std::string, std::less<>> evacuated;               // data centres that take no new requests
     std::map<std::string, rollout_order, std::less<>> rollouts; // by service
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -8,6 +8,7 @@
 #include "damaskhill_direct_internal.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace damaskhill::direct {
 
@@ -204,6 +205,11 @@
 
 namespace {
 
+std::string_view name_of(key_requirement keys) {
+    constexpr std::array<std::string_view, 3> names{"unknown", "none", "required"};
+    return names.at(static_cast<std::size_t>(keys));
+}
+
 /// Notices that the store has come back from a copy.
 void note_restored_store(router_state& state, const store_position& latest, effects& out) {
     if (!state.active_catalog || latest.era <= state.latest.era) return;
@@ -240,12 +246,13 @@
     state.targets_known_to = std::max(state.targets_known_to, event.targets_known_to);
     state.targets_changed_at = std::max(state.targets_changed_at, event.targets_changed_at);
     if (!before || before->version != event.contents->version) {
-        out.emplace_back(
-            log_event{"declarations",
-                      "\"version\":" + std::to_string(event.contents->version) +
-                          ",\"position\":" + quoted(format_position(event.contents->declarations.position)) +
-                          ",\"accounts_keys\":" + std::to_string(event.contents->account_by_key.size()),
-                      true});
+        out.emplace_back(log_event{
+            "declarations",
+            "\"version\":" + std::to_string(event.contents->version) +
+                ",\"position\":" + quoted(format_position(event.contents->declarations.position)) +
+                ",\"keys\":" + quoted(name_of(event.contents->accounts.keys)) +
+                ",\"accounts_keys\":" + std::to_string(event.contents->accounts.account_by_key.size()),
+            true});
     }
     if (before) mark_returned_targets_cold(state, *before, *event.contents);
     for (const auto& [id, entry] : event.contents->targets)
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -490,9 +490,12 @@
         if (can_reject) return refused(status_not_found, std::nullopt, "no_route");
         return refused(status_unavailable, unready_retry_after, "route_uncertain");
     }
-    if (route->is_public || state.active_catalog->account_by_key.empty()) return admission{route, {}};
-    const auto account = state.active_catalog->account_by_key.find(event.api_key);
-    if (account == state.active_catalog->account_by_key.end()) {
+    const client_accounts& accounts = state.active_catalog->accounts;
+    if (route->is_public || accounts.keys == key_requirement::none) return admission{route, {}};
+    if (accounts.keys == key_requirement::unknown)
+        return refused(status_unavailable, unready_retry_after, "accounts_unreadable");
+    const auto account = accounts.account_by_key.find(event.api_key);
+    if (account == accounts.account_by_key.end()) {
         if (can_reject) return refused(status_unauthorized, std::nullopt, "unknown_key");
         return refused(status_unavailable, unready_retry_after, "key_uncertain");
     }
--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -58,7 +58,7 @@
     engines.engine = engine_declaration{64, 500'000};
     contents.services["lm"] = engines;
     contents.services["app"] = service_declaration{"app"};
-    contents.account_by_key["key-1"] = "team-1";
+    contents.accounts = {key_requirement::required, {{"key-1", "team-1"}}};
     for (const char* id : {"e-1", "e-2"})
         contents.targets[id] = make_target(id, "lm", 64);
     for (const char* id : {"a-1", "a-2"})
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -675,6 +675,36 @@
     BOOST_TEST(!is_ready(router.state, router.now));
 }
 
+// Guards against requests that run without a valid key once no account holds one any more, or while the
+// accounts cannot be read: revoked keys, unknown ones and none.
+BOOST_AUTO_TEST_CASE(without_any_key_left_no_request_is_admitted) {
+    struct expectation {
+        key_requirement keys;
+        std::optional<std::uint32_t> status; // none: the request is sent
+    };
+    for (const expectation& expected :
+         {expectation{key_requirement::required, 401}, expectation{key_requirement::unknown, 503},
+          expectation{key_requirement::none, std::nullopt}}) {
+        for (const std::string key : {"key-1", "unknown", ""}) {
+            test_router router;
+            catalog contents = make_catalog();
+            contents.version = 2;
+            contents.accounts = {expected.keys, {}};
+            router.publish(contents);
+            router.confirm_now();
+            router.out.clear();
+            router.submit_request("order", key);
+            BOOST_TEST_CONTEXT(static_cast<int>(expected.keys) << " " << key) {
+                BOOST_TEST(router.has<send_request>() == !expected.status.has_value());
+                const auto refused = router.last<reply_refused>();
+                BOOST_REQUIRE(refused.has_value() == expected.status.has_value());
+                if (refused) BOOST_TEST(refused->status == *expected.status);
+                if (refused) BOOST_TEST(refused->retry_after.has_value() == (refused->status == 503U));
+            }
+        }
+    }
+}
+
 // Guards against 401 and 404 replies for keys and routes that newer declarations may have added.
 BOOST_AUTO_TEST_CASE(stale_catalog_answers_503_instead_of_401_or_404) {
     test_router router;
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -157,7 +157,7 @@
     BOOST_REQUIRE(decode_declarations(declarations, known, error).has_value());
     BOOST_TEST(known.version == 7U);
     BOOST_TEST(known.tokens_per_second == 290'000U);
-    BOOST_TEST(known.account_by_key.at("k2") == "n");
+    BOOST_TEST(known.accounts.account_by_key.at("k2") == "n");
     const auto* route = find_route(known, "h.example", "/a/x");
     BOOST_REQUIRE(route != nullptr);
     BOOST_TEST(route->services.size() == 2U);
@@ -165,6 +165,49 @@
     BOOST_TEST(known.services.at("s").engine->slots == 64U);
 }
 
+// Guards against an empty or unreadable list of accounts, or an odd entry in it, that admits a request
+// without a valid key: only declarations without the list need none.
+BOOST_AUTO_TEST_CASE(only_declarations_without_accounts_need_no_key) {
+    struct accounts_case {
+        std::string tenants; // member of the declarations
+        key_requirement keys;
+        std::map<std::string, std::string, std::less<>> account_by_key;
+    };
+    const std::vector<accounts_case> cases{
+        {"", key_requirement::none, {}},
+        {R"("tenants":[])", key_requirement::required, {}},
+        {R"("tenants":[{"name":"t"}])", key_requirement::required, {}},
+        {R"("tenants":[{"name":"t","apiKeys":[]}])", key_requirement::required, {}},
+        {R"("tenants":[{"name":"t","apiKeys":[]},{"name":"u","apiKeys":["k"]}])",
+         key_requirement::required,
+         {{"k", "u"}}},
+        {R"("tenants":[{"name":"t","apiKeys":[""]}])", key_requirement::required, {}},
+        {R"("tenants":[{"name":"","apiKeys":["k"]}])", key_requirement::required, {}},
+        {R"("tenants":[{"apiKeys":["k"]}])", key_requirement::required, {}},
+        {R"("tenants":[{"name":"t","apiKeys":"k"}])", key_requirement::required, {}},
+        {R"("tenants":[{"name":"t","apiKeys":[1,null,["k"]]}])", key_requirement::required, {}},
+        {R"("tenants":[null,1,"t",[]])", key_requirement::required, {}},
+        {R"("tenants":null)", key_requirement::unknown, {}},
+        {R"("tenants":{})", key_requirement::unknown, {}},
+        {R"("tenants":"")", key_requirement::unknown, {}},
+        {R"("tenants":0)", key_requirement::unknown, {}},
+        {R"("tenants":false)", key_requirement::unknown, {}}};
+    for (const accounts_case& expected : cases) {
+        BOOST_TEST_CONTEXT(expected.tenants) {
+            const std::string text = R"({"version":8,"routes":[],"services":[])" +
+                                     (expected.tenants.empty() ? "" : "," + expected.tenants) + "}";
+            catalog known;
+            failure error;
+            // The accounts of an earlier version must not stay.
+            BOOST_REQUIRE(decode_declarations(declarations, known, error).has_value());
+            BOOST_REQUIRE(decode_declarations(text, known, error).has_value());
+            BOOST_TEST((known.accounts.keys == expected.keys));
+            BOOST_TEST((known.accounts.account_by_key == expected.account_by_key));
+        }
+    }
+    BOOST_TEST((catalog{}.accounts.keys == key_requirement::unknown));
+}
+
 // Guards against malformed registrations of other writers that become targets.
 BOOST_AUTO_TEST_CASE(malformed_registrations_are_rejected) {
     failure error;
