Accuse prompt parts of crashes at any time of the answer

Cause: an answer that had gone on for 0.4 s counted as proof that the parts of its prompt are sound, so a later crash accused none of them. No such time is known.

Fix: a crash accuses the parts of all requests in flight. An accusation of an answer that had been going on is acquitted by a whole answer only, which a bad part never has; four crashes quarantine it. A part with a whole answer since is no companion of a quarantined one; routers report the acquittal of a part that another one has quarantined; a trial after a quarantine lasts until its answer is whole and is not repeated. An acquittal recounts one part instead of all.

Ruled out: that crashes are not confirmed or not shared (at 0.1 and 0.3 s the same routers find the part).

Engines that fall silent early in the answer are still missed; that has another cause.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -28,7 +28,6 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <deque>
 #include <memory>
 
 namespace damaskhill::direct {
@@ -356,6 +355,7 @@
     time_point sent_at{};
     bool head_received{};
     bool first_byte_received{};
+    bool begun_is_noted{}; // the answer has counted as answer_evidence::begun
     response_head head;
     time_point last_data{};           // latest bytes of the response body
     time_point in_doubt_since{};      // end of a response that awaits the result of a probe; zero otherwise
@@ -421,13 +421,6 @@
     time_point last_head{}; // of a response
 };
 
-/// First byte of an answer; acquits the parts of the prompt once the target has lived on.
-struct begun_answer {
-    time_point at{};
-    std::uint64_t target{}; // hash of its id
-    prompt_parts parts;
-};
-
 struct peer_router {
     std::uint64_t incarnation{};
     std::string data_centre;   // empty if unknown
@@ -502,7 +495,6 @@
     // Next report to the addresses that get no regular reports.
     time_point next_probe{};
     prompt_suspects suspects;
-    std::deque<begun_answer> begun_answers;                        // by time
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -19,6 +19,9 @@
 // [SECTION] Requests
 //-----------------------------------------------------------------------------
 
+/// Whether a response of this status says that the target failed.
+[[nodiscard]] constexpr bool is_failure(std::uint32_t status) { return status >= 500; }
+
 void on_request(router_state& state, const request_arrived& event, effects& out);
 void on_caller_closed(router_state& state, caller_id caller, effects& out);
 void on_caller_congested(router_state& state, const caller_congested& event, effects& out);
@@ -105,13 +108,11 @@
 void confirm_crash(router_state& state, target_state& target, effects& out);
 /// The target has sent a response head.
 void note_sign_of_life(const router_state& state, target_state& target);
-/// Records the first byte of an answer, for settle_begun_answers.
-void note_answer_begun(router_state& state, const request& item, const target_state& target);
-/// Acquits a suspected request: its target has answered it to the end.
-void note_answer_complete(router_state& state, const request& item);
+/// Acquits the request and the parts of its prompt: its target has answered it to the end.
+void note_answer_complete(router_state& state, const request& item, effects& out);
 /// Whether any response of this target has had bytes after the given time.
 [[nodiscard]] bool has_sent_since(const router_state& state, std::string_view target, time_point at);
-/// Acquits the prompt parts of answers whose targets have lived on.
+/// Acquits the prompt parts of answers that have been going on for long enough.
 void settle_begun_answers(router_state& state, effects& out);
 /// Whether the request may be sent now (verdict `clear`); else the reason to refuse it or let it wait.
 [[nodiscard]] prompt_judgement judge_request(const router_state& state, const request& item);
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -46,7 +46,7 @@
 struct engine_crash_row {
     std::uint64_t engine{}; // hash of its id
     std::uint64_t age_us{};
-    std::vector<std::uint64_t> parts; // of the prompt; empty if the answer had been going on
+    std::vector<std::uint64_t> parts; // of the prompt
     std::uint64_t request{};          // hash of account, path and body
     bool begun{};                     // the answer had been going on
     static constexpr auto fields() {
@@ -57,12 +57,15 @@
     }
 };
 
-/// Answer that began on an engine which stayed up, of a request with a suspected prompt part.
+/// Answer to a request with a suspected prompt part.
 struct acquittal_row {
     std::uint64_t part{};
     std::uint64_t age_us{};
+    bool whole{}; // false: it began on an engine which stayed up
     static constexpr auto fields() {
-        return std::tuple{field{1, "part", &acquittal_row::part}, field{2, "age_us", &acquittal_row::age_us}};
+        using t = acquittal_row;
+        return std::tuple{field{1, "part", &t::part}, field{2, "age_us", &t::age_us},
+                          field{3, "whole", &t::whole}};
     }
 };
 
@@ -72,10 +75,12 @@
     std::uint32_t moments{}; // at which it has crashed engines
     std::uint64_t age_us{};  // of the last crash
     std::vector<std::uint64_t> companions;
+    bool begun{}; // some of the crashes came when the answers had been going on
     static constexpr auto fields() {
         using t = quarantine_row;
         return std::tuple{field{1, "part", &t::part}, field{2, "moments", &t::moments},
-                          field{3, "age_us", &t::age_us}, field{4, "companions", &t::companions}};
+                          field{3, "age_us", &t::age_us}, field{4, "companions", &t::companions},
+                          field{5, "begun", &t::begun}};
     }
 };
 
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -128,6 +128,7 @@
     item.last_data = {};
     item.in_doubt_since = {};
     item.first_byte_received = false;
+    item.begun_is_noted = false;
 }
 
 /// Clears the current attempt and aborts it at the target.
@@ -650,8 +651,6 @@
     return found == state.requests.end() ? request_ptr{} : found->second;
 }
 
-constexpr std::uint32_t first_failure_status = 500;
-
 /// Handles a response by which the target states that it did not execute the request.
 void on_not_executed(router_state& state, const request_ptr& item, const response_head& event, effects& out) {
     target_state* target = find_target(state, item->target);
@@ -733,9 +732,8 @@
         out.emplace_back(observe{"first_byte_prediction_ratio", item.service,
                                  to_seconds(item.first_byte_delay) / to_seconds(item.predicted_first_token)});
     }
-    if (item.head.status >= first_failure_status) return;
+    if (is_failure(item.head.status)) return;
     record_speed_sample(state, item, out);
-    if (const target_state* target = find_target(state, item.target)) note_answer_begun(state, item, *target);
 }
 
 bool is_stream(const request& item) {
@@ -765,7 +763,7 @@
     item->may_have_run = true;
     item->head_received = true;
     item->close_delimited = event.close_delimited;
-    const bool failed = event.status >= first_failure_status;
+    const bool failed = is_failure(event.status);
     if (target_state* target = find_target(state, item->target)) {
         note_sign_of_life(state, *target);
         record_target_result(*target, failed);
@@ -865,7 +863,7 @@
 namespace {
 
 void on_response_complete(router_state& state, const request_ptr& item, effects& out) {
-    note_answer_complete(state, *item);
+    note_answer_complete(state, *item, out);
     if (is_stream(*item)) {
         start_reply(*item, out);
         clear_attempt(state, *item);
--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -69,9 +69,8 @@
     if (!target.broken || expired) target.broken = engine_crash{target.hash, at, {}, state.now};
     if (target.broken->accused.size() >= settings.max_accused) return;
     const bool begun =
-        item.first_byte_received && at - (item.sent_at + item.first_byte_delay) > settings.proof_of_life;
-    target.broken->accused.push_back(
-        {begun ? prompt_parts{} : item.parts, item.request_fingerprint, begun, true});
+        item.first_byte_received && at - (item.sent_at + item.first_byte_delay) > settings.beginning;
+    target.broken->accused.push_back({item.parts, item.request_fingerprint, begun, true});
 }
 
 } // namespace
@@ -131,33 +130,41 @@
     if (target.broken && state.now - target.broken->at > in_transit) target.broken.reset();
 }
 
-void note_answer_begun(router_state& state, const request& item, const target_state& target) {
-    if (!item.parts.empty()) state.begun_answers.push_back({state.now, target.hash, item.parts});
+namespace {
+
+void note_evidence(router_state& state, const request& item, answer_evidence evidence, time_point at,
+                   effects& out) {
+    if (is_failure(item.head.status) || item.parts.empty()) return;
+    const std::size_t before = state.suspects.quarantined.size();
+    add_answer(state.suspects, state.settings.suspects, item.parts, evidence, at, true);
+    if (state.suspects.quarantined.size() != before)
+        out.emplace_back(log_event{"prompt_cleared", "\"parts\":" + format_parts(item.parts), true});
 }
 
-void note_answer_complete(router_state& state, const request& item) {
+time_point first_byte_at(const request& item) { return item.sent_at + item.first_byte_delay; }
+
+} // namespace
+
+void note_answer_complete(router_state& state, const request& item, effects& out) {
+    if (item.first_byte_received)
+        note_evidence(state, item, answer_evidence::begun, first_byte_at(item), out);
+    note_evidence(state, item, answer_evidence::whole, state.now, out);
     const std::uint64_t fingerprint = item.request_fingerprint;
     if (!state.suspects.suspected.contains(fingerprint) && !state.suspects.quarantined.contains(fingerprint))
         return;
-    add_answer(state.suspects, state.settings.suspects, {&fingerprint, 1}, state.now, true);
+    for (const answer_evidence evidence : {answer_evidence::begun, answer_evidence::whole})
+        add_answer(state.suspects, state.settings.suspects, {&fingerprint, 1}, evidence, state.now, true);
 }
 
+// An answer that was cancelled early, or from a target that has been silent since, shows nothing.
 void settle_begun_answers(router_state& state, effects& out) {
     const prompt_suspect_settings& settings = state.settings.suspects;
-    while (!state.begun_answers.empty() &&
-           state.now - state.begun_answers.front().at >= settings.proof_of_life) {
-        const begun_answer answer = std::move(state.begun_answers.front());
-        state.begun_answers.pop_front();
-        const auto found = state.target_by_hash.find(answer.target);
-        if (found == state.target_by_hash.end()) continue;
-        const target_state& target = *found->second;
-        const bool lives = !target.broken && target.last_crash < answer.at;
-        if (!lives) continue;
-        const std::size_t before = state.suspects.quarantined.size();
-        add_answer(state.suspects, settings, answer.parts, answer.at, true);
-        if (state.suspects.quarantined.size() != before) {
-            out.emplace_back(log_event{"prompt_cleared", "\"parts\":" + format_parts(answer.parts), true});
-        }
+    for (const auto& [caller, item] : state.requests) {
+        if (!item->first_byte_received || item->begun_is_noted ||
+            state.now - first_byte_at(*item) < settings.proof_of_life)
+            continue;
+        item->begun_is_noted = true;
+        note_evidence(state, *item, answer_evidence::begun, first_byte_at(*item), out);
     }
     expire_suspects(state.suspects, settings, state.now);
 }
@@ -174,14 +181,18 @@
         return judged;
     const bool may_try =
         judged.verdict == prompt_verdict::one_per_router || rank_for_target(state, judged.part) == 0;
+    // A trial of a part that may crash its target late lasts until its answer is whole.
+    const bool until_whole = judged.needs_whole_answer && judged.verdict == prompt_verdict::one_per_fleet;
     const bool is_tried = std::ranges::any_of(state.requests, [&](const auto& entry) {
         const request& other = *entry.second;
         if (&other == &item || other.send_id == 0) return false;
         return other.request_fingerprint == judged.part ||
-               (!other.first_byte_received &&
+               ((until_whole || !other.first_byte_received) &&
                 std::ranges::find(other.parts, judged.part) != other.parts.end());
     });
-    if (may_try && !is_tried) judged.verdict = prompt_verdict::clear;
+    // An attempt that broke during such a trial is not repeated: it may have been the crash.
+    const bool repeats_trial = judged.verdict == prompt_verdict::one_per_fleet && item.sends > 0;
+    if (may_try && !is_tried && !repeats_trial) judged.verdict = prompt_verdict::clear;
     return judged;
 }
 
@@ -212,11 +223,15 @@
                     {crash.engine, age_us(state.now, crash.at), item.parts, item.fingerprint, item.begun});
         }
     }
-    for (const auto& [part, at] : suspects.own_acquittals)
-        report.acquittals.push_back({part, age_us(state.now, at)});
+    for (const auto& [part, answered] : suspects.own_acquittals) {
+        if (answered.begun != time_point{})
+            report.acquittals.push_back({part, age_us(state.now, answered.begun), false});
+        if (answered.whole != time_point{})
+            report.acquittals.push_back({part, age_us(state.now, answered.whole), true});
+    }
     for (const auto& [part, quarantined] : suspects.quarantined)
-        report.quarantines.push_back(
-            {part, quarantined.moments, age_us(state.now, quarantined.last_crash), quarantined.companions});
+        report.quarantines.push_back({part, quarantined.moments, age_us(state.now, quarantined.last_crash),
+                                      quarantined.companions, quarantined.begun});
 }
 
 bool apply_suspect_rows(router_state& state, const router_report& report, effects& out) {
@@ -238,10 +253,11 @@
     }
     const bool is_news = add_crashes(state.suspects, settings, std::move(crashes), state.now);
     for (const acquittal_row& row : report.acquittals)
-        add_answer(state.suspects, settings, {&row.part, 1}, time_of(row.age_us), false);
+        add_answer(state.suspects, settings, {&row.part, 1},
+                   row.whole ? answer_evidence::whole : answer_evidence::begun, time_of(row.age_us), false);
     for (const quarantine_row& row : report.quarantines)
-        add_quarantine(state.suspects, settings, row.part, {row.moments, time_of(row.age_us), row.companions},
-                       state.now);
+        add_quarantine(state.suspects, settings, row.part,
+                       {row.moments, time_of(row.age_us), row.companions, row.begun}, state.now);
     log_new_quarantines(state, before, out);
     return is_news;
 }
--- a/core/damaskhill_prompt_suspects.cpp
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -27,10 +27,15 @@
     return a.fingerprint == b.fingerprint && a.begun == b.begun && a.parts == b.parts;
 }
 
-/// Whether the part has been acquitted since this crash.
-bool is_acquitted(const prompt_suspects& suspects, std::uint64_t part, time_point crash) {
+/// Whether the part has been acquitted of an accusation at this time. `begun`: see accused_request.
+bool is_acquitted(const prompt_suspects& suspects, std::uint64_t part, time_point crash, bool begun) {
     const auto answered = suspects.answered.find(part);
-    return answered != suspects.answered.end() && answered->second >= crash;
+    if (answered == suspects.answered.end()) return false;
+    return (begun ? answered->second.whole : answered->second.begun) >= crash;
+}
+
+bool accuses(const accused_request& accused, std::uint64_t part) {
+    return accused.fingerprint == part || std::ranges::binary_search(accused.parts, part);
 }
 
 prompt_parts intersect(const prompt_parts& a, const prompt_parts& b) {
@@ -51,28 +56,55 @@
     suspects.suspected.clear();
     for (const engine_crash& crash : suspects.crashes) {
         std::unordered_set<std::uint64_t> counted; // a part counts once for each crash
-        for (const accused_request& accused : crash.accused) {
-            for (const std::uint64_t part : parts_of_request(accused.parts, accused.fingerprint)) {
-                if (is_acquitted(suspects, part, crash.at) || !counted.insert(part).second) continue;
-                suspected_part& suspected = suspects.suspected[part];
-                suspected.answered_before = suspects.answered.contains(part);
-                count_crash(suspected, settings, crash.at, accused.begun);
+        // An answer that had just begun says more than one that had been going on.
+        for (const bool begun : {false, true}) {
+            for (const accused_request& accused : crash.accused) {
+                if (accused.begun != begun) continue;
+                for (const std::uint64_t part : parts_of_request(accused.parts, accused.fingerprint)) {
+                    if (is_acquitted(suspects, part, crash.at, begun) || !counted.insert(part).second)
+                        continue;
+                    suspected_part& suspected = suspects.suspected[part];
+                    suspected.answered_before = suspects.answered.contains(part);
+                    count_crash(suspected, settings, crash.at, begun);
+                }
             }
         }
     }
 }
 
+/// The same for one part.
+void recount_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                       std::uint64_t part) {
+    suspected_part suspected;
+    suspected.answered_before = suspects.answered.contains(part);
+    for (const engine_crash& crash : suspects.crashes) {
+        std::optional<bool> found; // whether the answer had been going on
+        for (const accused_request& accused : crash.accused) {
+            if (found == false || !accuses(accused, part) ||
+                is_acquitted(suspects, part, crash.at, accused.begun))
+                continue;
+            found = accused.begun;
+        }
+        if (found) count_crash(suspected, settings, crash.at, *found);
+    }
+    if (suspected.crashes > 0)
+        suspects.suspected[part] = suspected;
+    else
+        suspects.suspected.erase(part);
+}
+
 /// Suspected parts that are in every accused request with this one, sorted; includes it.
 prompt_parts companions_of(const prompt_suspects& suspects, std::uint64_t part) {
     std::optional<prompt_parts> companions;
     for (const engine_crash& crash : suspects.crashes) {
-        if (is_acquitted(suspects, part, crash.at)) continue;
         for (const accused_request& accused : crash.accused) {
-            const bool has_part =
-                accused.fingerprint == part || std::ranges::binary_search(accused.parts, part);
-            if (!has_part) continue;
+            if (!accuses(accused, part) || is_acquitted(suspects, part, crash.at, accused.begun)) continue;
             prompt_parts open = parts_of_request(accused.parts, accused.fingerprint);
-            std::erase_if(open, [&](std::uint64_t other) { return is_acquitted(suspects, other, crash.at); });
+            // Either kind of answer shows that another part explains the crash.
+            std::erase_if(open, [&](std::uint64_t other) {
+                return is_acquitted(suspects, other, crash.at, false) ||
+                       is_acquitted(suspects, other, crash.at, true);
+            });
             companions = companions ? intersect(*companions, open) : std::move(open);
         }
     }
@@ -119,6 +151,7 @@
         }
         quarantined_part& quarantined = found->second;
         if (part.last_crash < quarantined.last_crash) continue;
+        quarantined.begun = quarantined.begun || part.begun_crashes > 0;
         quarantined.companions = intersect(quarantined.companions, companions_of(suspects, id));
         if (part.last_crash == quarantined.last_crash) continue;
         if (part.last_crash - quarantined.last_crash > settings.same_moment) ++quarantined.moments;
@@ -127,22 +160,26 @@
     keep_latest(added, settings.max_quarantines);
     for (const auto& [last_crash, id] : added) {
         const suspected_part& part = suspects.suspected.at(id);
-        suspects.quarantined[id] = {part.moments, part.last_crash, companions_of(suspects, id)};
+        suspects.quarantined[id] = {part.moments, part.last_crash, companions_of(suspects, id),
+                                    part.begun_crashes > 0};
     }
     limit_quarantines(suspects, settings);
 }
 
+time_point latest(const answered_part& answered) { return std::max(answered.begun, answered.whole); }
+
 /// Forgets the parts whose last answer is oldest.
 void limit_answered(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
     if (suspects.answered.size() <= settings.max_answered) return;
     std::vector<time_point> times;
     times.reserve(suspects.answered.size());
-    for (const auto& [part, at] : suspects.answered)
-        times.push_back(at);
+    for (const auto& [part, answered] : suspects.answered)
+        times.push_back(latest(answered));
     // Removes half at once, so that the search is rare.
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::ranges::nth_element(times, middle);
-    std::erase_if(suspects.answered, [limit = *middle](const auto& entry) { return entry.second < limit; });
+    std::erase_if(suspects.answered,
+                  [limit = *middle](const auto& entry) { return latest(entry.second) < limit; });
 }
 
 /// Adds a crash, or what is new of a known one. Returns whether anything is.
@@ -150,7 +187,6 @@
                  time_point now) {
     if (now - crash.at > settings.crash_lifetime) return false;
     for (accused_request& accused : crash.accused) {
-        if (accused.begun) accused.parts.clear();
         if (accused.parts.size() > settings.max_parts) accused.parts.resize(settings.max_parts);
         std::ranges::sort(accused.parts);
     }
@@ -194,30 +230,43 @@
 }
 
 void add_answer(prompt_suspects& suspects, const prompt_suspect_settings& settings,
-                std::span<const std::uint64_t> parts, time_point at, bool is_own) {
-    bool acquits = false;
+                std::span<const std::uint64_t> parts, answer_evidence evidence, time_point at, bool is_own) {
+    const bool is_whole = evidence == answer_evidence::whole;
+    const auto time_in = [&](answered_part& answered) -> time_point& {
+        return is_whole ? answered.whole : answered.begun;
+    };
     for (const std::uint64_t part : parts) {
-        time_point& answered = suspects.answered[part];
-        answered = std::max(answered, at);
+        time_point& answered = time_in(suspects.answered[part]);
+        if (at <= answered) continue;
+        answered = at;
         const auto quarantined = suspects.quarantined.find(part);
-        const bool ends_quarantine =
-            quarantined != suspects.quarantined.end() && quarantined->second.last_crash <= at;
-        if (!ends_quarantine && !suspects.suspected.contains(part)) continue;
-        acquits = true;
-        if (is_own) suspects.own_acquittals[part] = at;
+        const bool is_quarantined = quarantined != suspects.quarantined.end();
+        const bool ends_quarantine = is_quarantined && quarantined->second.last_crash <= at &&
+                                     (is_whole || !quarantined->second.begun);
+        const bool is_suspected = suspects.suspected.contains(part);
+        if (!is_quarantined && !is_suspected) continue;
+        if (is_own) time_in(suspects.own_acquittals[part]) = at;
         if (ends_quarantine) suspects.quarantined.erase(quarantined);
-        for (auto& [other, entry] : suspects.quarantined)
-            if (entry.last_crash <= at && other != part) std::erase(entry.companions, part);
+        for (auto& [other, entry] : suspects.quarantined) {
+            if (entry.last_crash <= at && other != part && (is_whole || !entry.begun))
+                std::erase(entry.companions, part);
+        }
+        if (is_suspected) recount_suspected(suspects, settings, part);
     }
     limit_answered(suspects, settings);
-    if (acquits) rebuild_suspected(suspects, settings);
 }
 
 void add_quarantine(prompt_suspects& suspects, const prompt_suspect_settings& settings, std::uint64_t part,
                     const quarantined_part& found, time_point now) {
-    if (now > quarantine_end(found, settings) || is_acquitted(suspects, part, found.last_crash)) return;
+    if (now > quarantine_end(found, settings)) return;
+    if (is_acquitted(suspects, part, found.last_crash, found.begun)) {
+        // The other router has started lately, or has not served the part: it learns of the answer.
+        suspects.own_acquittals[part] = suspects.answered.at(part);
+        return;
+    }
     const auto [known, is_new] = suspects.quarantined.try_emplace(part, found);
     quarantined_part& stored = known->second;
+    stored.begun = stored.begun || found.begun;
     stored.moments = std::max(stored.moments, found.moments);
     // Each hop adds the delay of a report to the age, so that times closer together are the same crash.
     if (found.last_crash - stored.last_crash > settings.same_moment) stored.last_crash = found.last_crash;
@@ -238,7 +287,7 @@
     std::erase_if(suspects.crashes,
                   [&](const engine_crash& crash) { return now - crash.at > settings.crash_lifetime; });
     std::erase_if(suspects.own_acquittals,
-                  [&](const auto& entry) { return now - entry.second > settings.announce_time; });
+                  [&](const auto& entry) { return now - latest(entry.second) > settings.announce_time; });
     std::erase_if(suspects.quarantined, [&](const auto& entry) {
         return now > quarantine_end(entry.second, settings) + settings.probation;
     });
@@ -256,9 +305,10 @@
                                    time_point now) {
     // Without one of the companions, the crashes have another explanation, and this request can tell.
     if (!std::ranges::includes(sorted_parts, quarantined.companions))
-        return {prompt_verdict::one_per_router, part, {}};
+        return {prompt_verdict::one_per_router, part, {}, false};
     const time_point end = quarantine_end(quarantined, settings);
-    return {now < end ? prompt_verdict::quarantined : prompt_verdict::one_per_fleet, part, end};
+    return {now < end ? prompt_verdict::quarantined : prompt_verdict::one_per_fleet, part, end,
+            quarantined.begun};
 }
 
 prompt_verdict judge_suspected(const suspected_part& suspected, const prompt_suspect_settings& settings) {
@@ -284,7 +334,8 @@
         if (quarantined != suspects.quarantined.end()) {
             found = judge_quarantined(quarantined->second, part, settings, sorted_parts, now);
         } else if (suspected != suspects.suspected.end()) {
-            found = {judge_suspected(suspected->second, settings), part, {}};
+            found = {
+                judge_suspected(suspected->second, settings), part, {}, suspected->second.begun_crashes > 0};
         }
         if (found.verdict > worst.verdict) worst = found;
     }
--- a/core/damaskhill_prompt_suspects.hpp
+++ b/core/damaskhill_prompt_suspects.hpp
@@ -1,17 +1,20 @@
 // Requests, and parts of prompts, that crash the targets that run them, found from the crashes of all
 // routers.
 //
-// A crash accuses every request that was in flight on the target, and the parts of the prompts of those that
-// were unanswered or whose answers had just begun. A request as a whole is one more part, named by its
-// fingerprint: copies of it share that part. An answer that begins on a target which stays up acquits the
-// parts of the prompt, and a whole answer acquits the request. A part that keeps being accused without an
-// acquittal is quarantined: requests with it are refused for a time. While it is only suspected, requests
-// with it are sent one at a time, so that a sound part is acquitted and a bad one costs one more target.
+// A crash accuses every request that was in flight on the target, and the parts of its prompt. A request as a
+// whole is one more part, named by its fingerprint: copies of it share that part. How long an answer goes on
+// before it crashes its target is not known. So an accusation of a request whose answer had been going on is
+// acquitted by a whole answer only, which a bad part never has; a sound part has many, also from the targets
+// that a crash spares. An accusation of a request that was unanswered, or whose answer had just begun, is
+// acquitted by an answer that begins later and goes on. A part that keeps being accused
+// without an acquittal is quarantined: requests with it are refused for a time. While it is only suspected,
+// requests with it are sent one at a time, so that a sound part is acquitted and a bad one costs one more
+// target.
 //
 // Load patterns: requests that are never alike share one bad part, arrive at every router, and crash all
-// engines within a second; sound requests share the account and the other parts. One request is repeated at
-// every router and crashes each target before or after the start of its answer; each crash breaks the streams
-// of a whole batch of sound requests, some of which are repeated too.
+// engines within a second, or each of them at any time of its answer; sound requests share the account and
+// the other parts, and lose a whole batch of streams with each crash. One request is repeated at every router
+// and crashes each target before or after the start of its answer.
 //
 // Index of this file:
 // [SECTION] Settings
@@ -40,8 +43,8 @@
     // may return under its id.
     duration min_restart_time{1s};
     std::uint32_t quarantine_crashes{3};
-    // The same if the answer had gone on for longer than proof_of_life at some of the crashes: a crash breaks
-    // the answers of a whole batch.
+    // The same if the answer had been going on at some of the crashes: a crash breaks the answers of a whole
+    // batch.
     std::uint32_t begun_quarantine_crashes{4};
     std::uint32_t quarantine_moments{2};
     // The same for a part that has been answered before.
@@ -49,8 +52,11 @@
     duration crash_lifetime{60s};   // a crash no longer accuses anything after this time
     duration first_quarantine{20s}; // triples with each further moment
     duration max_quarantine{180s};
-    duration probation{120s};       // after a quarantine, until the part is forgotten
-    duration proof_of_life{400ms};  // an engine that lives on for this long was not crashed by the answer
+    duration probation{120s};      // after a quarantine, until the part is forgotten
+    duration proof_of_life{400ms}; // an engine that lives on for this long was not crashed by the beginning
+    // An answer has been going on after this time: less than proof_of_life, so that a crash just after the
+    // latter is not taken for one at the beginning.
+    duration beginning{200ms};
     duration max_unconfirmed{5s};   // a broken connection without a further sign is no crash
     duration announce_time{2s};     // crashes and acquittals are repeated in reports for this long
     std::size_t max_crashes{64};    // kept
@@ -71,7 +77,7 @@
 struct accused_request {
     prompt_parts parts;
     std::uint64_t fingerprint{}; // of account, path and body
-    bool begun{};                // its answer had gone on for longer than proof_of_life: `parts` are sound
+    bool begun{};                // its answer had been going on
     bool is_own{};               // seen by this router, which announces it
 };
 
@@ -96,12 +102,25 @@
     std::uint32_t moments{};
     time_point last_crash{};
     prompt_parts companions; // suspected parts that were in every accused request with this one; includes it
+    bool begun{};            // some of the crashes came when the answers had been going on
+};
+
+/// What an answer shows about the parts of its prompt.
+enum class answer_evidence : std::uint8_t {
+    begun, // it has gone on for proof_of_life after its first byte
+    whole  // it has come to its end
+};
+
+/// Latest answers with a part; zero if there was none.
+struct answered_part {
+    time_point begun{}; // first byte of one that is evidence
+    time_point whole{}; // end of a whole one
 };
 
 struct prompt_suspects {
     std::vector<engine_crash> crashes; // by time
-    std::unordered_map<std::uint64_t, time_point> answered;
-    std::unordered_map<std::uint64_t, time_point> own_acquittals; // of suspected parts, to be announced
+    std::unordered_map<std::uint64_t, answered_part> answered;
+    std::unordered_map<std::uint64_t, answered_part> own_acquittals; // of suspected parts, to be announced
     std::unordered_map<std::uint64_t, suspected_part> suspected;
     std::map<std::uint64_t, quarantined_part> quarantined;
 };
@@ -112,9 +131,9 @@
 /// accused that was not accused of it before.
 bool add_crashes(prompt_suspects& suspects, const prompt_suspect_settings& settings,
                  std::vector<engine_crash> crashes, time_point now);
-/// Acquits parts: an engine has begun to answer a request with them at this time and has stayed up.
+/// Acquits parts of accusations before the time of this evidence; see answered_part.
 void add_answer(prompt_suspects& suspects, const prompt_suspect_settings& settings,
-                std::span<const std::uint64_t> parts, time_point at, bool is_own);
+                std::span<const std::uint64_t> parts, answer_evidence evidence, time_point at, bool is_own);
 /// Adds what another router has concluded.
 void add_quarantine(prompt_suspects& suspects, const prompt_suspect_settings& settings, std::uint64_t part,
                     const quarantined_part& found, time_point now);
@@ -137,8 +156,9 @@
 
 struct prompt_judgement {
     prompt_verdict verdict{prompt_verdict::clear};
-    std::uint64_t part{}; // on which the verdict rests
-    time_point until{};   // end of the quarantine
+    std::uint64_t part{};      // on which the verdict rests
+    time_point until{};        // end of the quarantine
+    bool needs_whole_answer{}; // only a whole answer acquits the part
 };
 
 /// Judges a request by its parts; the most severe verdict on any of them counts.
--- a/tests/crash_fleet.hpp
+++ b/tests/crash_fleet.hpp
@@ -28,6 +28,8 @@
     crash_point point{crash_point::before_head};
     crash_end end{crash_end::reset};
     std::string route{"chat"};
+    std::optional<duration> delay; // after the first event, instead of `point`
+    duration answer_time{540ms};   // of a sound answer, from its first event
 };
 
 //-----------------------------------------------------------------------------
@@ -35,8 +37,11 @@
 //-----------------------------------------------------------------------------
 
 inline constexpr duration step = 20ms;
+inline constexpr duration first_event_delay = 60ms;
+inline constexpr duration event_gap = 100ms;
 inline constexpr std::uint64_t shared_part = 1;
 inline constexpr std::uint64_t crashing_part = 666;
+inline constexpr std::uint64_t second_crashing_part = 667;
 inline constexpr std::string_view crashing_body = "crash";
 inline constexpr std::string_view repeated_body = "repeated";
 
@@ -50,6 +55,7 @@
     time_point begins_at{};
     time_point ends_at{};
     bool begun{};
+    time_point next_event{};
 };
 
 struct simulated_engine {
@@ -58,18 +64,20 @@
     std::optional<time_point> crashed_at;
 };
 
-/// Routers that report to each other, and targets that answer after 60 ms, for 540 ms. A target crashes after
-/// it has begun a request with the crashing part or body; it returns under a new id 4 s later.
+/// Routers that report to each other, and targets that answer after 60 ms. A target crashes after it has
+/// begun a request with a crashing part or body; it returns under a new id 4 s later.
 struct crash_fleet {
     std::vector<std::unique_ptr<test_router>> routers;
     std::vector<simulated_engine> engines;
     crash_kind kind;
     time_point now{1000s};
     std::uint64_t next_id{1};
+    std::uint64_t last_event{};
     std::vector<time_point> crashes;
     std::vector<time_point> crashing_arrivals;
     std::size_t sound_sent{};
     std::size_t sound_begun{};
+    std::size_t sound_whole{};
     std::size_t repeated_sent{};
     std::size_t repeated_ended{};
 
@@ -93,6 +101,18 @@
         for (const auto& router : routers)
             router->publish(contents);
     }
+    /// Replaces a router by one that knows nothing; its requests are lost.
+    void restart_router(std::size_t index) {
+        const std::string address = routers[index]->state.settings.report_address;
+        for (simulated_engine& engine : engines)
+            std::erase_if(engine.sends,
+                          [&](const open_send& open) { return open.router == routers[index].get(); });
+        routers[index] = std::make_unique<test_router>(address);
+        routers[index]->state.settings.incarnation = next_id++;
+        routers[index]->state.settings.seeds = {"10.0.0.1:7", "10.0.0.2:7"};
+        routers[index]->now = now;
+        publish();
+    }
     /// Without a body, the request is like no other one.
     void submit(test_router& router, std::vector<std::uint64_t> parts, std::string_view body = {}) {
         request_arrived request;
@@ -150,14 +170,17 @@
         }
         const request_arrived& arrived = sent.content->input;
         const bool crashing = arrived.body == crashing_body ||
-                              std::ranges::find(arrived.prompt.segments, crashing_part,
-                                                &prompt_segment::id) != arrived.prompt.segments.end();
+                              std::ranges::any_of(arrived.prompt.segments, [](const prompt_segment& segment) {
+                                  return segment.id == crashing_part || segment.id == second_crashing_part;
+                              });
         if (crashing) crashing_arrivals.push_back(now);
         const bool repeated = arrived.body == repeated_body;
-        const duration crash_delay = kind.point == crash_point::after_a_second ? 1060ms : 100ms;
-        engine->sends.push_back({&router, sent.send_id, arrived.caller, crashing,
-                                 !crashing && !repeated && sent.content->sends <= 1, repeated, now + 60ms,
-                                 now + (crashing ? crash_delay : 600ms), false});
+        duration crash_delay = kind.point == crash_point::after_a_second ? 1060ms : 100ms;
+        if (kind.delay) crash_delay = first_event_delay + *kind.delay;
+        engine->sends.push_back(
+            {&router, sent.send_id, arrived.caller, crashing,
+             !crashing && !repeated && sent.content->sends <= 1, repeated, now + first_event_delay,
+             now + (crashing ? crash_delay : first_event_delay + kind.answer_time), false});
     }
     void crash(simulated_engine& engine) {
         crashes.push_back(now);
@@ -174,15 +197,18 @@
                 response_end{open.send_id, orderly ? send_result::complete : send_result::broken});
         }
     }
+    /// Ids increase over all answers, so that a resumed one goes on.
+    std::string next_event() { return "id: " + std::to_string(++last_event) + "\ndata: x\n\n"; }
     void begin_answer(open_send& open) {
         open.begun = true;
+        open.next_event = now + event_gap;
         sound_begun += open.sound ? 1 : 0;
         response_head head = open.router->head(open.send_id);
         head.close_delimited = kind.end == crash_end::orderly;
         open.router->process(head);
-        if (open.crashes && kind.point == crash_point::after_head) return;
-        const bool partial = open.crashes && kind.point == crash_point::inside_event;
-        open.router->process(response_data{open.send_id, partial ? "id: 1\nda" : "id: 1\ndata: x\n\n"});
+        if (open.crashes && !kind.delay && kind.point == crash_point::after_head) return;
+        const bool partial = open.crashes && !kind.delay && kind.point == crash_point::inside_event;
+        open.router->process(response_data{open.send_id, partial ? "id: 1\nda" : next_event()});
     }
     void run_engine(simulated_engine& engine) {
         if (engine.crashed_at) {
@@ -196,8 +222,12 @@
         }
         for (std::size_t i = 0; i < engine.sends.size(); ++i) {
             open_send& open = engine.sends[i];
-            const bool answers = !open.crashes || kind.point != crash_point::before_head;
+            const bool answers = !open.crashes || kind.delay || kind.point != crash_point::before_head;
             if (answers && !open.begun && now >= open.begins_at) begin_answer(open);
+            if (open.begun && kind.delay && now >= open.next_event && now < open.ends_at) {
+                open.next_event = now + event_gap;
+                open.router->process(response_data{open.send_id, next_event()});
+            }
             if (now < open.ends_at) continue;
             if (open.crashes) {
                 crash(engine);
@@ -206,6 +236,7 @@
             const open_send ended = open;
             engine.sends.erase(engine.sends.begin() + static_cast<std::ptrdiff_t>(i--));
             repeated_ended += ended.repeated ? 1 : 0;
+            sound_whole += ended.sound ? 1 : 0;
             ended.router->process(response_end{ended.send_id, send_result::complete});
         }
     }
@@ -239,6 +270,11 @@
         ++sound_sent;
         submit(*routers[number % routers.size()], {shared_part, 100 + number % 7});
     }
+    /// Sound requests that share their first part, and others with fewer of them.
+    void submit_sound_with_session(std::size_t number) {
+        ++sound_sent;
+        submit(*routers[number % routers.size()], {shared_part, 100 + number % 4, 2000 + number * 7 % 60});
+    }
     void submit_repeated(std::size_t number) {
         ++repeated_sent;
         submit(*routers[number % routers.size()], {shared_part, 105}, repeated_body);
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -5,6 +5,8 @@
 
 #include "crash_fleet.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <array>
@@ -44,6 +46,83 @@
                begun_before / 2);
 }
 
+namespace {
+
+constexpr duration contact_time = 3s;
+constexpr std::size_t max_late_arrivals = 3; // after the fifth crash and the contact time
+
+struct late_crash {
+    crash_kind kind;
+    bool two_parts{};        // half of the crashing requests have another crashing part
+    bool engines_fail_too{}; // for other reasons
+    bool routers_restart{};
+};
+
+std::ostream& operator<<(std::ostream& out, const late_crash& late) {
+    return out << "delay " << *late.kind.delay / 1ms << " ms, end " << static_cast<int>(late.kind.end)
+               << (late.two_parts ? ", two parts" : "") << (late.engines_fail_too ? ", other failures" : "")
+               << (late.routers_restart ? ", routers restart" : "");
+}
+
+std::vector<late_crash> late_crashes() {
+    constexpr duration answer_time = 3500ms;
+    std::vector<late_crash> kinds;
+    const auto add = [&](duration delay, crash_end end) -> late_crash& {
+        kinds.push_back({{crash_point::before_head, end, "chat", delay, answer_time}});
+        return kinds.back();
+    };
+    for (const duration delay : {duration{0ms}, duration{100ms}, duration{300ms}, duration{400ms},
+                                 duration{500ms}, duration{1500ms}, duration{3000ms}, answer_time - step}) {
+        for (const crash_end end : {crash_end::reset, crash_end::orderly, crash_end::silent}) {
+            if (end != crash_end::silent || delay >= 400ms) add(delay, end);
+        }
+        add(delay, crash_end::reset).two_parts = true;
+        add(delay, crash_end::reset).engines_fail_too = true;
+        add(delay, crash_end::reset).routers_restart = true;
+    }
+    return kinds;
+}
+
+} // namespace
+
+// Guards against a part that crashes engines at any time of the answer and is never found, and against
+// refusing the sound requests whose streams break in the same crashes.
+BOOST_DATA_TEST_CASE(part_that_crashes_engines_late_is_quarantined,
+                     boost::unit_test::data::make(late_crashes()), late) {
+    crash_fleet fleet{4, 12, late.kind};
+    const auto sound = [&](std::size_t i) {
+        if (i % 2 == 0) fleet.submit_sound_with_session(i / 2);
+    };
+    const auto both = [&](std::size_t i) {
+        sound(i);
+        if (i % 25 == 0) {
+            const bool second = late.two_parts && i % 50 == 0;
+            fleet.submit(*fleet.routers[i / 25 % fleet.routers.size()],
+                         {shared_part, 100 + i % 4, second ? second_crashing_part : crashing_part});
+        }
+        simulated_engine& other = fleet.engines[i / 75 % fleet.engines.size()];
+        if (late.engines_fail_too && i % 75 == 12 && !other.crashed_at) {
+            other.crashed_at = fleet.now;
+            fleet.break_connections(other);
+        }
+        if (late.routers_restart && i % 400 == 200) fleet.restart_router(i / 400 % fleet.routers.size());
+    };
+    fleet.run_for(8s, sound);
+    const double begun_before =
+        static_cast<double>(fleet.sound_begun) / static_cast<double>(fleet.sound_sent);
+    BOOST_TEST(begun_before > 0.9);
+    fleet.run_for(12s, both);
+    BOOST_REQUIRE(fleet.crashes.size() >= 3U);
+    const time_point fifth = fleet.crashes[std::min<std::size_t>(fleet.crashes.size(), 5) - 1];
+    fleet.sound_sent = 0;
+    fleet.sound_begun = 0;
+    fleet.run_for(30s, both);
+    const auto allowed = late.two_parts ? 2 * max_late_arrivals : max_late_arrivals;
+    BOOST_TEST(fleet.crashing_arrivals_after(fifth + contact_time) <= allowed);
+    BOOST_TEST(static_cast<double>(fleet.sound_begun) / static_cast<double>(fleet.sound_sent) >
+               begun_before / 2);
+}
+
 // Guards against refusing the sound requests of every account after a failure of many engines at once, which
 // accuses all parts in use, and after connections that broke while the engine lived on.
 BOOST_AUTO_TEST_CASE(engine_failures_quarantine_no_sound_part) {
@@ -88,7 +167,7 @@
     };
     BOOST_TEST((verdict({1, 2}) == prompt_verdict::quarantined));
     BOOST_TEST((verdict({1, 3}) == prompt_verdict::one_per_router));
-    add_answer(suspects, settings, std::array<std::uint64_t, 2>{1, 3}, now, true);
+    add_answer(suspects, settings, std::array<std::uint64_t, 2>{1, 3}, answer_evidence::begun, now, true);
     BOOST_TEST((verdict({1, 3}) == prompt_verdict::clear));
     BOOST_TEST((verdict({2}) == prompt_verdict::quarantined));
 }
@@ -148,7 +227,7 @@
         add_crashes(suspects, settings, {crash}, now);
         const std::uint64_t made_up = 100'000'000 + i * 8;
         for (std::uint64_t part = 0; part < 8; ++part)
-            add_answer(suspects, settings, std::array{made_up + part}, now, true);
+            add_answer(suspects, settings, std::array{made_up + part}, answer_evidence::whole, now, true);
     }
     BOOST_TEST(suspects.crashes.size() <= settings.max_crashes);
     BOOST_TEST(suspects.quarantined.size() <= settings.max_quarantines);
