Count only answers that went on as evidence for their prompts

Callers saw: a part whose engine falls silent soon after the first piece of the answer was never found, like one whose attempt the router cancelled before the crash.

Cause: an answer acquitted its parts 0.4 s after its first byte if its target was not known to have crashed. Nothing had to come from it in that time: silence is noticed seconds later, and a cancelled attempt has no crash.

--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -161,7 +161,7 @@
     const prompt_suspect_settings& settings = state.settings.suspects;
     for (const auto& [caller, item] : state.requests) {
         if (!item->first_byte_received || item->begun_is_noted ||
-            state.now - first_byte_at(*item) < settings.proof_of_life)
+            item->last_data - first_byte_at(*item) < settings.proof_of_life)
             continue;
         item->begun_is_noted = true;
         note_evidence(state, *item, answer_evidence::begun, first_byte_at(*item), out);
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -73,9 +73,8 @@
     };
     for (const duration delay : {duration{0ms}, duration{100ms}, duration{300ms}, duration{400ms},
                                  duration{500ms}, duration{1500ms}, duration{3000ms}, answer_time - step}) {
-        for (const crash_end end : {crash_end::reset, crash_end::orderly, crash_end::silent}) {
-            if (end != crash_end::silent || delay >= 400ms) add(delay, end);
-        }
+        for (const crash_end end : {crash_end::reset, crash_end::orderly, crash_end::silent})
+            add(delay, end);
         add(delay, crash_end::reset).two_parts = true;
         add(delay, crash_end::reset).engines_fail_too = true;
         add(delay, crash_end::reset).routers_restart = true;
