Check the range of every number that another writer sets

What could be seen: an entry with capacity -1 became a target with 4,294,967,295 slots, one with 4,294,967,297 a target with one; coldRemainingMs of 1e300 overflowed a sum; declarations of version -1 outranked all later ones; another type in the place of routes dropped all of them. A time limit of 2^63-1 ms from a caller overflowed as well. A port of 0 was accepted.

Cause: numbers were converted to the type of their field without a check of their range.

An odd one makes the registration, or the version of the declarations, unreadable: one entry less, with one log line. A registration without a data centre or a version names no target.

--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -464,4 +464,53 @@
     BOOST_TEST(test.decode_errors == 1U);
 }
 
+// Guards against odd entries of another writer that end the process, or the following of the list: in the
+// list, in a watch and in the snapshot of a peer.
+BOOST_AUTO_TEST_CASE(odd_registrations_do_not_end_the_following) {
+    json deep = json::array();
+    for (int level = 0; level < 100; ++level)
+        deep = json::array({std::move(deep)});
+    const json sound{{"service", "s"}, {"address", "10.0.0.1:80"}, {"zone", "dc-a"}, {"version", "v1"},
+                     {"capacity", 4},  {"state", "ready"}};
+    std::vector<json> odd;
+    const auto with = [&](const char* name, json value) {
+        json entry = sound;
+        entry[name] = std::move(value);
+        odd.push_back(std::move(entry));
+    };
+    with("capacity", -1);
+    with("capacity", 1e300);
+    with("coldRemainingMs", 1e300);
+    with("coldRemainingMs", -5);
+    with("born", 1e300);
+    with("address", "10.0.0.1:65536");
+    with("address", "10.0.0.1:0");
+    with("address", "nowhere:80");
+    with("service", std::string(100'000, 'x'));
+    with("state", deep);
+    odd.push_back(deep);
+    odd.push_back("text");
+    mirror_fixture test;
+    test.put_targets(0, 3);
+    for (std::size_t i = 0; i < odd.size(); ++i)
+        test.store.put("servers/h-" + std::to_string(i), odd[i]);
+    test.mirror.start();
+    test.run_for(300ms);
+    BOOST_REQUIRE(test.catalog_seen != nullptr);
+    BOOST_TEST(test.catalog_seen->targets.size() == 3U);
+    BOOST_TEST(test.decode_errors == odd.size());
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+        test.store.put("servers/j-" + std::to_string(i), odd[i]);
+        test.put_targets(3 + static_cast<int>(i), 4 + static_cast<int>(i));
+    }
+    test.run_for(500ms);
+    BOOST_TEST(test.catalog_seen->targets.size() == 3U + odd.size());
+    BOOST_TEST(test.decode_errors == 2 * odd.size());
+    // A peer hands on what the store holds.
+    mirror_fixture other{"127.0.0.1:18474"};
+    other.fetch_snapshot(test.mirror.snapshot());
+    BOOST_REQUIRE(other.catalog_seen != nullptr);
+    BOOST_TEST(other.catalog_seen->targets.size() == 3U + odd.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -221,6 +221,107 @@
         BOOST_TEST(!decode_target("i-1", text, error).has_value());
 }
 
+// Guards against an odd value of another writer that is narrowed to a plausible one, overflows, or is used as
+// an address: such an entry names no target.
+BOOST_AUTO_TEST_CASE(odd_values_in_registrations_are_rejected) {
+    const json sound = json::parse(registration);
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::vector<std::string> odd{"null",
+                                       "true",
+                                       "[]",
+                                       "{}",
+                                       "-1",
+                                       "1e300",
+                                       "-1e300",
+                                       "9223372036854775808",
+                                       "18446744073709551615",
+                                       "1e999",
+                                       "\"\"",
+                                       "\"NaN\"",
+                                       "\"\xff\"",
+                                       "\"" + std::string(1U << 20U, 'x') + "\"",
+                                       deep};
+    const auto with = [&](const std::string& name, const std::string& value) {
+        std::string text = "{";
+        for (const auto& [key, member] : sound.items()) {
+            if (key != name) text += "\"" + key + "\":" + member.dump() + ",";
+        }
+        return text + "\"" + name + "\":" + value + "}";
+    };
+    failure error;
+    BOOST_REQUIRE(decode_target("i-1", with("born", "1733380000000"), error).has_value());
+    for (const char* name :
+         {"service", "address", "zone", "version", "capacity", "state", "coldRemainingMs", "born"}) {
+        const bool is_text = sound.contains(name) && sound[name].is_string();
+        // A name may be empty, except for that of the service.
+        const bool may_be_empty = name == std::string_view{"zone"} || name == std::string_view{"version"};
+        for (const std::string& value : odd) {
+            const bool is_name = value == "\"NaN\"" && is_text && name != std::string_view{"address"} &&
+                                 name != std::string_view{"state"};
+            const bool expected = is_name || (may_be_empty && value == "\"\"");
+            BOOST_TEST_CONTEXT(name << " " << value.substr(0, 40)) {
+                BOOST_TEST(decode_target("i-1", with(name, value), error).has_value() == expected);
+            }
+        }
+    }
+    for (const char* address :
+         {"10.1.0.9:65536", "10.1.0.9:70000", "10.1.0.9:0", "10.1.0.9:-1", "10.1.0.9:1e3", "10.1.0.9", ":80",
+          "10.1.0.9:", "10.1.0.999:80", "10.1.0.9:000000080"})
+        BOOST_TEST(!decode_target("i-1", with("address", json(address).dump()), error).has_value(), address);
+    for (const char* name : {"service", "address", "zone", "version", "capacity", "state"}) {
+        json entry = sound;
+        entry.erase(name);
+        BOOST_TEST(!decode_target("i-1", entry.dump(), error).has_value(), name);
+    }
+    for (const char* capacity : {"0", "0.5", "1000001", "4294967295", "4294967297", "65536.5e9"})
+        BOOST_TEST(!decode_target("i-1", with("capacity", capacity), error).has_value(), capacity);
+}
+
+// Guards against declarations whose version or lists are odd, and that replace sound ones: a version that is
+// too large would outrank every later one.
+BOOST_AUTO_TEST_CASE(odd_declarations_are_rejected) {
+    for (const char* text : {R"({"routes":[],"services":[]})", R"({"version":-1})", R"({"version":0})",
+                             R"({"version":1e300})", R"({"version":18446744073709551615})",
+                             R"({"version":"8"})", R"({"version":null})", R"({"version":8,"routes":{}})",
+                             R"({"version":8,"routes":null})", R"({"version":8,"services":"s"})"}) {
+        catalog known;
+        failure error;
+        BOOST_REQUIRE(decode_declarations(declarations, known, error).has_value());
+        BOOST_TEST(!decode_declarations(text, known, error).has_value(), text);
+        BOOST_TEST(known.version == 7U);
+        BOOST_TEST(known.routes.size() == 1U);
+    }
+    // Odd numbers of one route or service do not keep the others out.
+    catalog known;
+    failure error;
+    BOOST_REQUIRE(
+        decode_declarations(
+            R"({"version":8,"routes":[{"name":"r","host":"h","timeoutMs":1e300,"targetLatencyMs":-1,)"
+            R"("maxAttempts":-1,"backends":[{"service":"s","weight":1e300},{"service":"t","weight":1}]}],)"
+            R"("services":[{"name":"s","coldPerS":1e300,"coldStartS":1e300,"engine":{"capacity":-1,)"
+            R"("kvCapacity":1e300}}],"limits":{"tokensPerS":1e300}})",
+            known, error)
+            .has_value());
+    const route_declaration& route = known.routes.at("h").front();
+    BOOST_TEST((route.timeout == route_declaration{}.timeout));
+    BOOST_TEST(route.max_attempts == 1U);
+    BOOST_TEST(route.services.size() == 1U);
+    BOOST_TEST(known.services.at("s").engine->slots == 0U);
+    BOOST_TEST(known.tokens_per_second == 0U);
+}
+
+// Guards against a time limit of a caller that overflows.
+BOOST_AUTO_TEST_CASE(odd_time_limits_of_callers_are_bounded) {
+    for (const char* value : {"9223372036854775807", "9223372036854775808", "-1", "1e300", "", "x"}) {
+        http_request source = chat_request();
+        for (auto& [name, text] : source.headers) {
+            if (name == "Damaskhill-Deadline-Remaining") text = value;
+        }
+        const auto remaining = decode_request(5, std::move(source)).remaining;
+        BOOST_TEST((!remaining || (*remaining >= 0s && *remaining <= 24h)), value);
+    }
+}
+
 // Guards against crashes on malformed input.
 BOOST_AUTO_TEST_CASE(corrupted_items_do_not_crash) {
     const bool passed = rc::check("altered items", [] {
