Refuse orders that a planned stop would cut

What could be seen: with a short grace, or an order whose time limit is long, a router that stops accepted the order in the first 2.8 s and aborted it (502) at the end of the grace, while its target worked on it.

Cause: the time for which a stopping router accepts requests was a constant, and the time limit of the request did not count. The process also ended 0.15 s after the last request, with responses that slow callers had not taken.

Fix: while stopping, a non-idempotent request is accepted only if its time limit ends before the abort; otherwise it is refused at once as not executed. The time is at most 0.4 of the grace (2.8 s for 8 s, as before). The process exits when the responses are written, at the latest at the end of the grace.

Ruled out: that a second signal or a freeze extends the grace.

Before (check disabled): stop_accepts_only_orders_that_end_before_the_exit fails in the cases that do not fit. After: passes. On the deployments in force nothing changes: orders of 2.5 to 4 s fit into a grace of 8 s.

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -140,7 +140,13 @@
     constexpr double rate_margin = 0.5;
     core.cold_limits.rate_share = settings.cold_overage * rate_margin;
     constexpr duration stop_margin = 400ms; // time to write out the last responses
-    core.stop_timeout = duration{static_cast<std::int64_t>(settings.stop_limit_s * 1e6)} - stop_margin;
+    core.stop_timeout =
+        std::max(stop_margin, duration{static_cast<std::int64_t>(settings.stop_limit_s * 1e6)} - stop_margin);
+    // Requests that are accepted last must have the larger part of the time for themselves.
+    constexpr double accept_share = 0.4;
+    const auto stop_us = static_cast<double>(core.stop_timeout.count());
+    core.stop_accept_time =
+        std::min(core.stop_accept_time, duration{static_cast<std::int64_t>(accept_share * stop_us)});
     return core;
 }
 
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -415,6 +415,7 @@
     state.settings.cold_limits = changed.cold_limits;
     state.settings.notices = changed.notices;
     state.settings.stop_timeout = changed.stop_timeout;
+    state.settings.stop_accept_time = changed.stop_accept_time;
     out.emplace_back(log_event{"settings_read", "\"seeds\":" + std::to_string(changed.seeds.size()), true});
 }
 
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -98,7 +98,8 @@
     // An unreachable target is ejected for this long; doubles with each further failure up to max_ejection.
     duration ejection_base{400ms};
     duration max_ejection{3s};
-    // After a stop request, new requests are accepted for this long.
+    // After a stop request, new requests are accepted for this long, and non-idempotent ones only if their
+    // deadline comes before stop_timeout.
     duration stop_accept_time{2800ms};
     // Running requests are aborted this long after a stop request. The platform kills the process after 8 s.
     duration stop_timeout{7600ms};
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -473,6 +473,16 @@
     std::string account;
 };
 
+duration time_limit_of(const route_declaration& route, const request_arrived& event) {
+    return std::min(event.remaining.value_or(route.timeout), route.timeout);
+}
+
+/// Whether a stop would abort a request that its caller must not repeat.
+bool outlasts_stop(const router_state& state, const route_declaration& route, const request_arrived& event) {
+    return state.stopping && route.retry == retry_policy::non_idempotent &&
+           state.now + time_limit_of(route, event) > state.stop_requested_at + state.settings.stop_timeout;
+}
+
 /// Finds the route and the account of a request. Without them, or if the router accepts no requests, refuses
 /// it and returns nothing.
 std::optional<admission> admit(router_state& state, const request_arrived& event, effects& out) {
@@ -491,6 +501,8 @@
         if (can_reject) return refused(status_not_found, std::nullopt, "no_route");
         return refused(status_unavailable, unready_retry_after, "route_uncertain");
     }
+    if (outlasts_stop(state, *route, event))
+        return refused(status_unavailable, state.settings.min_retry_after, "stopping");
     const client_accounts& accounts = state.active_catalog->accounts;
     if (route->is_public || accounts.keys == key_requirement::none) return admission{route, {}};
     if (accounts.keys == key_requirement::unknown)
@@ -535,8 +547,7 @@
     item->tokens = share_cost(event);
     item->arrived = state.now;
     item->last_event_id = event.resume_after;
-    const duration requested_time = event.remaining.value_or(item->route.timeout);
-    item->deadline = state.now + std::min(requested_time, item->route.timeout);
+    item->deadline = state.now + time_limit_of(item->route, event);
     item->first_byte_due = state.now + item->route.target_latency;
     const auto latency_us = static_cast<double>(item->route.target_latency.count());
     item->wait_until =
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -89,6 +89,7 @@
     void perform(direct::effect& item);
     void send(const direct::send_request& outgoing);
     void schedule_wake(time_point at);
+    void exit_when_written();
     void answer_control(std::uint64_t exchange, const http_request& request);
 
     event_loop& loop_;
@@ -314,11 +315,24 @@
     } else if (auto* wake = std::get_if<direct::wake_at>(&item)) {
         schedule_wake(wake->at);
     } else if (std::holds_alternative<exit_process>(item)) {
-        constexpr duration flush_delay = 150ms; // for the last responses to be sent
-        loop_.after(flush_delay, [this] { loop_.stop(); });
+        exit_when_written();
     }
 }
 
+// Slow callers get their whole responses while the time until the kill allows it.
+void direct_host::exit_when_written() {
+    constexpr duration flush_delay =
+        150ms; // between two looks; the platform's kill is further away than that
+    loop_.after(flush_delay, [this] {
+        const bool has_time = boot_clock() < state_.stop_requested_at + state_.settings.stop_timeout;
+        if (has_time && caller_server_.counts().held_bytes > 0) {
+            exit_when_written();
+        } else {
+            loop_.stop();
+        }
+    });
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Program
 //-----------------------------------------------------------------------------
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -845,6 +845,40 @@
     BOOST_TEST(router.take<exit_process>().size() == 1U);
 }
 
+// Guards against a planned stop that cuts requests which must not be repeated: what cannot end before the
+// process exits is refused at once as not executed, whatever the grace, and what is accepted has its answer.
+BOOST_AUTO_TEST_CASE(stop_accepts_only_orders_that_end_before_the_exit) {
+    for (const duration grace : {duration{3s}, duration{5s}, duration{8s}}) {
+        for (const duration passed : {duration{0s}, duration{1s}, duration{2s}, duration{2600ms}}) {
+            test_router router;
+            router.state.settings.stop_timeout = grace;
+            router.process(stop_requested{});
+            router.advance_time(passed);
+            router.out.clear();
+            request_arrived order;
+            order.caller = 77;
+            order.attempt = "attempt-77";
+            order.method = "POST";
+            order.host = "h.example";
+            order.path = "/order/x";
+            order.api_key = "key-1";
+            order.remaining = 2500ms;
+            router.process(order);
+            BOOST_TEST_CONTEXT(grace / 1ms << " " << passed / 1ms) {
+                const bool fits = passed + 2500ms <= grace;
+                BOOST_TEST(router.has<send_request>() == fits);
+                const auto refused = router.last<reply_refused>();
+                BOOST_TEST(refused.has_value() == !fits);
+                if (refused) BOOST_TEST(refused->status == 503U);
+                if (refused) BOOST_TEST(refused->retry_after.has_value());
+                // The time limit of an accepted order ends before the exit.
+                router.advance_time(grace);
+                if (fits) BOOST_TEST(router.last<reply_refused>()->reason == "timeout");
+            }
+        }
+    }
+}
+
 // Guards against a stop that exits while an overloaded router still has unread requests.
 BOOST_AUTO_TEST_CASE(stop_waits_while_timers_are_late) {
     test_router router;
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -80,6 +80,21 @@
     BOOST_TEST(caller_connection_limit(*settings) < settings->max_descriptors);
 }
 
+// Guards against a short grace in which requests are accepted until shortly before the exit.
+BOOST_AUTO_TEST_CASE(stop_accepts_for_less_than_half_of_the_grace) {
+    failure error;
+    json document = valid_settings();
+    for (const double grace_s : {0.2, 2.0, 5.0, 8.0, 30.0}) {
+        document["stop_limit_s"] = grace_s;
+        const auto settings = load(document, error);
+        BOOST_REQUIRE(settings.has_value());
+        const auto core = make_core_settings(*settings, 7);
+        BOOST_TEST((core.stop_timeout > 0s));
+        BOOST_TEST((2 * core.stop_accept_time < core.stop_timeout));
+        BOOST_TEST((core.stop_accept_time <= direct::router_settings{}.stop_accept_time));
+    }
+}
+
 // Guards against limits that are each small enough and together exceed the memory of the smallest VM: strings
 // hold up to twice their size.
 BOOST_AUTO_TEST_CASE(held_bytes_fit_into_the_memory) {
