--- a/bench/damaskhill_bench_hot_path.cpp
+++ b/bench/damaskhill_bench_hot_path.cpp
@@ -50,8 +50,10 @@
             declared->services[name] = service;
         }
         index_routes(*declared);
+        declared->accounts.keys = key_requirement::required;
         for (int account = 0; account < 30; ++account)
-            declared->account_by_key["key-" + std::to_string(account)] = "account-" + std::to_string(account);
+            declared->accounts.account_by_key["key-" + std::to_string(account)] =
+                "account-" + std::to_string(account);
         for (std::size_t t = 0; t < targets; ++t) {
             target_entry entry;
             entry.id = "target-" + std::to_string(t);
