Shares: raise the accounts' level to the measured throughput

The declared throughput counts neither cached prompt parts nor the mix of prompts, so 1.15 times a share of it kept engines about a third busy. For services whose routes allow gaps of at most 400 ms, routers now measure the tokens they charge for each ms of prefill, and the level follows the engines that are available. Ruled out: gaps of streams (the new field longest_gap_ms of the request log shows at most 170 ms) and processor time (the same without it).

--- a/core/damaskhill_catalog.cpp
+++ b/core/damaskhill_catalog.cpp
@@ -29,6 +29,21 @@
     }
 }
 
+void index_services(catalog& contents) {
+    for (const auto& [host, routes] : contents.routes) {
+        for (const route_declaration& route : routes) {
+            if (route.retry != retry_policy::streaming) continue;
+            for (const weighted_service& weighted : route.services) {
+                const auto service = contents.services.find(weighted.service);
+                if (service == contents.services.end()) continue;
+                service_declaration& declared = service->second;
+                declared.min_event_gap = std::min(declared.min_event_gap, route.max_event_gap);
+                declared.min_target_latency = std::min(declared.min_target_latency, route.target_latency);
+            }
+        }
+    }
+}
+
 std::string_view choose_service(const route_declaration& route, std::uint64_t hash) {
     double sum = 0;
     for (const auto& choice : route.services)
--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -56,6 +56,9 @@
     double cold_per_s{};     // request rate that a cold target can handle; 0: targets are never cold
     duration cold_start{0s}; // time for which a target is cold after its start
     std::optional<engine_declaration> engine; // none: a plain service
+    // Shortest of the streaming routes to the service.
+    duration min_event_gap{duration::max()};
+    duration min_target_latency{duration::max()};
 };
 
 enum class key_requirement : std::uint8_t {
@@ -132,6 +135,9 @@
                                                   std::string_view path);
 /// Sorts the routes for find_route; call after all routes have been added.
 void index_routes(catalog& contents);
+/// Sets what the services' declarations derive from the routes; call after all routes and services have been
+/// added.
+void index_services(catalog& contents);
 /// Weighted choice of a route's service; the same hash gives the same service.
 [[nodiscard]] std::string_view choose_service(const route_declaration& route, std::uint64_t hash);
 
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -379,8 +379,7 @@
     if (state.now >= state.next_share_update) {
         update_unreported_loads(state);
         state.next_share_update = state.now + state.settings.share_update_period;
-        if (state.active_catalog)
-            state.shares.update(static_cast<double>(state.active_catalog->tokens_per_second), state.now);
+        if (state.active_catalog) state.shares.update(fleet_tokens_per_second(state), state.now);
         end_restore(state, out);
         remove_missing_targets(state, out);
         settle_begun_answers(state, out);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -20,6 +20,7 @@
 #include "damaskhill_direct_messages.hpp"
 #include "damaskhill_engine_load.hpp"
 #include "damaskhill_events.hpp"
+#include "damaskhill_fleet_capacity.hpp"
 #include "damaskhill_prompt_suspects.hpp"
 #include "damaskhill_rate_gate.hpp"
 #include "damaskhill_store_history.hpp"
@@ -52,6 +53,10 @@
     engine_model_settings engine_model;
     engine_model_settings service_model{service_model_defaults()}; // of plain services
     account_share_settings shares;
+    fleet_capacity_settings capacity;
+    // Services whose routes allow no longer gap than this between the events of a stream are run for hard
+    // load; see has_tight_streams().
+    duration tight_event_gap{400ms};
     cold_limit_settings cold_limits;
     target_notice_settings notices;
     retry_window_settings retries;
@@ -359,6 +364,7 @@
     bool begun_is_noted{}; // the answer has counted as answer_evidence::begun
     response_head head;
     time_point last_data{};           // latest bytes of the response body
+    duration longest_gap{};           // between two parts of the response body, over all attempts
     time_point in_doubt_since{};      // end of a response that awaits the result of a probe; zero otherwise
     bool close_delimited{};           // see response_head; `head` is that of the first attempt
     std::uint64_t body_bytes{};       // of the response body so far
@@ -490,6 +496,7 @@
     std::unordered_map<std::uint64_t, target_state*> target_by_hash; // into `targets`, whose nodes are stable
     std::map<std::string, retry_window, std::less<>> retry_windows;  // by service
     std::map<std::string, service_speed, std::less<>> speeds;        // by service
+    std::map<std::string, engine_work, std::less<>> work_by_service; // of services with tight streams
     account_shares shares;
     std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -85,6 +85,11 @@
 //-----------------------------------------------------------------------------
 
 [[nodiscard]] bool is_engine_service(const router_state& state, std::string_view name);
+/// Whether the service's routes declare streams that tolerate only short gaps. Their targets are placed by
+/// measured speed, cache and load; other services keep the policies that their longer gaps allow.
+[[nodiscard]] bool has_tight_streams(const router_state& state, std::string_view name);
+/// Tokens a second that all engines together can take: declared, or measured if that is more.
+[[nodiscard]] double fleet_tokens_per_second(const router_state& state);
 /// Estimated speed of a service; starts with the prior of its kind.
 [[nodiscard]] service_speed& speed_of(router_state& state, const std::string& service);
 /// Updates the estimated speed of the service and of the target with the first byte of the current attempt.
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -50,6 +50,7 @@
         ",\"backlog_ms\":" + std::to_string(std::lround(item.predicted_backlog_ms)) +
         ",\"predicted_ms\":" + format_ms(item.predicted_first_token) +
         ",\"first_byte_ms\":" + format_ms(item.first_byte_delay) +
+        ",\"longest_gap_ms\":" + format_ms(item.longest_gap) +
         ",\"read_again_ms\":" + std::to_string(std::lround(item.recompute_ms)) +
         ",\"known_crashes\":" + std::to_string(item.known_crashes) +
         ",\"room_in_ms\":" + format_ms(item.capacity_in) + ",\"ms\":" + format_ms(state.now - item.arrived) +
@@ -380,6 +381,11 @@
     }
     // An attempt that found no connection was taken back from `sends`, but its request stays charged.
     if (!item->charged) state.shares.on_dispatched(item->account_hash, item->tokens, state.now);
+    if (is_generation(state, *item) && has_tight_streams(state, item->service)) {
+        add_engine_work(state.work_by_service[item->service], item->tokens,
+                        choice.prefill_ms / slowdown_factor(load.slowdown, state.now), state.settings.shares,
+                        state.now);
+    }
     item->charged = true;
     ++item->sends;
     if (item->route.retry == retry_policy::idempotent)
@@ -829,6 +835,8 @@
     if (!item || !item->head_received || event.data.empty()) return;
     if (!item->first_byte_received) record_first_byte(state, *item, out);
     item->body_bytes += event.data.size();
+    if (item->last_data != time_point{})
+        item->longest_gap = std::max(item->longest_gap, state.now - item->last_data);
     item->last_data = state.now;
     if (!is_stream(*item)) {
         item->body.append(event.data);
--- a/core/damaskhill_direct_speed.cpp
+++ b/core/damaskhill_direct_speed.cpp
@@ -19,6 +19,31 @@
     return service != state.active_catalog->services.end() && service->second.engine;
 }
 
+bool has_tight_streams(const router_state& state, std::string_view name) {
+    const auto service = state.active_catalog->services.find(name);
+    return service != state.active_catalog->services.end() && service->second.engine &&
+           service->second.min_event_gap <= state.settings.tight_event_gap;
+}
+
+double fleet_tokens_per_second(const router_state& state) {
+    const auto declared = static_cast<double>(state.active_catalog->tokens_per_second);
+    double measured = 0;
+    for (const auto& [service, work] : state.work_by_service) {
+        const auto targets = state.targets_by_service.find(service);
+        if (targets == state.targets_by_service.end()) continue;
+        double prefill_ms_per_s = 0;
+        for (const target_state* target : targets->second) {
+            if (!is_available(state, *target)) continue;
+            prefill_ms_per_s += 1000.0 * state.settings.engine.prefill_time_share /
+                                slowdown_factor(target->load.slowdown, state.now);
+        }
+        measured += measured_tokens_per_second(work, prefill_ms_per_s, state.settings.capacity,
+                                               state.settings.shares, state.now)
+                        .value_or(0.0);
+    }
+    return std::max(declared, measured);
+}
+
 service_speed& speed_of(router_state& state, const std::string& service) {
     const auto found = state.speeds.find(service);
     if (found != state.speeds.end()) return found->second;
