Reports: announce large prompts to all routers at once

First tokens came 100 to 400 ms after their prediction in a tenth of the attempts, while half of them came 50 ms before it: a router that sends a large prompt tells of it only in its next report, 150 to 400 ms later, and meanwhile all others send to the same engine.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -21,6 +21,7 @@
 #include "damaskhill_engine_load.hpp"
 #include "damaskhill_events.hpp"
 #include "damaskhill_fleet_capacity.hpp"
+#include "damaskhill_load_announcement.hpp"
 #include "damaskhill_prompt_suspects.hpp"
 #include "damaskhill_rate_gate.hpp"
 #include "damaskhill_store_history.hpp"
@@ -57,6 +58,7 @@
     // Services whose routes allow no longer gap than this between the events of a stream are run for hard
     // load; see has_tight_streams().
     duration tight_event_gap{400ms};
+    announcement_settings announcements;
     cold_limit_settings cold_limits;
     target_notice_settings notices;
     retry_window_settings retries;
@@ -500,6 +502,7 @@
     account_shares shares;
     std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
+    announcement_budget announcements;
     // Next report to the addresses that get no regular reports.
     time_point next_probe{};
     prompt_suspects suspects;
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -133,6 +133,9 @@
 
 void on_report(router_state& state, const router_report& report, effects& out);
 void send_reports(router_state& state, effects& out);
+/// Tells all routers of a large prompt that was just sent, if its service has tight streams.
+void announce_attempt(router_state& state, const request& item, const target_state& target, double prefill_ms,
+                      effects& out);
 /// Rank of this router among all routers by rendezvous hash for a target; 0 is the first.
 [[nodiscard]] std::size_t rank_for_target(const router_state& state, std::uint64_t target_hash);
 void record_version_response(router_state& state, const request& item, const target_state& target,
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -195,6 +195,10 @@
     store_position targets_changed_at;      // latest registration of a target in it
     declarations_rank declarations;         // in force at the sender
     std::vector<target_notice_row> notices; // heard by the sender lately, and of targets that leave
+    // Contains one row of `targets`, that of a target to which the sender has just sent much work, and
+    // `announced_ms`, the time to prefill it. Nothing else but the sender's identity is set.
+    bool is_announcement{};
+    std::uint64_t announced_ms{};
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -224,7 +228,9 @@
                           field{28, "operator_changed_at", &t::operator_changed_at},
                           field{29, "targets_changed_at", &t::targets_changed_at},
                           field{30, "declarations", &t::declarations},
-                          field{32, "notices", &t::notices}};
+                          field{32, "notices", &t::notices},
+                          field{33, "is_announcement", &t::is_announcement},
+                          field{34, "announced_ms", &t::announced_ms}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -166,8 +166,39 @@
 
 } // namespace
 
+namespace {
+
+/// Applies the row of a large prompt that another router has just sent. Within a data centre the sender's
+/// total tells what its next report repeats; from others only summaries come.
+void on_announcement(router_state& state, const router_report& report) {
+    if (report.targets.size() != 1) return;
+    const target_load_row& row = report.targets.front();
+    const auto found = state.target_by_hash.find(row.target);
+    if (found == state.target_by_hash.end()) return;
+    target_load& load = found->second->load;
+    if (report.data_centre != state.settings.data_centre) {
+        constexpr std::uint64_t max_announced_ms = 60'000; // bounds the effect of a malformed row
+        const auto ms = static_cast<double>(std::min(report.announced_ms, max_announced_ms));
+        add_announced_work(load, state.settings.engine, summary_id(report.data_centre), ms, state.now);
+        return;
+    }
+    const auto peer = state.peers.find(report.address);
+    const bool is_newer = peer != state.peers.end() && peer->second.incarnation == report.router &&
+                          report.sent_us >= peer->second.last_report.sent_us;
+    if (!is_newer) return;
+    load.peer_prompt_ms_total +=
+        apply_peer_load(load, state.settings.engine, report.router,
+                        {row.running, row.kv_tokens, row.prompt_ms_total}, state.now);
+}
+
+} // namespace
+
 void on_report(router_state& state, const router_report& report, effects& out) {
     if (report.router == state.settings.incarnation) return;
+    if (report.is_announcement) {
+        on_announcement(state, report);
+        return;
+    }
     add_peer_addresses(state, report);
     adopt_speeds(state, report);
     apply_notice_rows(state, report, out);
@@ -446,6 +477,32 @@
 
 } // namespace
 
+void announce_attempt(router_state& state, const request& item, const target_state& target, double prefill_ms,
+                      effects& out) {
+    if (!has_tight_streams(state, item.service)) return;
+    const service_declaration& service = state.active_catalog->services.find(item.service)->second;
+    const double min_ms =
+        state.settings.announcements.min_latency_share * to_milliseconds(service.min_target_latency);
+    if (prefill_ms < min_ms) return;
+    std::vector<std::string> addresses;
+    for (const auto& [address, peer] : state.peers)
+        addresses.push_back(address);
+    if (addresses.empty() || !try_take_announcement(state.announcements, state.settings.announcements,
+                                                    addresses.size() + 1, state.now))
+        return;
+    auto report = std::make_shared<router_report>();
+    report->router = state.settings.incarnation;
+    report->address = state.settings.report_address;
+    report->data_centre = state.settings.data_centre;
+    report->sent_us = to_us(state.now);
+    report->is_announcement = true;
+    report->announced_ms = static_cast<std::uint64_t>(std::ceil(prefill_ms));
+    report->targets.push_back(
+        {target.hash, target.load.running, target.load.kv_tokens, target.load.prompt_ms_total});
+    out.emplace_back(count{"announcements_total", item.service, 1});
+    out.emplace_back(send_report{std::move(addresses), std::move(report)});
+}
+
 void send_reports(router_state& state, effects& out) {
     remove_silent_routers(state, out);
     const std::vector<std::string> neighbours = live_neighbours(state);
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -400,6 +400,7 @@
     effect.remaining = item->deadline - state.now;
     effect.recent_connection_only = !is_retryable(*item);
     out.emplace_back(std::move(effect));
+    if (is_generation(state, *item)) announce_attempt(state, *item, target, choice.prefill_ms, out);
     if (item->caller_is_congested) out.emplace_back(pause_reading{item->send_id, true});
 }
 
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -82,14 +82,43 @@
     load.peers.erase(found);
 }
 
+void add_announced_work(target_load& load, const engine_settings& settings, std::uint64_t summary, double ms,
+                        time_point now) {
+    announced_work& announced = load.announced[summary];
+    if (now - announced.at > settings.max_announced_age) announced.ms = 0;
+    announced.ms += ms;
+    announced.at = now;
+    add_backlog(load, settings, ms, now);
+}
+
+namespace {
+
+/// Takes the part of a summary's growth that has been announced before.
+double take_announced_work(target_load& load, const engine_settings& settings, std::uint64_t summary,
+                           double growth, time_point now) {
+    const auto found = load.announced.find(summary);
+    if (found == load.announced.end()) return 0;
+    const bool expired = now - found->second.at > settings.max_announced_age;
+    const double known = expired ? 0.0 : std::min(found->second.ms, growth);
+    found->second.ms -= known;
+    if (expired || found->second.ms <= 0) load.announced.erase(found);
+    return known;
+}
+
+} // namespace
+
 std::uint64_t apply_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
                               const peer_load& row, time_point now) {
     const auto [found, inserted] = load.peers.try_emplace(router, row);
     peer_load& stored = found->second;
     const bool has_grown = !inserted && row.prompt_ms_total > stored.prompt_ms_total;
     const std::uint64_t growth = has_grown ? row.prompt_ms_total - stored.prompt_ms_total : 0;
-    if (has_grown) add_backlog(load, settings, static_cast<double>(growth), now);
-    load.peer_prompt_ms_growth += growth;
+    if (has_grown) {
+        const auto grown_ms = static_cast<double>(growth);
+        const double unknown_ms = grown_ms - take_announced_work(load, settings, router, grown_ms, now);
+        add_backlog(load, settings, unknown_ms, now);
+        load.peer_prompt_ms_growth += static_cast<std::uint64_t>(unknown_ms);
+    }
     if (!inserted) {
         load.peer_running -= stored.running;
         load.peer_kv_tokens -= stored.kv_tokens;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -59,6 +59,8 @@
     std::size_t max_cached_segments{4096};
     // A segment counts as evicted this long after its last use.
     duration cached_segment_lifetime{30s};
+    // Announced work that no summary has contained for this long was reported otherwise.
+    duration max_announced_age{1s};
     // Requests that may queue at a plain service's target beyond its slots.
     std::uint32_t service_queue_limit{3};
 };
@@ -80,6 +82,12 @@
     std::uint64_t prompt_ms_total{}; // grows with each request sent; the increase is added to the backlog
 };
 
+/// Work that routers of another data centre have announced and that its next summary will contain.
+struct announced_work {
+    double ms{};
+    time_point at{}; // of the latest announcement
+};
+
 /// Model of an engine's prefix cache: prompt segments in LRU order, most recently used first.
 class prefix_cache_model {
 public:
@@ -107,9 +115,10 @@
     std::unordered_map<std::uint64_t, peer_load> peers; // by router; modified only by the functions below
     std::uint32_t peer_running{};                       // sums over `peers`
     std::uint64_t peer_kv_tokens{};
-    std::uint64_t peer_prompt_ms_growth{}; // of the peers' totals since the last update
-    double peer_prompt_ms_per_s{};         // smoothed
-    double unreported_ms{};                // estimated work that peers have started since their last reports
+    std::uint64_t peer_prompt_ms_growth{};                       // of the peers' totals since the last update
+    double peer_prompt_ms_per_s{};                               // smoothed
+    std::unordered_map<std::uint64_t, announced_work> announced; // by id of the data centre's summary
+    double unreported_ms{}; // estimated work that peers have started since their last reports
     prefix_cache_model cached_segments;
     target_slowdown slowdown;
 };
@@ -126,6 +135,10 @@
 void clear_peer_load(target_load& load, std::uint64_t router);
 /// Removes all state of another router.
 void remove_peer_load(target_load& load, std::uint64_t router);
+/// Adds work that a router of another data centre has announced before its data centre's summary, which has
+/// the given id, contains it.
+void add_announced_work(target_load& load, const engine_settings& settings, std::uint64_t summary, double ms,
+                        time_point now);
 /// Applies a row of another router's report. Returns the growth of its total since the last row, ms.
 std::uint64_t apply_peer_load(target_load& load, const engine_settings& settings, std::uint64_t router,
                               const peer_load& row, time_point now);
