Requests: do not wait in routers for services with tight streams

A quarter of the served chats of the first tight site were late although half of their first tokens came within 94 ms: they had waited in a router, or had come back after that, and began too late. The log tells refusals for the account's share (above_share) from those for lack of room.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -59,6 +59,9 @@
     // load; see has_tight_streams().
     duration tight_event_gap{400ms};
     announcement_settings announcements;
+    // The same as max_wait_share for services with tight streams: another router may have room at once, and
+    // what waits for this one's hardly ever begins in time.
+    double tight_wait_share{0.0};
     cold_limit_settings cold_limits;
     target_notice_settings notices;
     retry_window_settings retries;
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -280,11 +280,17 @@
     return list;
 }
 
+/// Whether the account has used up its share and others need theirs.
+bool is_throttled(const router_state& state, const request& item) {
+    return !item.account.empty() && is_generation(state, item) &&
+           state.shares.is_throttled(item.account_hash, state.now);
+}
+
 first_token_limits first_token_limits_of(const router_state& state, const request& item) {
     const auto latency_us = static_cast<double>(item.route.target_latency.count());
     const duration limit{static_cast<std::int64_t>(latency_us * state.settings.first_token_share)};
     const duration time_waited = state.now - item.arrived;
-    const bool throttled = !item.account.empty() && state.shares.is_throttled(item.account_hash, state.now);
+    const bool throttled = is_throttled(state, item);
     const double backlog_share =
         item.account.empty() ? 1.0 : state.shares.backlog_share(item.account_hash, state.now);
     return {limit - time_waited, throttled ? 0.0 : backlog_share, !throttled};
@@ -323,7 +329,7 @@
     const candidate_list list = find_candidates(state, item);
     placement_outcome outcome;
     outcome.has_candidates = !list.options.empty();
-    if (outcome.has_candidates) outcome.refusal = "no_room";
+    if (outcome.has_candidates) outcome.refusal = is_throttled(state, item) ? "above_share" : "no_room";
     outcome.capacity_in = no_target_retry;
     if (!outcome.has_candidates && list.next_send) {
         outcome.has_candidates = true;
@@ -557,8 +563,9 @@
     item->deadline = state.now + time_limit_of(item->route, event);
     item->first_byte_due = state.now + item->route.target_latency;
     const auto latency_us = static_cast<double>(item->route.target_latency.count());
-    item->wait_until =
-        state.now + duration{static_cast<std::int64_t>(latency_us * state.settings.max_wait_share)};
+    const double wait_share = has_tight_streams(state, item->service) ? state.settings.tight_wait_share
+                                                                      : state.settings.max_wait_share;
+    item->wait_until = state.now + duration{static_cast<std::int64_t>(latency_us * wait_share)};
     return item;
 }
 
