Refusals: a Retry-After in which the caller can still be on time

For services with tight streams, the time until an engine may have room (80 to 120 ms) left callers whose answers are due in 250 ms too late at the next router. Retry-After is now an eighth of the route's target latency and up to half as much again.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -62,6 +62,9 @@
     // The same as max_wait_share for services with tight streams: another router may have room at once, and
     // what waits for this one's hardly ever begins in time.
     double tight_wait_share{0.0};
+    // Retry-After of these services as a fraction of the target latency: what comes back can still be on time
+    // at another router.
+    double tight_retry_share{0.125};
     cold_limit_settings cold_limits;
     target_notice_settings notices;
     retry_window_settings retries;
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -572,9 +572,15 @@
 duration retry_after_for(router_state& state, const request& item, duration capacity_in) {
     // Jitter, so that requests refused together are not retried together.
     constexpr double jitter = 0.5;
-    const auto base = static_cast<double>(std::max(capacity_in, state.settings.min_retry_after).count());
+    const bool is_tight = is_generation(state, item) && has_tight_streams(state, item.service);
+    const duration early{static_cast<std::int64_t>(static_cast<double>(item.route.target_latency.count()) *
+                                                   state.settings.tight_retry_share)};
+    const auto base = static_cast<double>(
+        (is_tight ? early : std::max(capacity_in, state.settings.min_retry_after)).count());
     const duration retry_after{static_cast<std::int64_t>(base * (1.0 + jitter * state.random.next_unit()))};
-    return std::min(retry_after, std::max(state.settings.min_retry_after, (item.deadline - state.now) / 3));
+    const duration latest =
+        std::max(is_tight ? early : state.settings.min_retry_after, (item.deadline - state.now) / 3);
+    return std::min(retry_after, latest);
 }
 
 void refuse_for_capacity(router_state& state, const request_ptr& item, const placement_outcome& found,
