Router: split the handling of responses into a file of its own

The sections on the end of an attempt, responses and failed attempts move to damaskhill_direct_responses.cpp, without a change of the code. Functions that both files use are declared in damaskhill_direct_attempts.hpp and leave the anonymous namespace.

--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -1,17 +1,13 @@
 // Index of this file:
 // [SECTION] Error replies
-// [SECTION] End of an attempt
 // [SECTION] Target selection
 // [SECTION] Start of an attempt
 // [SECTION] Memory
 // [SECTION] Arrival
-// [SECTION] Responses
-// [SECTION] Failed attempts
 // [SECTION] Waiting requests
 // [SECTION] Deadlines
 
-#include "damaskhill_answer_end.hpp"
-#include "damaskhill_direct_internal.hpp"
+#include "damaskhill_direct_attempts.hpp"
 
 #include <algorithm>
 #include <array>
@@ -25,8 +21,6 @@
 
 constexpr std::uint32_t status_unauthorized = 401;
 constexpr std::uint32_t status_not_found = 404;
-constexpr std::uint32_t status_bad_gateway = 502;
-constexpr std::uint32_t status_unavailable = 503;
 constexpr std::uint32_t status_gateway_timeout = 504;
 
 //-----------------------------------------------------------------------------
@@ -37,6 +31,8 @@
     return std::to_string(std::lround(std::min(fraction, 100.0) * 100));
 }
 
+} // namespace
+
 void log_outcome(router_state& state, const request& item, std::string_view outcome, std::uint32_t status,
                  effects& out) {
     std::string fields =
@@ -93,6 +89,8 @@
     remove_request(state, item);
 }
 
+namespace {
+
 /// Refuses a request before a request object exists: no route, no account or no declarations.
 void refuse_unadmitted(router_state& state, const request_arrived& event, std::uint32_t status,
                        std::optional<duration> retry_after, std::string_view reason, effects& out) {
@@ -106,57 +104,7 @@
     out.emplace_back(reply_refused{event.caller, event.attempt, status, retry_after, reason});
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] End of an attempt
-//-----------------------------------------------------------------------------
-
-/// Removes the current attempt from the state and from the load of its target.
-void clear_attempt(router_state& state, request& item) {
-    if (item.send_id == 0) return;
-    state.caller_by_send.erase(item.send_id);
-    state.attempt_deadlines.erase({attempt_due(state, item), item.input.caller});
-    if (target_state* target = find_target(state, item.target)) {
-        target->load.running -= std::min(target->load.running, 1U);
-        target->load.kv_tokens -= std::min(target->load.kv_tokens, item.charged_kv_tokens);
-    }
-    item.send_id = 0;
-    item.charged_kv_tokens = 0;
-    item.body_bytes = 0;
-    item.head_received = false;
-    item.close_delimited = false;
-    item.passed_tail.clear();
-    item.passed_event_bytes = 0;
-    item.last_data = {};
-    item.in_doubt_since = {};
-    item.first_byte_received = false;
-    item.begun_is_noted = false;
-}
-
-/// Clears the current attempt and aborts it at the target.
-void cancel_attempt(router_state& state, request& item, effects& out) {
-    if (item.send_id == 0) return;
-    out.emplace_back(cancel_send{item.send_id});
-    clear_attempt(state, item);
-}
-
-/// Ends a request with an error reply, or aborts the reply if it has already started.
-void fail(router_state& state, const request_ptr& item, std::uint32_t status, std::string_view reason,
-          effects& out) {
-    if (item->reply_started) {
-        log_outcome(state, *item, reason, 0, out);
-        out.emplace_back(reply_abort{item->input.caller});
-        remove_request(state, item);
-        return;
-    }
-    // "Not executed" may be reported only if no target can have started the request.
-    const bool not_run = !item->may_have_run;
-    const auto retry_after = not_run && status == status_unavailable
-                                 ? std::optional{state.settings.min_retry_after}
-                                 : std::nullopt;
-    const std::uint32_t reported_status =
-        status == status_unavailable && !not_run ? status_bad_gateway : status;
-    refuse(state, item, reported_status, retry_after, reason, out);
-}
+} // namespace
 
 //-----------------------------------------------------------------------------
 // [SECTION] Target selection
@@ -167,6 +115,8 @@
            (item.route.retry == retry_policy::streaming && item.route.resumable);
 }
 
+namespace {
+
 /// Id of the last segment that the prompt shares with other requests; 0 without a prompt. A single segment
 /// counts as shared.
 std::uint64_t shared_prefix_id(const request& item) {
@@ -420,6 +370,8 @@
                           routers_for_limits(state), state.now);
 }
 
+} // namespace
+
 /// Cancels the current attempt, if any, and sends the request to another target. Returns false and changes
 /// nothing if no target has capacity or the limits allow no further attempt.
 bool retry_elsewhere(router_state& state, const request_ptr& item, std::string_view reason, effects& out) {
@@ -443,14 +395,10 @@
     if (!retry_elsewhere(state, item, reason, out)) fail(state, item, status, reason, out);
 }
 
-} // namespace
-
 //-----------------------------------------------------------------------------
 // [SECTION] Memory
 //-----------------------------------------------------------------------------
 
-namespace {
-
 /// Fails the requests with the most buffered bytes while the sum exceeds the limit of the process. Their
 /// targets are not at fault, and another attempt would need the same memory.
 void limit_total_bytes(router_state& state, effects& out) {
@@ -470,8 +418,6 @@
     }
 }
 
-} // namespace
-
 //-----------------------------------------------------------------------------
 // [SECTION] Arrival
 //-----------------------------------------------------------------------------
@@ -669,378 +615,6 @@
     if (item.send_id != 0) out.emplace_back(pause_reading{item.send_id, event.congested});
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Responses
-//-----------------------------------------------------------------------------
-
-namespace {
-
-request_ptr find_by_send(router_state& state, std::uint64_t send) {
-    const auto caller = state.caller_by_send.find(send);
-    if (caller == state.caller_by_send.end()) return {};
-    const auto found = state.requests.find(caller->second);
-    return found == state.requests.end() ? request_ptr{} : found->second;
-}
-
-/// Handles a response by which the target states that it did not execute the request.
-void on_not_executed(router_state& state, const request_ptr& item, const response_head& event, effects& out) {
-    target_state* target = find_target(state, item->target);
-    if (target != nullptr && event.wrong_target) eject_target(state, *target, out);
-    out.emplace_back(count{"target_refusals_total", item->service, 1});
-    cancel_attempt(state, *item, out);
-    retry_or_fail(state, item, status_unavailable, "target_refused", out);
-}
-
-constexpr std::string_view event_end = "\n\n";
-
-/// Returns the complete events of the received data and stores the id of the last one that has an id. The
-/// remainder stays in `partial`.
-std::string extract_complete_events(std::string& partial, std::string_view data, std::string& last_id) {
-    partial.append(data);
-    const auto end = partial.rfind(event_end);
-    if (end == std::string::npos) return {};
-    std::string complete_events = partial.substr(0, end + event_end.size());
-    partial.erase(0, end + event_end.size());
-    // Only a line that begins with the field name holds an id; data may contain the same characters.
-    constexpr std::string_view field = "id:";
-    const auto line = complete_events.rfind("\nid:");
-    const bool in_first_line = line == std::string::npos && complete_events.starts_with(field);
-    if (line != std::string::npos || in_first_line) {
-        const std::size_t begin = (in_first_line ? 0 : line + 1) + field.size();
-        const auto line_end = complete_events.find('\n', begin);
-        std::string_view value = std::string_view{complete_events}.substr(begin, line_end - begin);
-        if (value.ends_with('\r')) value.remove_suffix(1);
-        while (value.starts_with(' '))
-            value.remove_prefix(1);
-        last_id = value;
-    }
-    return complete_events;
-}
-
-constexpr std::string_view event_stream_type = "text/event-stream";
-
-/// Size of the incomplete last event after more bytes of a stream, given its size and the last bytes before.
-std::size_t incomplete_event_size(std::size_t before, std::string_view tail, std::string_view data) {
-    const auto end = data.rfind(event_end);
-    if (end != std::string_view::npos) return data.size() - end - event_end.size();
-    const bool ends_at_the_seam = tail.ends_with('\n') && data.starts_with('\n');
-    return ends_at_the_seam ? data.size() - 1 : before + data.size();
-}
-
-std::optional<std::uint64_t> parse_event_id(std::string_view text) {
-    std::uint64_t id{};
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
-    return error == std::errc{} && end == text.data() + text.size() ? std::optional{id} : std::nullopt;
-}
-
-/// Whether the events go on after the last one that the caller has. Ids of events increase; those that are no
-/// numbers cannot be compared.
-bool continues_after(std::string_view events, std::string_view last_id) {
-    std::string event;
-    std::string first_id;
-    extract_complete_events(event, events.substr(0, events.find(event_end) + event_end.size()), first_id);
-    const auto first = parse_event_id(first_id);
-    const auto last = parse_event_id(last_id);
-    return !first || !last || *first > *last;
-}
-
-/// Whether a response may go on with a stream of which the caller has the head of `first`.
-bool continues_reply(const response_head& first, const response_head& resumed) {
-    return resumed.status == first.status && resumed.content_type == first.content_type;
-}
-
-void start_reply(request& item, effects& out) {
-    if (item.reply_started) return;
-    item.reply_started = true;
-    out.emplace_back(reply_begin{item.input.caller, item.head.status, item.head.headers});
-}
-
-void record_first_byte(router_state& state, request& item, effects& out) {
-    item.first_byte_received = true;
-    item.first_byte_delay = state.now - item.sent_at;
-    out.emplace_back(observe{"first_byte_seconds", item.service, to_seconds(state.now - item.arrived)});
-    if (item.predicted_first_token > 0s) {
-        out.emplace_back(observe{"first_byte_prediction_ratio", item.service,
-                                 to_seconds(item.first_byte_delay) / to_seconds(item.predicted_first_token)});
-    }
-    if (is_failure(item.head.status)) return;
-    record_speed_sample(state, item, out);
-}
-
-bool is_stream(const request& item) {
-    return item.route.retry == retry_policy::streaming && item.head.status < 300;
-}
-
-/// Position in the event stream after the data received so far.
-body_position position_of(const request& item) {
-    if (!is_stream(item)) return body_position::not_a_stream;
-    if (item.body_bytes == 0) return body_position::before_first_event;
-    const bool inside_event = item.route.resumable ? !item.body.empty() : item.passed_tail != event_end;
-    return inside_event ? body_position::inside_event : body_position::between_events;
-}
-
-} // namespace
-
-void on_response_head(router_state& state, const response_head& event, effects& out) {
-    const request_ptr item = find_by_send(state, event.send_id);
-    if (!item) return;
-    // Another target at the same address says nothing of this one.
-    if (target_state* target = find_target(state, item->target); target != nullptr && !event.wrong_target)
-        note_response_notices(state, *target, event.notices, out);
-    if (event.not_executed || event.wrong_target) {
-        on_not_executed(state, item, event, out);
-        return;
-    }
-    item->may_have_run = true;
-    item->head_received = true;
-    item->close_delimited = event.close_delimited;
-    const bool failed = is_failure(event.status);
-    if (target_state* target = find_target(state, item->target)) {
-        note_sign_of_life(state, *target);
-        record_target_result(*target, failed);
-        record_version_response(state, *item, *target, failed);
-    }
-    if (!event.has_seal && event.status < 300) {
-        out.emplace_back(count{"answers_without_seal_total", item->service, 1});
-        cancel_attempt(state, *item, out);
-        retry_or_fail(state, item, status_bad_gateway, "answer_not_sealed", out);
-        return;
-    }
-    const bool may_retry =
-        failed && !item->reply_started && is_retryable(*item) && item->sends < item->route.max_attempts;
-    if (may_retry && retry_elsewhere(state, item, "target_failed", out)) return;
-    if (item->reply_started && !continues_reply(item->head, event)) {
-        cancel_attempt(state, *item, out);
-        fail(state, item, status_bad_gateway, "resume_failed", out);
-        return;
-    }
-    if (!item->reply_started) item->head = event;
-}
-
-namespace {
-
-void on_connection_broken(router_state& state, const request_ptr& item, send_result result, effects& out);
-
-/// Ends the current attempt of a request whose target sends more than can be buffered.
-void fail_oversized(router_state& state, const request_ptr& item, effects& out) {
-    out.emplace_back(count{"answers_oversized_total", item->service, 1});
-    out.emplace_back(
-        log_event{"answer_oversized",
-                  "\"id\":" + quoted(item->input.attempt) + ",\"target\":" + quoted(item->target) +
-                      ",\"bytes\":" + std::to_string(std::max(item->body.size(), item->passed_event_bytes)) +
-                      ",\"buffered\":" + std::to_string(state.buffered_bytes),
-                  false});
-    if (target_state* target = find_target(state, item->target)) record_target_result(*target, true);
-    out.emplace_back(cancel_send{item->send_id});
-    on_connection_broken(state, item, send_result::garbled, out);
-}
-
-/// Counts the bytes that the request has buffered. Fails it if its response exceeds its limit.
-void limit_buffered_bytes(router_state& state, const request_ptr& item, std::size_t limit, effects& out) {
-    count_buffered_bytes(state, *item);
-    if (item->body.size() > limit) fail_oversized(state, item, out);
-    limit_total_bytes(state, out);
-}
-
-} // namespace
-
-void on_response_data(router_state& state, const response_data& event, effects& out) {
-    const request_ptr item = find_by_send(state, event.send_id);
-    if (!item || !item->head_received || event.data.empty()) return;
-    if (!item->first_byte_received) record_first_byte(state, *item, out);
-    item->body_bytes += event.data.size();
-    if (item->last_data != time_point{})
-        item->longest_gap = std::max(item->longest_gap, state.now - item->last_data);
-    item->last_data = state.now;
-    if (!is_stream(*item)) {
-        item->body.append(event.data);
-        limit_buffered_bytes(state, item, state.settings.max_response_bytes, out);
-        return;
-    }
-    if (!item->route.resumable) {
-        item->passed_event_bytes =
-            incomplete_event_size(item->passed_event_bytes, item->passed_tail, event.data);
-        if (item->head.content_type.starts_with(event_stream_type) &&
-            item->passed_event_bytes > state.settings.max_event_bytes) {
-            fail_oversized(state, item, out);
-            return;
-        }
-        start_reply(*item, out);
-        item->passed_tail.append(
-            event.data.substr(event.data.size() - std::min(event.data.size(), event_end.size())));
-        item->passed_tail.erase(0, item->passed_tail.size() -
-                                       std::min(item->passed_tail.size(), event_end.size()));
-        out.emplace_back(reply_data{item->input.caller, event.data});
-        return;
-    }
-    // Only complete events are forwarded, so that another target can resume after the last one.
-    const bool resumed = item->reply_started && item->sends > 1;
-    const std::string last_id = resumed ? item->last_event_id : std::string{};
-    const std::string complete_events = extract_complete_events(item->body, event.data, item->last_event_id);
-    if (resumed && !complete_events.empty() && !continues_after(complete_events, last_id)) {
-        item->last_event_id = last_id;
-        out.emplace_back(cancel_send{item->send_id});
-        on_connection_broken(state, item, send_result::garbled, out);
-        return;
-    }
-    if (complete_events.empty()) {
-        limit_buffered_bytes(state, item, state.settings.max_event_bytes, out);
-        return;
-    }
-    count_buffered_bytes(state, *item);
-    start_reply(*item, out);
-    item->pending_reply = complete_events;
-    out.emplace_back(reply_data{item->input.caller, item->pending_reply});
-}
-
-namespace {
-
-void on_response_complete(router_state& state, const request_ptr& item, effects& out) {
-    note_answer_complete(state, *item, out);
-    if (is_stream(*item)) {
-        start_reply(*item, out);
-        clear_attempt(state, *item);
-        log_outcome(state, *item, "served", item->head.status, out);
-        out.emplace_back(reply_end{item->input.caller});
-    } else {
-        clear_attempt(state, *item);
-        log_outcome(state, *item, item->head.status < 300 ? "served" : "target_failed", item->head.status,
-                    out);
-        out.emplace_back(
-            reply_full{item->input.caller, item->head.status, item->head.headers, std::move(item->body)});
-    }
-    remove_request(state, item);
-}
-
-//-----------------------------------------------------------------------------
-// [SECTION] Failed attempts
-//-----------------------------------------------------------------------------
-
-void on_not_sent(router_state& state, const request_ptr& item, effects& out) {
-    if (target_state* target = find_target(state, item->target)) {
-        confirm_crash(state, *target, out);
-        eject_target(state, *target, out);
-    }
-    clear_attempt(state, *item);
-    --item->sends;
-    retry_or_fail(state, item, status_unavailable, "no_connection", out);
-}
-
-void on_connection_broken(router_state& state, const request_ptr& item, send_result result, effects& out) {
-    item->may_have_run = true;
-    if (target_state* target = find_target(state, item->target)) {
-        if (result == send_result::broken) {
-            note_break(state, *item, *target);
-            if (!item->head_received) record_target_result(*target, true);
-        }
-        record_version_response(state, *item, *target, true);
-    }
-    out.emplace_back(count{"answers_broken_total", item->service, 1});
-    clear_attempt(state, *item);
-    item->body.clear();
-    count_buffered_bytes(state, *item);
-    retry_or_fail(state, item, status_bad_gateway,
-                  result == send_result::garbled ? "answer_garbled" : "connection_lost", out);
-}
-
-} // namespace
-
-namespace {
-
-std::string_view name_of(send_result result) {
-    constexpr std::array<std::string_view, 4> names{"complete", "not_sent", "broken", "garbled"};
-    return names.at(static_cast<std::size_t>(result));
-}
-
-response_verdict judge_end(const request& item, send_result result) {
-    received_response response;
-    response.transfer_complete = item.head_received && result == send_result::complete;
-    response.close_delimited = item.close_delimited;
-    response.successful = item.head.status < 300;
-    response.resumed = !item.last_event_id.empty();
-    response.position = position_of(item);
-    return judge_response(response);
-}
-
-/// Logs how an answer ended whose end is in doubt: it broke, or only the end of the connection marks it.
-void log_doubtful_end(const request& item, send_result result, effects& out) {
-    if (result == send_result::not_sent || (result == send_result::complete && !item.close_delimited)) return;
-    out.emplace_back(log_event{
-        "answer_end",
-        "\"id\":" + quoted(item.input.attempt) + ",\"target\":" + quoted(item.target) + ",\"route\":" +
-            quoted(item.route.name) + ",\"close_delimited\":" + (item.close_delimited ? "true" : "false") +
-            ",\"end\":" + quoted(name_of(result)) + ",\"head\":" + (item.head_received ? "true" : "false") +
-            ",\"body_bytes\":" + std::to_string(item.body_bytes) +
-            ",\"inside_event\":" + (position_of(item) == body_position::inside_event ? "true" : "false") +
-            ",\"reply_started\":" + (item.reply_started ? "true" : "false"),
-        false});
-}
-
-} // namespace
-
-namespace {
-
-/// The end of a connection alone does not tell a whole response from a target that crashed: the target's
-/// system closes the connections of a dead process in order. A target that is gone refuses new ones.
-void resolve_doubt(router_state& state, const request_ptr& item, effects& out) {
-    const target_state* target = find_target(state, item->target);
-    if (target == nullptr) {
-        on_connection_broken(state, item, send_result::broken, out);
-        return;
-    }
-    item->in_doubt_since = state.now;
-    out.emplace_back(count{"answers_in_doubt_total", item->service, 1});
-    out.emplace_back(probe_target{item->send_id, target->entry.address});
-}
-
-} // namespace
-
-void on_target_probed(router_state& state, const target_probed& event, effects& out) {
-    const request_ptr item = find_by_send(state, event.send_id);
-    if (!item || item->in_doubt_since == time_point{}) return;
-    const bool refused = event.outcome == probe_outcome::refused;
-    const bool lives = event.outcome == probe_outcome::accepted ||
-                       (!refused && has_sent_since(state, item->target, item->in_doubt_since));
-    out.emplace_back(log_event{
-        "answer_probed",
-        "\"id\":" + quoted(item->input.attempt) + ",\"target\":" + quoted(item->target) +
-            ",\"refused\":" + (refused ? "true" : "false") + ",\"whole\":" + (lives ? "true" : "false") +
-            ",\"ms\":" + format_ms(state.now - item->in_doubt_since),
-        false});
-    if (lives) {
-        on_response_complete(state, item, out);
-        return;
-    }
-    const std::string name = item->target;
-    on_connection_broken(state, item, send_result::broken, out);
-    if (target_state* target = find_target(state, name); target != nullptr && refused) {
-        confirm_crash(state, *target, out);
-        eject_target(state, *target, out);
-    }
-}
-
-void on_response_end(router_state& state, const response_end& event, effects& out) {
-    const request_ptr item = find_by_send(state, event.send_id);
-    if (!item) return;
-    log_doubtful_end(*item, event.result, out);
-    if (event.result == send_result::not_sent) {
-        on_not_sent(state, item, out);
-        return;
-    }
-    switch (judge_end(*item, event.result)) {
-    case response_verdict::whole:
-        on_response_complete(state, item, out);
-        break;
-    case response_verdict::in_doubt:
-        resolve_doubt(state, item, out);
-        break;
-    case response_verdict::truncated:
-        const bool garbled = event.result == send_result::garbled;
-        on_connection_broken(state, item, garbled ? send_result::garbled : send_result::broken, out);
-        break;
-    }
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Waiting requests
 //-----------------------------------------------------------------------------
