Client of targets: reset the connections of abandoned calls

Change: close by a reset unless a response head was accepted and all bytes of the request are written and acknowledged. Before a response an acknowledgement is no evidence; a proxy may have given it. docs/design/abandoned-attempts.md has the costs. Ruled out: resetting idle connections and streams that have begun. Calls to the store use another client and are guarded by the revision in their condition.

--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -15,7 +15,9 @@
 #include <charconv>
 #include <unordered_map>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace damaskhill {
 
@@ -48,6 +50,7 @@
     bool connecting{};
     bool connected{};
     bool sent_bytes{};
+    bool response_begun{}; // a response head was accepted
     bool writing{};
     bool reading{};        // an asynchronous read is under way
     bool reading_paused{}; // see edge_client::set_reading_paused
@@ -80,6 +83,7 @@
             !chunked && length_unknown && !status_has_no_body(c.head.status) && !c.head_only;
         c.skipping = c.handlers.on_head(std::move(c.head)) == edge_response_action::skip;
         if (c.skipping) c.reusable = false;
+        c.response_begun = !c.skipping;
     }
     c.head = {};
     return c.head_only ? 1 : 0; // 1 tells http_parser that the response has no body
@@ -195,6 +199,7 @@
     connection->head_only = call.head_only;
     connection->response_complete = false;
     connection->sent_bytes = false;
+    connection->response_begun = false;
     connection->unsent = std::move(call.head);
     connection->unsent += call.body;
     http_parser_init(&connection->parser, HTTP_RESPONSE);
@@ -288,11 +293,26 @@
     pool.push_back(connection);
 }
 
+namespace {
+
+/// Whether bytes of the request may still be on their way. An acknowledgement may come from a proxy in
+/// between; only a response shows that the server has the request, and it may begin before the last byte.
+bool may_hold_request(client_connection& connection) {
+    if (!connection.sent_bytes) return false;
+    if (!connection.response_begun || !connection.unsent.empty()) return true;
+    int unacknowledged = 0;
+    return ioctl(connection.socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+}
+
+} // namespace
+
 void edge_client::implementation::close(const connection_ptr& connection) {
     if (connection->closed) return;
     connection->closed = true;
     connection->connect_timer.cancel();
     asio::error_code ignored;
+    if (may_hold_request(*connection))
+        connection->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
     connection->socket.close(ignored);
 }
 
--- a/backends/damaskhill_impl_edge_client.hpp
+++ b/backends/damaskhill_impl_edge_client.hpp
@@ -87,7 +87,8 @@
 
     /// Starts a call and returns its ID. The handlers run on the event loop, never from within start().
     std::uint64_t start(edge_call call, edge_handlers handlers);
-    /// Aborts a call and closes its connection. None of its handlers run afterwards.
+    /// Aborts a call and closes its connection, by a reset if parts of the request may still be on their way
+    /// to the server. None of its handlers run afterwards.
     void cancel(std::uint64_t call_id);
     /// Stops reading the response of a call, so that its server has to wait, or goes on. Bytes that are being
     /// read already still arrive.
