Responses: an end read after a pause, or of an earlier start, completes nothing

Change: compare the target's boot and confirmed crashes since the request was sent, before and after the probe; an end that is read within 1 s after a suspension, or after a stall of the caller over 1 s, is whole only if the target then goes on with a response that it began before. Otherwise it is truncated after 2 s. Ruled out: responses with a length or chunks, whose framing decides.

--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -376,6 +376,7 @@
     state.timer_armed = false;
     expire_requests(state, out);
     expire_attempts(state, out);
+    settle_late_ends(state, out);
     if (state.now >= state.next_share_update) {
         update_unreported_loads(state);
         state.next_share_update = state.now + state.settings.share_update_period;
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -366,6 +366,7 @@
     // Current attempt; send_id is 0 while the request waits.
     std::uint64_t send_id{};
     std::string target;
+    std::uint64_t target_boot{}; // of the target's registration when the attempt started; 0: unknown
     time_point sent_at{};
     bool head_received{};
     bool first_byte_received{};
@@ -373,7 +374,8 @@
     response_head head;
     time_point last_data{};           // latest bytes of the response body
     duration longest_gap{};           // between two parts of the response body, over all attempts
-    time_point in_doubt_since{};      // end of a response that awaits the result of a probe; zero otherwise
+    time_point in_doubt_since{};      // end of a response that awaits evidence; zero otherwise
+    bool end_is_late{};               // in doubt, and the time at which the response ended is not known
     bool close_delimited{};           // see response_head; `head` is that of the first attempt
     std::uint64_t body_bytes{};       // of the response body so far
     std::string body;                 // buffered response, or the incomplete last event of a stream
@@ -398,6 +400,7 @@
     // Progress over all attempts.
     bool reply_started{};
     bool caller_is_congested{}; // responses are not read meanwhile
+    time_point congestion_began_at{};
     time_point congestion_ended_at{};
     std::vector<std::string> tried_targets; // ids
     std::string last_event_id;              // last event id sent to the caller
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -30,6 +30,9 @@
 void on_response_end(router_state& state, const response_end& event, effects& out);
 /// Ends the response of an attempt whose end was in doubt.
 void on_target_probed(router_state& state, const target_probed& event, effects& out);
+/// Ends the responses whose end was read late, once it is known whether their targets are still the same
+/// processes.
+void settle_late_ends(router_state& state, effects& out);
 /// Places waiting requests in priority order and refuses those whose waiting time is over.
 void dispatch_waiting(router_state& state, effects& out);
 /// Ends requests that have reached their deadline.
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -310,6 +310,7 @@
                    const placement_choice& choice, effects& out) {
     item->send_id = state.next_send++;
     item->target = target.entry.id;
+    item->target_boot = target.entry.boot;
     item->sent_at = state.now;
     item->predicted_first_token = choice.predicted_first_token;
     item->recompute_ms = choice.recompute_ms;
@@ -609,7 +610,7 @@
     request& item = *found->second;
     if (item.caller_is_congested == event.congested) return;
     item.caller_is_congested = event.congested;
-    if (!event.congested) item.congestion_ended_at = state.now;
+    (event.congested ? item.congestion_began_at : item.congestion_ended_at) = state.now;
     out.emplace_back(
         count{event.congested ? "replies_congested_total" : "replies_relieved_total", item.service, 1});
     if (item.send_id != 0) out.emplace_back(pause_reading{item.send_id, event.congested});
--- a/core/damaskhill_direct_responses.cpp
+++ b/core/damaskhill_direct_responses.cpp
@@ -34,6 +34,7 @@
     item.passed_event_bytes = 0;
     item.last_data = {};
     item.in_doubt_since = {};
+    item.end_is_late = false;
     item.first_byte_received = false;
     item.begun_is_noted = false;
 }
@@ -375,33 +376,86 @@
 
 namespace {
 
+// Targets that crash are away for two seconds at least (the users' pages). A shorter time without reading
+// cannot hide a crash and the next start.
+constexpr duration min_hidden_time = 1s;
+// After a suspension or a stall the router reads what has accumulated meanwhile within this time.
+constexpr duration read_backlog_time = 1s;
+// Streams send an event more often than this, so an older one of the same target shows within this time after
+// the backlog whether the target is still the same process.
+constexpr duration max_late_doubt = 2s;
+
+/// Whether the connection may have ended long before the router has read its end.
+bool may_be_late(const router_state& state, const request& item) {
+    if (state.now - state.outage.awake_since < read_backlog_time && item.sent_at < state.outage.awake_since)
+        return true;
+    return item.congestion_ended_at - item.congestion_began_at > min_hidden_time &&
+           state.now - item.congestion_ended_at < read_backlog_time;
+}
+
+/// Whether the process that got the attempt is known to be gone, whoever is at its address now.
+bool has_ended(const request& item, const target_state* target) {
+    if (target == nullptr || target->last_crash > item.sent_at) return true;
+    const std::uint64_t boot = target->entry.boot;
+    return boot != 0 && item.target_boot != 0 && boot != item.target_boot;
+}
+
+/// Whether the target goes on, after the backlog, with a response that it began before this one: it is then
+/// the same process.
+bool has_older_live_response(const router_state& state, const request& item) {
+    return std::ranges::any_of(state.requests, [&](const auto& entry) {
+        const request& other = *entry.second;
+        const time_point read_freely =
+            std::max({item.in_doubt_since, state.outage.awake_since, other.congestion_ended_at});
+        return other.target == item.target && other.sent_at <= item.sent_at &&
+               other.in_doubt_since == time_point{} && other.last_data >= read_freely + read_backlog_time;
+    });
+}
+
 /// The end of a connection alone does not tell a whole response from a target that crashed: the target's
-/// system closes the connections of a dead process in order. A target that is gone refuses new ones.
+/// system closes the connections of a dead process in order. A target that is gone refuses new ones, until it
+/// starts again.
 void resolve_doubt(router_state& state, const request_ptr& item, effects& out) {
     const target_state* target = find_target(state, item->target);
-    if (target == nullptr) {
+    if (has_ended(*item, target)) {
         on_connection_broken(state, item, send_result::broken, out);
         return;
     }
     item->in_doubt_since = state.now;
+    item->end_is_late = may_be_late(state, *item);
     out.emplace_back(count{"answers_in_doubt_total", item->service, 1});
-    out.emplace_back(probe_target{item->send_id, target->entry.address});
+    if (item->end_is_late)
+        out.emplace_back(count{"answers_ended_late_total", item->service, 1});
+    else
+        out.emplace_back(probe_target{item->send_id, target->entry.address});
+}
+
+void log_verdict(const router_state& state, const request& item, bool refused, bool whole, effects& out) {
+    out.emplace_back(log_event{"answer_probed",
+                               "\"id\":" + quoted(item.input.attempt) + ",\"target\":" + quoted(item.target) +
+                                   ",\"late\":" + (item.end_is_late ? "true" : "false") + ",\"refused\":" +
+                                   (refused ? "true" : "false") + ",\"whole\":" + (whole ? "true" : "false") +
+                                   ",\"ms\":" + format_ms(state.now - item.in_doubt_since),
+                               false});
 }
 
 } // namespace
 
 void on_target_probed(router_state& state, const target_probed& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
-    if (!item || item->in_doubt_since == time_point{}) return;
+    if (!item || item->in_doubt_since == time_point{} || item->end_is_late) return;
     const bool refused = event.outcome == probe_outcome::refused;
-    const bool lives = event.outcome == probe_outcome::accepted ||
-                       (!refused && has_sent_since(state, item->target, item->in_doubt_since));
-    out.emplace_back(log_event{
-        "answer_probed",
-        "\"id\":" + quoted(item->input.attempt) + ",\"target\":" + quoted(item->target) +
-            ",\"refused\":" + (refused ? "true" : "false") + ",\"whole\":" + (lives ? "true" : "false") +
-            ",\"ms\":" + format_ms(state.now - item->in_doubt_since),
-        false});
+    const bool lives = !has_ended(*item, find_target(state, item->target)) &&
+                       (event.outcome == probe_outcome::accepted ||
+                        (!refused && has_sent_since(state, item->target, item->in_doubt_since)));
+    // The suspension may have come between the end of the response and the probe.
+    if (lives && may_be_late(state, *item)) {
+        item->end_is_late = true;
+        item->in_doubt_since = state.now;
+        out.emplace_back(count{"answers_ended_late_total", item->service, 1});
+        return;
+    }
+    log_verdict(state, *item, refused, lives, out);
     if (lives) {
         on_response_complete(state, item, out);
         return;
@@ -414,6 +468,23 @@
     }
 }
 
+void settle_late_ends(router_state& state, effects& out) {
+    std::vector<request_ptr> late;
+    for (const auto& [caller, item] : state.requests) {
+        if (item->end_is_late) late.push_back(item);
+    }
+    for (const request_ptr& item : late) {
+        const bool ended = has_ended(*item, find_target(state, item->target));
+        const bool lives = !ended && has_older_live_response(state, *item);
+        if (!ended && !lives && state.now - item->in_doubt_since < max_late_doubt) continue;
+        log_verdict(state, *item, false, lives, out);
+        if (lives)
+            on_response_complete(state, item, out);
+        else
+            on_connection_broken(state, item, send_result::broken, out);
+    }
+}
+
 void on_response_end(router_state& state, const response_end& event, effects& out) {
     const request_ptr item = find_by_send(state, event.send_id);
     if (!item) return;
