Responses: pass on a target's 408, 429 or 503 only if nothing has run

Cause: callers take these statuses as the promise that a request has not run. A target's 503 after a run, without the statement that it was not executed, was passed on to callers of orders and of streams that cannot be resumed, who repeat it then (REFUSED). Change: such a request ends with the router's own 502, without a seal. Idempotent requests get the target's status as before. Ruled out: 421 and responses with the statement, which count as not executed already; attempts without a response, which end with 502 unless no connection was made.

--- a/core/damaskhill_direct_responses.cpp
+++ b/core/damaskhill_direct_responses.cpp
@@ -87,6 +87,12 @@
     retry_or_fail(state, item, status_unavailable, "target_refused", out);
 }
 
+/// Whether callers take a status as the promise that the request has not run and never will (PROTOCOL.md). A
+/// target's own 503 promises nothing unless the target states that it did not execute the request.
+constexpr bool promises_not_run(std::uint32_t status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 constexpr std::string_view event_end = "\n\n";
 
 /// Returns the complete events of the received data and stores the id of the last one that has an id. The
@@ -202,6 +208,11 @@
         retry_or_fail(state, item, status_bad_gateway, "answer_not_sealed", out);
         return;
     }
+    if (promises_not_run(event.status) && !is_retryable(*item) && !item->reply_started) {
+        cancel_attempt(state, *item, out);
+        fail(state, item, status_bad_gateway, "target_failed", out);
+        return;
+    }
     const bool may_retry =
         failed && !item->reply_started && is_retryable(*item) && item->sends < item->route.max_attempts;
     if (may_retry && retry_elsewhere(state, item, "target_failed", out)) return;
--- a/tests/test_direct_responses.cpp
+++ b/tests/test_direct_responses.cpp
@@ -2,11 +2,14 @@
 // [SECTION] Helpers
 // [SECTION] Time of the end
 // [SECTION] Start of the target
+// [SECTION] Statuses
 
 #include "direct_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace damaskhill;
 using namespace damaskhill::direct;
 
@@ -182,4 +185,93 @@
     BOOST_TEST(router.has<reply_abort>());
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Statuses
+//-----------------------------------------------------------------------------
+
+namespace {
+
+struct status_case {
+    std::uint32_t status;          // of the target
+    bool not_executed;             // as the target states
+    std::uint32_t from_own_run;    // what the caller of a request that may run once is told
+    std::uint32_t from_idempotent; // what the caller of an idempotent request is told, by the last target
+};
+
+// A target that states "not executed" and one that answers 421 have not run the request: the router's own 503
+// says so after the attempts at all targets.
+constexpr std::array status_cases{
+    status_case{200, false, 200, 200}, status_case{429, false, 502, 429}, status_case{500, false, 500, 500},
+    status_case{502, false, 502, 502}, status_case{503, false, 502, 503}, status_case{504, false, 504, 504},
+    status_case{408, false, 502, 408}, status_case{421, false, 503, 503}, status_case{429, true, 503, 503},
+    status_case{500, true, 503, 503},  status_case{502, true, 503, 503},  status_case{503, true, 503, 503},
+    status_case{504, true, 503, 503},  status_case{408, true, 503, 503},  status_case{421, true, 503, 503}};
+
+/// Status that the caller gets if each target gives this response.
+std::uint32_t status_for_caller(const char* route, const status_case& item) {
+    test_router router;
+    router.submit_request(route);
+    constexpr int tries = 10;
+    for (int i = 0; i < tries; ++i) {
+        const auto effects_so_far = router.out;
+        if (const auto sent = router.last<send_request>()) {
+            response_head head = router.head(sent->send_id, item.status);
+            head.not_executed = item.not_executed;
+            head.wrong_target = item.status == 421;
+            router.process(head);
+            router.process(response_data{sent->send_id, one_event});
+            router.process(response_end{sent->send_id, send_result::complete});
+            continue;
+        }
+        for (const direct::effect& found : effects_so_far) {
+            if (const auto* refused = std::get_if<reply_refused>(&found)) return refused->status;
+            if (const auto* full = std::get_if<reply_full>(&found)) return full->status;
+            if (const auto* begun = std::get_if<reply_begin>(&found)) return begun->status;
+        }
+    }
+    return 0;
+}
+
+/// Status that the caller gets if each attempt ends like this without a response.
+std::uint32_t status_after(const char* route, send_result result) {
+    test_router router;
+    router.submit_request(route);
+    constexpr int tries = 10;
+    for (int i = 0; i < tries; ++i) {
+        const auto effects_so_far = router.out;
+        if (const auto sent = router.last<send_request>()) {
+            router.process(response_end{sent->send_id, result});
+            continue;
+        }
+        for (const direct::effect& found : effects_so_far) {
+            if (const auto* refused = std::get_if<reply_refused>(&found)) return refused->status;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against 408, 421, 429 and 503, which promise that a request has not run, for one that a target has
+// run: its caller would repeat it.
+BOOST_AUTO_TEST_CASE(callers_are_promised_only_what_targets_state) {
+    for (const status_case& item : status_cases) {
+        BOOST_TEST_CONTEXT("status " << item.status << ", not executed " << item.not_executed) {
+            BOOST_TEST(status_for_caller("order", item) == item.from_own_run);  // not idempotent
+            BOOST_TEST(status_for_caller("review", item) == item.from_own_run); // a stream, not resumable
+            BOOST_TEST(status_for_caller("stock", item) == item.from_idempotent);
+            BOOST_TEST(status_for_caller("chat", item) == item.from_idempotent);
+        }
+    }
+}
+
+// Guards against the same promise for a request of which a target may have got a part.
+BOOST_AUTO_TEST_CASE(request_that_was_sent_without_a_response_promises_nothing) {
+    for (const char* route : {"order", "review", "stock", "chat"}) {
+        BOOST_TEST(status_after(route, send_result::not_sent) == 503U);
+        BOOST_TEST(status_after(route, send_result::broken) == 502U);
+        BOOST_TEST(status_after(route, send_result::garbled) == 502U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
