Streams: search each received byte for the end of an event once

Cause: each piece of a stream searched the whole incomplete event, so that the work for an event that comes byte by byte grew with the square of its size. Also, an empty line after an event counted as the start of the next one if it came in a later piece, and a response that ended there as truncated. Change: core/damaskhill_event_stream searches the new bytes and the seam only; empty lines belong to the event before them. Tests: events_do_not_depend_on_the_pieces failed 24 checks before, all of them on the empty lines; each_byte_is_searched_a_bounded_number_of_times failed with the old search.

--- a/core/damaskhill_direct_responses.cpp
+++ b/core/damaskhill_direct_responses.cpp
@@ -5,6 +5,7 @@
 
 #include "damaskhill_answer_end.hpp"
 #include "damaskhill_direct_attempts.hpp"
+#include "damaskhill_event_stream.hpp"
 
 #include <algorithm>
 #include <array>
@@ -93,42 +94,8 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-constexpr std::string_view event_end = "\n\n";
-
-/// Returns the complete events of the received data and stores the id of the last one that has an id. The
-/// remainder stays in `partial`.
-std::string extract_complete_events(std::string& partial, std::string_view data, std::string& last_id) {
-    partial.append(data);
-    const auto end = partial.rfind(event_end);
-    if (end == std::string::npos) return {};
-    std::string complete_events = partial.substr(0, end + event_end.size());
-    partial.erase(0, end + event_end.size());
-    // Only a line that begins with the field name holds an id; data may contain the same characters.
-    constexpr std::string_view field = "id:";
-    const auto line = complete_events.rfind("\nid:");
-    const bool in_first_line = line == std::string::npos && complete_events.starts_with(field);
-    if (line != std::string::npos || in_first_line) {
-        const std::size_t begin = (in_first_line ? 0 : line + 1) + field.size();
-        const auto line_end = complete_events.find('\n', begin);
-        std::string_view value = std::string_view{complete_events}.substr(begin, line_end - begin);
-        if (value.ends_with('\r')) value.remove_suffix(1);
-        while (value.starts_with(' '))
-            value.remove_prefix(1);
-        last_id = value;
-    }
-    return complete_events;
-}
-
 constexpr std::string_view event_stream_type = "text/event-stream";
 
-/// Size of the incomplete last event after more bytes of a stream, given its size and the last bytes before.
-std::size_t incomplete_event_size(std::size_t before, std::string_view tail, std::string_view data) {
-    const auto end = data.rfind(event_end);
-    if (end != std::string_view::npos) return data.size() - end - event_end.size();
-    const bool ends_at_the_seam = tail.ends_with('\n') && data.starts_with('\n');
-    return ends_at_the_seam ? data.size() - 1 : before + data.size();
-}
-
 std::optional<std::uint64_t> parse_event_id(std::string_view text) {
     std::uint64_t id{};
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
