--- a/programs/damaskhillctl.cpp
+++ b/programs/damaskhillctl.cpp
@@ -6,12 +6,14 @@
 // [SECTION] Store
 // [SECTION] Checkout commands
 // [SECTION] Edit commands
+// [SECTION] Check
 // [SECTION] Status
 // [SECTION] Program
 
 #include "damaskhill_impl_curl.hpp"
 #include "damaskhill_impl_operator.hpp"
 #include "damaskhill_impl_program.hpp"
+#include "damaskhillctl_check.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -33,6 +35,7 @@
     std::string team;
     std::string root{"."};
     bool as_json{};
+    check_options check;
     std::vector<std::string> arguments; // after the command
 };
 
@@ -59,6 +62,21 @@
     return static_cast<int>(exit_code::usage);
 }
 
+bool set_format(std::string_view format, options& o) {
+    o.check.as_json = format == "json";
+    return format == "json" || format == "text";
+}
+
+std::vector<std::string> split_list(std::string_view list) {
+    std::vector<std::string> elements;
+    while (!list.empty()) {
+        const auto comma = std::min(list.find(','), list.size());
+        if (comma > 0) elements.emplace_back(list.substr(0, comma));
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return elements;
+}
+
 std::string new_nonce() { return format_hex128(system_random(), system_random()); }
 
 //-----------------------------------------------------------------------------
@@ -285,6 +303,25 @@
                             });
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Check
+//-----------------------------------------------------------------------------
+
+// Accepts the store's address with or without the scheme that other commands need.
+int check(const options& o) {
+    check_options checked = o.check;
+    checked.as_json = checked.as_json || o.as_json;
+    checked.store = o.store_url;
+    constexpr std::string_view scheme = "http://";
+    if (checked.store.starts_with(scheme)) checked.store.erase(0, scheme.size());
+    if (!checked.against.empty() && !checked.store.empty())
+        return usage_error("check takes either --against or --store");
+    if (checked.settings.empty() != (o.arguments.size() == 1) || o.arguments.size() > 1)
+        return usage_error("check needs either one file or --settings");
+    if (!o.arguments.empty()) checked.file = o.arguments.front();
+    return run_check(checked);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Status
 //-----------------------------------------------------------------------------
@@ -394,9 +431,14 @@
         "  -t, --team NAME   team whose subtree of the store is used\n"
         "  -C, --root DIR    checkout of the declarations, contains teams/<team>/ (default .)\n"
         "  -j, --json        status, get: print JSON; get then does not change the checkout\n"
+        "  -a, --against FILE  check: the version in force\n"
+        "  -f, --format text|json  check: format of the findings (default text)\n"
+        "  -r, --regions A,B   check: the regions that exist\n"
+        "  -S, --settings FILE  check: check a direct router's settings\n"
         "  -h, --help        print this text and exit\n"
         "  -V, --version     print the version and exit\n\n"
         "Commands:\n"
+        "  check FILE        check declarations for direct routers before they are written\n"
         "  validate          check the files; with --store also for name conflicts with other teams\n"
         "  diff              show the differences between the checkout and the store\n"
         "  apply             write the checkout to the store as the team's declarations\n"
@@ -408,7 +450,8 @@
         "                    move a pool to another version; times are 2026-12-04T05:00:00Z or +MINUTES\n"
         "  take-back MOVE    roll a move back\n\n"
         "Exit codes: 0 ok, 2 usage, 3 declarations, 4 network, 5 the store holds a newer revision,\n"
-        "6 store unreachable, 7 status: a process does not answer or is behind.\n");
+        "6 store unreachable, 7 status: a process does not answer or is behind.\n"
+        "Of check: 0 no findings, 1 findings, 2 usage or something cannot be read.\n");
 }
 
 } // namespace
@@ -428,6 +471,7 @@
 
 const std::vector<command>& commands() {
     static const std::vector<command> all{
+        {"check", false, false, check},
         {"validate", false, true, validate},
         {"diff", true, true, diff},
         {"apply", true, true, apply},
@@ -462,12 +506,16 @@
                                           {"team", required_argument, nullptr, 't'},
                                           {"root", required_argument, nullptr, 'C'},
                                           {"json", no_argument, nullptr, 'j'},
+                                          {"against", required_argument, nullptr, 'a'},
+                                          {"format", required_argument, nullptr, 'f'},
+                                          {"regions", required_argument, nullptr, 'r'},
+                                          {"settings", required_argument, nullptr, 'S'},
                                           {"help", no_argument, nullptr, 'h'},
                                           {"version", no_argument, nullptr, 'V'},
                                           {nullptr, 0, nullptr, 0}};
     options o;
     for (int option_char = 0;
-         (option_char = getopt_long(argc, argv, "s:t:C:jhV", long_options, nullptr)) != -1;) {
+         (option_char = getopt_long(argc, argv, "s:t:C:ja:f:r:S:hV", long_options, nullptr)) != -1;) {
         switch (option_char) {
         case 's':
             o.store_url = optarg;
@@ -481,6 +529,18 @@
         case 'j':
             o.as_json = true;
             break;
+        case 'a':
+            o.check.against = optarg;
+            break;
+        case 'f':
+            if (!set_format(optarg, o)) return usage_error("the format is text or json");
+            break;
+        case 'r':
+            o.check.regions = split_list(optarg);
+            break;
+        case 'S':
+            o.check.settings = optarg;
+            break;
         case 'h':
             print_usage();
             return 0;
