Edge server: one owner of message ends, limits in one place

Cause: two places decided where the next message begins. While load is shed, refuse_unparsed() read in pieces of 16,384 bytes, and reported that nothing had arrived when the bytes were a multiple of that; the connection was parsed from there. With requests sent ahead, a new read could reach the parser before bytes that waited for a response. CONNECT with a length had its body parsed as a request. Trailers were appended to the headers. Heads counted in no sum, though a header of four bytes takes 64; a connection with an unfinished request had no time limit and kept its place for ever.

Change: request_parser alone decides where a request ends, and parses nothing after a refusal. client_limits (no I/O, tested on virtual time) keeps the connections of each stage in the order of their due times: idle, head, body, lingering. At the limit of connections the least useful one makes room, never a served one. After an early refusal the sending side is closed and the rest discarded within 2 s and one body's limit, so that no reset destroys the refusal. Heads count in the sum of held bytes. A request sent ahead waits while 64 KB of responses are unsent.

Failed before: rest_of_a_refused_body_is_no_request, request_that_ends_early_has_no_successor (50 checks), body_of_a_tunnel_is_no_request, many_requests_sent_ahead_are_all_answered (2 of 8,000 requests).

Ruled out: a request parsed after 400, 413, 431 or 503 for memory; these paths stopped parsing before, too.

--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -1,18 +1,13 @@
 // Index of this file:
-// [SECTION] Connection
 // [SECTION] Server
-// [SECTION] Parser callbacks
-// [SECTION] Memory
+// [SECTION] Requests
+// [SECTION] Limits
 // [SECTION] Slow callers
 // [SECTION] Responses
 
 #include "damaskhill_impl_edge_server.hpp"
 
-#include <asio.hpp>
-#include <boost/intrusive/list.hpp>
-#include <boost/smart_ptr/intrusive_ptr.hpp>
-#include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <http_parser.h>
+#include "damaskhill_impl_edge_connection.hpp"
 
 #include <algorithm>
 #include <set>
@@ -23,88 +18,47 @@
 
 namespace damaskhill {
 
-//-----------------------------------------------------------------------------
-// [SECTION] Connection
-//-----------------------------------------------------------------------------
-
-namespace {
-
-constexpr std::size_t read_buffer_size = 16U << 10U;
-using clock = std::chrono::steady_clock;
-
-enum class response_state : std::uint8_t { none, awaited, chunked };
-
-using idle_hook =
-    boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
-using blocked_hook =
-    boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
-
-/// The idle_hook is linked into idle_connections while no request is received or processed.
-struct edge_connection : boost::intrusive_ref_counter<edge_connection, boost::thread_unsafe_counter>,
-                         idle_hook {
-    explicit edge_connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
-    asio::ip::tcp::socket socket;
-    http_parser parser{};
-    http_request request;
-    std::size_t head_bytes{};
-    bool header_value_started{}; // the next header name begins a new header
-    bool request_complete{};
-    bool keep_alive{};
-    bool close_announced{};      // the response contains Connection: close
-    bool head_only{};            // the method is HEAD
-    std::string pipelined_bytes; // received before the current response was complete
-    std::uint64_t exchange{};
-    response_state response{response_state::none};
-    std::string unsent;
-    std::size_t written{}; // bytes at the front of `unsent` that the socket has taken
-    bool awaiting_writable{};
-    bool congested{};                    // see edge_server_settings::congested_bytes
-    std::size_t held_bytes{};            // as counted in the server's sum
-    blocked_hook blocked;                // linked into blocked_connections while awaiting_writable
-    clock::time_point progress_at;       // time at which the caller was last seen to take bytes
-    std::optional<int> unacknowledged{}; // bytes in the kernel's send queue at progress_at
-    bool flush_posted{};
-    bool close_after_write{};
-    bool closed{};
-};
-using connection_ptr = boost::intrusive_ptr<edge_connection>;
-using idle_list = boost::intrusive::list<edge_connection, boost::intrusive::constant_time_size<false>>;
-using blocked_list = boost::intrusive::list<
-    edge_connection, boost::intrusive::member_hook<edge_connection, blocked_hook, &edge_connection::blocked>,
-    boost::intrusive::constant_time_size<false>>;
-
-std::size_t unsent_size(const edge_connection& connection) {
-    return connection.unsent.size() - connection.written;
-}
-
-const char* reason_phrase(std::uint32_t status) { return http_status_str(static_cast<http_status>(status)); }
-
-} // namespace
-
 //-----------------------------------------------------------------------------
 // [SECTION] Server
 //-----------------------------------------------------------------------------
 
 struct edge_server::implementation : std::enable_shared_from_this<implementation> {
     implementation(asio::io_context& c, edge_server_settings s, handlers h)
-        : context(c), settings(s), callbacks(std::move(h)), acceptor(c), stall_timer(c) {}
+        : context(c),
+          settings(s),
+          limits(s),
+          callbacks(std::move(h)),
+          acceptor(c),
+          stall_timer(c),
+          limit_timer(c) {}
 
     void open(asio::ip::tcp::socket socket);
-    /// Refuses a request that has already arrived on a new connection without parsing it. False if there is
-    /// none.
-    bool refuse_unparsed(asio::ip::tcp::socket& socket);
+    /// Refuses what has already arrived on a new connection without processing it. False if there is nothing.
+    bool refuse_unprocessed(asio::ip::tcp::socket& socket);
+    connection_ptr add(asio::ip::tcp::socket socket);
     void accept();
-    /// Closes an idle connection if the limit is reached. False if all connections are busy.
-    bool close_idle_if_full();
+    /// Closes the least useful connection if the limit is reached. False if all are served.
+    bool make_room();
+    void close_least_useful(client_entry& entry);
     void read(const connection_ptr& connection);
     void on_bytes(const connection_ptr& connection, std::string_view bytes);
     void parse(const connection_ptr& connection, std::string_view bytes);
+    void enter_stage(const connection_ptr& connection);
     void on_request_complete(const connection_ptr& connection);
+    /// Whether bytes of the next request have to wait for the current response.
+    [[nodiscard]] bool must_wait(const edge_connection& connection) const;
+    /// Goes on with the next request once the current response allows it.
+    void proceed(const connection_ptr& connection);
+    void post_proceed(const connection_ptr& connection);
     void reject(const connection_ptr& connection, std::uint32_t status, const http_headers& headers = {});
+    /// Closes the sending side, then discards what arrives, within limits of bytes and time.
+    void linger(const connection_ptr& connection);
     /// Updates the sum of held bytes. While it is exceeded, the largest holders are ended, from the event
     /// loop.
     void count_held_bytes(const connection_ptr& connection);
-    void end_largest_holder();
+    void end_largest_holders();
+    void arm_limit_timer();
+    void end_overdue();
     void set_congested(const connection_ptr& connection, bool congested);
     void await_writable(const connection_ptr& connection);
     void arm_stall_timer();
@@ -119,28 +73,26 @@
 
     asio::io_context& context;
     edge_server_settings settings;
+    client_limits limits;
     handlers callbacks;
     asio::ip::tcp::acceptor acceptor;
     std::unordered_map<std::uint64_t, connection_ptr> exchanges;
     std::set<connection_ptr> connections;
-    idle_list idle_connections;                  // longest idle first
     std::array<char, read_buffer_size> buffer{}; // shared by all connections
     std::uint64_t next_exchange{1};
-    std::uint64_t idle_closed{};
-    std::uint64_t refused_connections{};
-    std::uint64_t shed_requests{};
-    std::size_t held_bytes{};
+    edge_server_counts counts; // without what the server holds now
     bool memory_check_posted{};
-    std::uint64_t ended_for_memory{};
-    std::uint64_t stalled{};
     blocked_list blocked_connections; // longest without progress first
     asio::steady_timer stall_timer;
     bool stall_timer_armed{};
+    asio::steady_timer limit_timer;
+    std::optional<clock::time_point> limit_timer_due;
     bool draining{};
     bool shedding{};
     bool close_after_response{};
     [[nodiscard]] bool must_close(const edge_connection& connection) const {
-        return !connection.keep_alive || draining || close_after_response || near_connection_limit();
+        return !connection.parser.keep_alive() || connection.parser.state() == request_state::refused ||
+               draining || close_after_response || near_connection_limit();
     }
     /// Whether the number of connections is close to the limit. Responses then close their connections, so
     /// that few idle ones have to be closed.
@@ -152,46 +104,66 @@
     }
 };
 
-bool edge_server::implementation::close_idle_if_full() {
+bool edge_server::implementation::make_room() {
     if (connections.size() < settings.max_connections) return true;
-    if (idle_connections.empty()) return false;
-    // The connection that has been idle the longest. Its caller reconnects for the next request.
-    close(connection_ptr{&idle_connections.front()}, false);
-    ++idle_closed;
+    client_entry* const entry = limits.least_useful(clock::now());
+    if (entry == nullptr) return false;
+    close_least_useful(*entry);
     return true;
 }
 
-// Such a refusal costs a tenth of processing a request, so an overloaded process can catch up. Without it,
+// The caller of an idle connection reconnects for its next request.
+void edge_server::implementation::close_least_useful(client_entry& entry) {
+    const connection_ptr connection{static_cast<edge_connection*>(&entry)};
+    if (entry.stage == client_stage::idle) {
+        ++counts.idle_closed;
+    } else if (entry.stage != client_stage::lingering) {
+        ++counts.unfinished_closed;
+        constexpr std::uint32_t request_timeout = 408;
+        connection->parser.refuse(request_timeout);
+        append_head(*connection, request_timeout, {}, 0);
+        asio::error_code ignored;
+        (void)connection->socket.write_some(asio::buffer(connection->unsent), ignored);
+    }
+    close(connection, false);
+}
+
+// Such a refusal costs a fraction of processing a request, so an overloaded process can catch up. Without it,
 // new connections wait for seconds in the accept queue, where they can be neither served nor refused.
-bool edge_server::implementation::refuse_unparsed(asio::ip::tcp::socket& socket) {
+bool edge_server::implementation::refuse_unprocessed(asio::ip::tcp::socket& socket) {
     // Retry after 0.5 s: the load balancer checks once a second whether this process accepts new connections.
     static constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
                                                 "Content-Length: 0\r\nConnection: close\r\n\r\n";
     asio::error_code ec;
-    std::size_t read = 0;
-    do { // closing with unread data would send a reset
-        read = socket.read_some(asio::buffer(buffer), ec);
-    } while (!ec && read == buffer.size());
-    if (ec && (ec != asio::error::would_block || read == 0)) return ec != asio::error::would_block;
+    const std::size_t size = socket.read_some(asio::buffer(buffer), ec);
+    if (ec) return ec != asio::error::would_block;
     (void)socket.write_some(asio::buffer(refusal), ec);
-    ++shed_requests;
+    ++counts.shed_requests;
+    if (is_whole_request({buffer.data(), size}, settings) || !make_room()) return true;
+    // The rest of the request is still on its way. It is discarded, as closing at once would reset the
+    // connection, and the refusal could be lost.
+    linger(add(std::move(socket)));
     return true;
 }
 
+connection_ptr edge_server::implementation::add(asio::ip::tcp::socket socket) {
+    const connection_ptr connection{new edge_connection{std::move(socket), settings}};
+    connections.insert(connection);
+    return connection;
+}
+
 void edge_server::implementation::open(asio::ip::tcp::socket socket) {
     asio::error_code ignored;
     socket.non_blocking(true, ignored);
-    if (shedding && refuse_unparsed(socket)) return;
-    if (!close_idle_if_full()) {
-        ++refused_connections;
+    if (shedding && refuse_unprocessed(socket)) return;
+    if (!make_room()) {
+        ++counts.refused_connections;
         return;
     }
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    const connection_ptr connection{new edge_connection{std::move(socket)}};
-    http_parser_init(&connection->parser, HTTP_REQUEST);
-    connection->parser.data = connection.get();
-    connections.insert(connection);
-    idle_connections.push_back(*connection);
+    const connection_ptr connection = add(std::move(socket));
+    limits.enter(*connection, client_stage::idle, clock::now());
+    arm_limit_timer();
     read(connection);
 }
 
@@ -213,6 +185,10 @@
             return;
         }
         // When descriptors run out every attempt fails immediately, so the next one is delayed.
+        if (ec == asio::error::no_descriptors) {
+            client_entry* const entry = self->limits.least_useful(clock::now());
+            if (entry != nullptr) self->close_least_useful(*entry);
+        }
         constexpr duration retry_delay = 50ms;
         const auto timer = std::make_shared<asio::steady_timer>(self->context, retry_delay);
         timer->async_wait([self, timer](const asio::error_code& stopped) {
@@ -222,118 +198,112 @@
 }
 
 void edge_server::implementation::read(const connection_ptr& connection) {
-    connection->socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this(), connection](
-                                                                        const asio::error_code& failed) {
-        if (connection->closed) return;
-        asio::error_code ec = failed;
-        std::size_t size = 0;
-        if (!ec) size = connection->socket.read_some(asio::buffer(self->buffer), ec);
-        if (ec && ec != asio::error::would_block) {
-            self->close(connection, false);
-            return;
-        }
-        if (size > 0) self->on_bytes(connection, {self->buffer.data(), size});
-        const bool too_much_pipelined = connection->pipelined_bytes.size() > self->settings.max_header_bytes;
-        if (!connection->closed && !too_much_pipelined) self->read(connection);
-    });
+    // A caller that sends requests ahead waits for the responses.
+    const bool waits =
+        !connection->close_after_write && connection->pipelined_bytes.size() > settings.max_header_bytes;
+    if (connection->closed || connection->reading || waits) return;
+    connection->reading = true;
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_read,
+                                  [self = shared_from_this(), connection](const asio::error_code& failed) {
+                                      connection->reading = false;
+                                      if (connection->closed) return;
+                                      asio::error_code ec = failed;
+                                      std::size_t size = 0;
+                                      if (!ec)
+                                          size = connection->socket.read_some(asio::buffer(self->buffer), ec);
+                                      if (ec && ec != asio::error::would_block) {
+                                          self->close(connection, false);
+                                          return;
+                                      }
+                                      if (size > 0) self->on_bytes(connection, {self->buffer.data(), size});
+                                      // Not posted: the bytes of one round over all connections could exceed
+                                      // the limit many times.
+                                      if (self->limits.holds_too_much()) self->end_largest_holders();
+                                      self->read(connection);
+                                  });
 }
 
 void edge_server::implementation::on_bytes(const connection_ptr& connection, std::string_view bytes) {
-    // The connection closes once the last response is written; a request behind it could not be answered.
-    if (connection->close_after_write) return;
-    connection->unlink();
-    if (connection->response == response_state::none) {
-        parse(connection, bytes);
-    } else {
-        // Pipelined request: buffered until the current response is complete.
+    if (connection->close_after_write) {
+        // The connection closes once the last response is written; a request behind it could not be answered.
+        connection->discarded_bytes += bytes.size();
+        if (connection->discarded_bytes > settings.max_header_bytes + settings.max_body_bytes)
+            close(connection, false);
+        return;
+    }
+    if (must_wait(*connection) || !connection->pipelined_bytes.empty()) {
+        // Bytes that came before wait, also when the response is complete and proceed() has been posted.
         connection->pipelined_bytes.append(bytes);
+        if (!must_wait(*connection)) post_proceed(connection);
+    } else {
+        parse(connection, bytes);
     }
     count_held_bytes(connection);
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Parser callbacks
+// [SECTION] Requests
 //-----------------------------------------------------------------------------
 
-namespace {
-
-edge_connection& connection_from(http_parser* parser) { return *static_cast<edge_connection*>(parser->data); }
-
-http_parser_settings make_parser_callbacks() {
-    http_parser_settings settings;
-    http_parser_settings_init(&settings);
-    settings.on_message_begin = [](http_parser* parser) {
-        edge_connection& c = connection_from(parser);
-        c.request = {};
-        c.head_bytes = 0;
-        c.header_value_started = true;
-        return 0;
-    };
-    settings.on_url = [](http_parser* parser, const char* at, std::size_t size) {
-        connection_from(parser).request.target.append(at, size);
-        return 0;
-    };
-    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
-        edge_connection& c = connection_from(parser);
-        if (c.header_value_started) c.request.headers.emplace_back();
-        c.header_value_started = false;
-        c.request.headers.back().first.append(at, size);
-        c.head_bytes += size;
-        return 0;
-    };
-    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
-        edge_connection& c = connection_from(parser);
-        if (c.request.headers.empty()) return 1;
-        c.header_value_started = true;
-        c.request.headers.back().second.append(at, size);
-        c.head_bytes += size;
-        return 0;
-    };
-    settings.on_headers_complete = [](http_parser* parser) {
-        edge_connection& c = connection_from(parser);
-        c.header_value_started = true;
-        c.request.method = http_method_str(static_cast<http_method>(parser->method));
-        return 0;
-    };
-    settings.on_body = [](http_parser* parser, const char* at, std::size_t size) {
-        connection_from(parser).request.body.append(at, size);
-        return 0;
-    };
-    settings.on_message_complete = [](http_parser* parser) {
-        edge_connection& c = connection_from(parser);
-        c.request_complete = true;
-        c.keep_alive = http_should_keep_alive(parser) != 0;
-        // A pipelined request must not be parsed before the current response is complete.
-        http_parser_pause(parser, 1);
-        return 0;
-    };
-    return settings;
-}
-
-const http_parser_settings parser_callbacks = make_parser_callbacks();
-
-} // namespace
-
 void edge_server::implementation::parse(const connection_ptr& connection, std::string_view bytes) {
-    const std::size_t used =
-        http_parser_execute(&connection->parser, &parser_callbacks, bytes.data(), bytes.size());
-    const auto ec = HTTP_PARSER_ERRNO(&connection->parser);
-    if (connection->request_complete) {
-        http_parser_pause(&connection->parser, 0);
-        connection->pipelined_bytes.assign(bytes.substr(std::min(used, bytes.size())));
+    const std::size_t used = connection->parser.parse(bytes);
+    switch (connection->parser.state()) {
+    case request_state::complete:
+        connection->pipelined_bytes.assign(bytes.substr(used));
         on_request_complete(connection);
-        return;
+        break;
+    case request_state::refused: {
+        constexpr std::uint32_t body_too_large = 413;
+        constexpr std::uint32_t head_too_large = 431;
+        const std::uint32_t status = connection->parser.refusal_status();
+        const bool oversized = status == body_too_large || status == head_too_large;
+        ++(oversized ? counts.oversized_requests : counts.malformed_requests);
+        reject(connection, status);
+        break;
+    }
+    default:
+        enter_stage(connection);
+        if (connection->parser.awaits_continue() && !connection->continue_sent) {
+            connection->continue_sent = true;
+            connection->unsent.append("HTTP/1.1 100 Continue\r\n\r\n");
+            write(connection);
+        }
+    }
+}
+
+void edge_server::implementation::enter_stage(const connection_ptr& connection) {
+    client_stage stage = client_stage::idle;
+    if (connection->parser.state() == request_state::head) stage = client_stage::head;
+    if (connection->parser.state() == request_state::body) stage = client_stage::body;
+    if (stage != connection->stage) {
+        limits.enter(*connection, stage, clock::now());
+        arm_limit_timer();
     }
-    constexpr std::uint32_t bad_request = 400;
-    constexpr std::uint32_t body_too_large = 413;
-    constexpr std::uint32_t head_too_large = 431;
-    if (ec != HPE_OK) {
-        reject(connection, bad_request);
-    } else if (connection->head_bytes > settings.max_header_bytes) {
-        reject(connection, head_too_large);
-    } else if (connection->request.body.size() > settings.max_body_bytes) {
-        reject(connection, body_too_large);
+}
+
+bool edge_server::implementation::must_wait(const edge_connection& connection) const {
+    return connection.response != response_state::none || unsent_size(connection) >= settings.relieved_bytes;
+}
+
+void edge_server::implementation::proceed(const connection_ptr& connection) {
+    if (connection->closed || connection->close_after_write || must_wait(*connection)) return;
+    if (!connection->pipelined_bytes.empty()) {
+        const std::string bytes = std::exchange(connection->pipelined_bytes, {});
+        parse(connection, bytes);
+        count_held_bytes(connection);
+    } else if (connection->stage == client_stage::served) {
+        enter_stage(connection);
     }
+    read(connection);
+}
+
+void edge_server::implementation::post_proceed(const connection_ptr& connection) {
+    if (connection->proceed_posted) return;
+    connection->proceed_posted = true;
+    asio::post(context, [self = shared_from_this(), connection] {
+        connection->proceed_posted = false;
+        self->proceed(connection);
+    });
 }
 
 namespace {
@@ -349,13 +319,14 @@
 } // namespace
 
 void edge_server::implementation::on_request_complete(const connection_ptr& connection) {
-    connection->request_complete = false;
+    connection->unlink();
+    connection->stage = client_stage::served;
     connection->exchange = next_exchange++;
     connection->response = response_state::awaited;
-    connection->head_only = connection->request.method == "HEAD";
+    connection->continue_sent = false;
+    http_request request = connection->parser.take();
+    connection->head_only = request.method == "HEAD";
     exchanges[connection->exchange] = connection;
-    http_request request = std::move(connection->request);
-    connection->request = {};
     if (caller_disconnected(connection->socket)) {
         close(connection, false);
         return;
@@ -365,46 +336,85 @@
 
 void edge_server::implementation::reject(const connection_ptr& connection, std::uint32_t status,
                                          const http_headers& headers) {
-    connection->keep_alive = false;
-    connection->request = {};
+    connection->parser.refuse(status);
+    connection->unlink();
+    connection->stage = client_stage::served;
     append_head(*connection, status, headers, 0);
     connection->close_after_write = true;
     write(connection);
+    read(connection);
+}
+
+void edge_server::implementation::linger(const connection_ptr& connection) {
+    asio::error_code ignored;
+    connection->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    connection->close_after_write = true;
+    limits.enter(*connection, client_stage::lingering, clock::now());
+    arm_limit_timer();
+    read(connection);
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Memory
+// [SECTION] Limits
 //-----------------------------------------------------------------------------
 
 void edge_server::implementation::count_held_bytes(const connection_ptr& connection) {
-    const std::size_t now = connection->closed
-                                ? 0
-                                : connection->unsent.size() + connection->pipelined_bytes.size() +
-                                      connection->request.body.size();
-    held_bytes += now;
-    held_bytes -= connection->held_bytes;
-    connection->held_bytes = now;
-    if (held_bytes <= settings.max_held_bytes || memory_check_posted) return;
+    limits.hold(*connection, connection->closed
+                                 ? 0
+                                 : connection->unsent.size() + connection->pipelined_bytes.size() +
+                                       connection->parser.held_bytes());
+    if (!limits.holds_too_much() || memory_check_posted) return;
     memory_check_posted = true;
     asio::post(context, [self = shared_from_this()] {
         self->memory_check_posted = false;
-        while (self->held_bytes > self->settings.max_held_bytes)
-            self->end_largest_holder();
+        self->end_largest_holders();
     });
 }
 
-void edge_server::implementation::end_largest_holder() {
-    const connection_ptr largest = *std::ranges::max_element(
-        connections, {}, [](const connection_ptr& connection) { return connection->held_bytes; });
-    ++ended_for_memory;
-    if (largest->response != response_state::none || unsent_size(*largest) > 0) {
-        close(largest, true);
-        return;
+void edge_server::implementation::end_largest_holders() {
+    while (limits.holds_too_much()) {
+        const connection_ptr largest = *std::ranges::max_element(
+            connections, {}, [](const connection_ptr& connection) { return connection->held_bytes; });
+        ++counts.ended_for_memory;
+        if (largest->response != response_state::none || unsent_size(*largest) > 0) {
+            close(largest, true);
+            continue;
+        }
+        // A request of which a part is still missing has not been passed on.
+        constexpr std::uint32_t unavailable = 503;
+        reject(largest, unavailable, {{"Retry-After", "1"}});
+        count_held_bytes(largest);
+    }
+}
+
+// The timer is armed for the earliest time limit only, and checks again when it fires.
+void edge_server::implementation::arm_limit_timer() {
+    const std::optional<clock::time_point> due = limits.next_due();
+    if (!due || (limit_timer_due && *limit_timer_due <= *due)) return;
+    limit_timer_due = due;
+    limit_timer.expires_at(*due);
+    limit_timer.async_wait([self = shared_from_this()](const asio::error_code& failed) {
+        if (failed) return;
+        self->limit_timer_due.reset();
+        self->end_overdue();
+        self->arm_limit_timer();
+    });
+}
+
+void edge_server::implementation::end_overdue() {
+    const clock::time_point now = clock::now();
+    while (client_entry* const entry = limits.overdue(now)) {
+        const connection_ptr connection{static_cast<edge_connection*>(entry)};
+        if (entry->stage == client_stage::head || entry->stage == client_stage::body) {
+            constexpr std::uint32_t request_timeout = 408;
+            ++counts.requests_expired;
+            reject(connection, request_timeout);
+            count_held_bytes(connection);
+        } else {
+            if (entry->stage == client_stage::idle) ++counts.idle_expired;
+            close(connection, false);
+        }
     }
-    // A request of which a part is still missing has not been passed on.
-    constexpr std::uint32_t unavailable = 503;
-    reject(largest, unavailable, {{"Retry-After", "1"}});
-    count_held_bytes(largest);
 }
 
 //-----------------------------------------------------------------------------
@@ -441,7 +451,9 @@
                                   [self = shared_from_this(), connection](const asio::error_code& failed) {
                                       connection->awaiting_writable = false;
                                       connection->blocked.unlink();
-                                      if (!failed) self->write(connection);
+                                      if (failed) return;
+                                      self->write(connection);
+                                      self->proceed(connection);
                                   });
 }
 
@@ -470,7 +482,7 @@
             blocked_connections.push_back(*connection);
             continue;
         }
-        ++stalled;
+        ++counts.stalled;
         close(connection, true);
     }
     arm_stall_timer();
@@ -506,24 +518,6 @@
     out.append("\r\n");
 }
 
-namespace {
-
-/// Forgets what the socket has taken, and memory that a keep-alive connection would hold without need.
-void discard_written(edge_connection& connection) {
-    constexpr std::size_t kept_capacity = 64U << 10U;
-    if (connection.written == connection.unsent.size()) {
-        connection.unsent.clear();
-        connection.written = 0;
-        if (connection.unsent.capacity() > kept_capacity) connection.unsent.shrink_to_fit();
-    } else if (connection.written > connection.unsent.size() / 2) {
-        // Moves each byte a bounded number of times.
-        connection.unsent.erase(0, connection.written);
-        connection.written = 0;
-    }
-}
-
-} // namespace
-
 void edge_server::implementation::write(const connection_ptr& connection) {
     if (connection->closed) return;
     if (connection->awaiting_writable) {
@@ -545,7 +539,15 @@
     if (unsent_size(*connection) > 0) {
         await_writable(connection);
     } else if (connection->close_after_write) {
-        close(connection, false);
+        // Bytes behind the last request may still arrive; closing would reset the connection.
+        const bool more_expected =
+            connection->parser.state() == request_state::refused || !connection->pipelined_bytes.empty();
+        connection->pipelined_bytes = {};
+        if (more_expected) {
+            linger(connection);
+        } else if (connection->stage != client_stage::lingering) {
+            close(connection, false);
+        }
     }
     count_held_bytes(connection);
 }
@@ -569,7 +571,7 @@
     connection->unlink();
     connection->blocked.unlink();
     connections.erase(connection);
-    connection->request = {};
+    connection->parser.refuse(0);
     connection->unsent = {};
     connection->written = 0;
     connection->pipelined_bytes = {};
@@ -587,16 +589,11 @@
     if (connection->close_announced || draining) connection->close_after_write = true;
     write(connection);
     if (connection->closed || connection->close_after_write) return;
-    if (connection->pipelined_bytes.empty()) {
-        idle_connections.push_back(*connection);
-        return;
+    if (connection->pipelined_bytes.empty() && connection->reading && !must_wait(*connection)) {
+        enter_stage(connection);
+    } else {
+        post_proceed(connection);
     }
-    asio::post(context, [self = shared_from_this(), connection] {
-        if (connection->closed || connection->response != response_state::none) return;
-        const std::string bytes = std::move(connection->pipelined_bytes);
-        connection->pipelined_bytes.clear();
-        self->parse(connection, bytes);
-    });
 }
 
 edge_server::edge_server(event_loop& loop, edge_server_settings settings, handlers callbacks)
@@ -675,14 +672,9 @@
 }
 
 edge_server_counts edge_server::counts() const {
-    edge_server_counts counts;
+    edge_server_counts counts = impl_->counts;
     counts.open_connections = impl_->connections.size();
-    counts.idle_closed = impl_->idle_closed;
-    counts.refused_connections = impl_->refused_connections;
-    counts.shed_requests = impl_->shed_requests;
-    counts.held_bytes = impl_->held_bytes;
-    counts.ended_for_memory = impl_->ended_for_memory;
-    counts.stalled = impl_->stalled;
+    counts.held_bytes = impl_->limits.held_bytes();
     return counts;
 }
 
@@ -700,8 +692,7 @@
         const auto open = self->connections;
         // A connection on which a request is being received or processed stays open.
         for (const connection_ptr& connection : open) {
-            if (connection->response == response_state::none && connection->request.target.empty())
-                self->close(connection, false);
+            if (connection->stage == client_stage::idle) self->close(connection, false);
         }
     });
 }
--- a/backends/damaskhill_impl_edge_server.hpp
+++ b/backends/damaskhill_impl_edge_server.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "damaskhill_impl_asio.hpp"
+#include "damaskhill_impl_client_limits.hpp"
 #include "damaskhill_impl_http.hpp"
 
 namespace damaskhill {
@@ -17,30 +18,28 @@
 // [SECTION] Server
 //-----------------------------------------------------------------------------
 
-struct edge_server_settings {
-    std::size_t max_header_bytes{64U << 10U}; // of a request
-    std::size_t max_body_bytes{8U << 20U};    // of a request
+struct edge_server_settings : client_limit_settings {
     // Unsent bytes of a chunked response at which its caller counts as congested, and below which it no
-    // longer does.
+    // longer does. No further request of a caller is parsed while it has as many unread.
     std::size_t congested_bytes{256U << 10U};
     std::size_t relieved_bytes{64U << 10U};
-    // Sum of unsent response data and received request data over all connections. Above it, the connection
-    // that holds the most is ended.
-    std::size_t max_held_bytes{16U << 20U};
     // A connection whose caller acknowledges no byte of a response for this long is reset.
     duration write_stall_timeout{15s};
-    // At the limit, the connection that has been idle the longest is closed.
-    std::size_t max_connections{3000};
 };
 
 struct edge_server_counts {
     std::size_t open_connections{};
     std::uint64_t idle_closed{};         // idle connections closed to make room for new ones
-    std::uint64_t refused_connections{}; // new connections closed because no connection was idle
-    std::uint64_t shed_requests{};       // requests refused without being parsed, see set_shedding()
-    std::size_t held_bytes{};            // see edge_server_settings::max_held_bytes
+    std::uint64_t unfinished_closed{};   // connections with an unfinished request closed for new ones
+    std::uint64_t refused_connections{}; // new connections closed because all are served
+    std::uint64_t shed_requests{};       // requests refused unprocessed, see set_shedding()
+    std::size_t held_bytes{};            // see client_limit_settings::max_held_bytes
     std::uint64_t ended_for_memory{};    // connections ended because max_held_bytes was exceeded
     std::uint64_t stalled{};             // connections reset after write_stall_timeout
+    std::uint64_t idle_expired{};        // idle connections closed after idle_timeout
+    std::uint64_t requests_expired{};    // unfinished requests refused after their time limit (408)
+    std::uint64_t oversized_requests{};  // requests refused because they exceed a size limit (413, 431)
+    std::uint64_t malformed_requests{};  // requests refused because they cannot be parsed (400, 501, 505)
 };
 
 /// Each request is assigned an exchange ID, to which its response is addressed. Calls for an exchange whose
@@ -74,7 +73,7 @@
 
     [[nodiscard]] edge_server_counts counts() const;
 
-    /// While set, requests on new connections are refused with 503 without being parsed.
+    /// While set, requests on new connections are refused with 503 without being processed.
     void set_shedding(bool shedding);
     /// While set, every response closes its connection, so that callers reconnect through the load balancer.
     void set_close_after_response(bool close_after_response);
