Edge server: a body that goes on is in time

Cause: the server did not report the progress of a body to client_limits. An upload was refused with 408 after 120 s in all, and at the limit of connections it counted as stalled after 3 s, though it went on.

Change: bytes of a body are reported.

Failed before: edge_limits/body_that_goes_on_is_in_time.

--- a/backends/damaskhill_impl_client_limits.hpp
+++ b/backends/damaskhill_impl_client_limits.hpp
@@ -76,7 +76,7 @@
 /// All entries of a stage have the same time limit, so each list is ordered by due time.
 class client_limits {
 public:
-    explicit client_limits(client_limit_settings settings) : settings_(settings) {}
+    explicit client_limits(const client_limit_settings& settings) : settings_(settings) {}
 
     void enter(client_entry& entry, client_stage stage, client_clock::time_point now);
     /// Bytes of a body have arrived. Single bytes do not count as progress.
--- a/backends/damaskhill_impl_edge_connection.hpp
+++ b/backends/damaskhill_impl_edge_connection.hpp
@@ -11,6 +11,9 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace damaskhill {
 
 //-----------------------------------------------------------------------------
@@ -64,6 +67,13 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
+/// Bytes that the kernel holds for the caller; none if it does not tell.
+inline std::optional<int> kernel_unacknowledged(asio::ip::tcp::socket& socket) {
+    int bytes = 0;
+    if (ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) return std::nullopt;
+    return bytes;
+}
+
 /// Forgets what the socket has taken, and memory that a keep-alive connection would hold without need.
 inline void discard_written(edge_connection& connection) {
     constexpr std::size_t kept_capacity = 64U << 10U;
--- a/backends/damaskhill_impl_edge_server.cpp
+++ b/backends/damaskhill_impl_edge_server.cpp
@@ -13,9 +13,6 @@
 #include <set>
 #include <unordered_map>
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 namespace damaskhill {
 
 //-----------------------------------------------------------------------------
@@ -147,7 +144,7 @@
 }
 
 connection_ptr edge_server::implementation::add(asio::ip::tcp::socket socket) {
-    const connection_ptr connection{new edge_connection{std::move(socket), settings}};
+    connection_ptr connection{new edge_connection{std::move(socket), settings}};
     connections.insert(connection);
     return connection;
 }
@@ -262,7 +259,11 @@
         break;
     }
     default:
-        enter_stage(connection);
+        if (connection->stage == client_stage::body) {
+            limits.on_body_bytes(*connection, bytes.size(), clock::now());
+        } else {
+            enter_stage(connection);
+        }
         if (connection->parser.awaits_continue() && !connection->continue_sent) {
             connection->continue_sent = true;
             connection->unsent.append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -430,17 +431,6 @@
     });
 }
 
-namespace {
-
-/// Bytes that the kernel holds for the caller; none if it does not tell.
-std::optional<int> kernel_unacknowledged(asio::ip::tcp::socket& socket) {
-    int bytes = 0;
-    if (ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) return std::nullopt;
-    return bytes;
-}
-
-} // namespace
-
 void edge_server::implementation::await_writable(const connection_ptr& connection) {
     connection->awaiting_writable = true;
     connection->progress_at = clock::now();
@@ -543,10 +533,10 @@
         const bool more_expected =
             connection->parser.state() == request_state::refused || !connection->pipelined_bytes.empty();
         connection->pipelined_bytes = {};
-        if (more_expected) {
-            linger(connection);
-        } else if (connection->stage != client_stage::lingering) {
+        if (!more_expected) {
             close(connection, false);
+        } else if (connection->stage != client_stage::lingering) {
+            linger(connection);
         }
     }
     count_held_bytes(connection);
--- a/backends/damaskhill_impl_request_parser.cpp
+++ b/backends/damaskhill_impl_request_parser.cpp
@@ -40,14 +40,15 @@
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
     // One byte of a body in a chunk of its own takes six bytes.
     constexpr std::size_t max_bytes_per_body_byte = 16;
+    const bool head_exceeds_limit =
+        error == HPE_HEADER_OVERFLOW ||
+        (error == HPE_OK && state_ != request_state::body && received_bytes_ > limits_.max_header_bytes);
     if (refusal_status_ != 0) {
         refuse(refusal_status_);
-    } else if (error == HPE_HEADER_OVERFLOW) {
+    } else if (head_exceeds_limit) {
         refuse(head_too_large);
     } else if (error != HPE_OK) {
         refuse(bad_request);
-    } else if (state_ != request_state::body && received_bytes_ > limits_.max_header_bytes) {
-        refuse(head_too_large);
     } else if (received_bytes_ >
                2 * limits_.max_header_bytes + max_bytes_per_body_byte * request_.body.size()) {
         refuse(body_too_large); // chunk extensions
--- a/tests/test_edge_limits.cpp
+++ b/tests/test_edge_limits.cpp
@@ -45,6 +45,22 @@
     }
 }
 
+// Guards against a long upload that is cut although it goes on.
+BOOST_AUTO_TEST_CASE(body_that_goes_on_is_in_time) {
+    edge_server_settings settings;
+    settings.body_timeout = 600ms;
+    recording_server server{settings};
+    recording_client client{server.loop};
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\n");
+    for (int part = 0; part < 5; ++part) {
+        client.send(std::string(2000, 'b'));
+        run_for(server.loop, 200ms);
+    }
+    client.receive();
+    BOOST_TEST(client.received.ends_with("ok"));
+    BOOST_TEST(server.server->counts().requests_expired == 0U);
+}
+
 // Guards against connections that are kept for ever without use, and against closing one between requests.
 BOOST_AUTO_TEST_CASE(idle_connection_is_closed_after_its_time) {
     edge_server_settings settings;
