Declarations: limits of the number of targets

Cause: a service may declare autoscaling, and the catalog did not have it.

minReplicas, maxReplicas and bootTimeS are decoded into service_declaration; the boot time stands among the limits or in the service. The other declarations hold.

Ruled out: rejecting the declarations as a whole, which would keep old keys in force because of one number.

Tests: platform_wire passes, with two new cases.

--- a/core/damaskhill_catalog.hpp
+++ b/core/damaskhill_catalog.hpp
@@ -51,11 +51,20 @@
     std::uint64_t kv_tokens{}; // KV cache for prompts and generated tokens
 };
 
+/// Limits within which the number of a service's targets may be ordered.
+struct autoscaling_declaration {
+    std::uint32_t min_targets{}; // in each data centre
+    std::uint32_t max_targets{}; // in each data centre
+    duration boot_time{0s};      // from an order until new targets serve
+    friend bool operator==(const autoscaling_declaration&, const autoscaling_declaration&) = default;
+};
+
 struct service_declaration {
     std::string name;
     double cold_per_s{};     // request rate that a cold target can handle; 0: targets are never cold
     duration cold_start{0s}; // time for which a target is cold after its start
-    std::optional<engine_declaration> engine; // none: a plain service
+    std::optional<engine_declaration> engine;           // none: a plain service
+    std::optional<autoscaling_declaration> autoscaling; // none: the number of targets is not ordered
     // Shortest of the streaming routes to the service.
     duration min_event_gap{duration::max()};
     duration min_target_latency{duration::max()};
@@ -123,6 +132,7 @@
     // By host, longest path prefix first.
     std::map<std::string, std::vector<route_declaration>, std::less<>> routes;
     std::map<std::string, service_declaration, std::less<>> services;
+    std::vector<failure> ignored; // members of the declarations that were out of range or of another type
     client_accounts accounts;
     std::map<std::string, target_entry, std::less<>> targets;   // by id
     std::set<std::string, std::less<>> evacuated;               // data centres that take no new requests
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -2,6 +2,7 @@
 // [SECTION] Caller requests
 // [SECTION] Target responses
 // [SECTION] Store items
+// [SECTION] Autoscaling
 
 #include "damaskhill_impl_thrift.hpp"
 #include "damaskhill_platform_wire.hpp"
@@ -350,4 +351,59 @@
     BOOST_TEST(!decode_base64("a").has_value());
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Autoscaling
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Catalog of a service with these members, next to one whose limits are right.
+catalog decode_with(const std::string& members) {
+    catalog contents;
+    failure error;
+    BOOST_REQUIRE(decode_declarations(R"({"version":7,"services":[{"name":"s",)" + members +
+                                          R"(},{"name":"t","autoscaling":)"
+                                          R"({"minReplicas":1,"maxReplicas":2,"bootTimeS":1.5}}]})",
+                                      contents, error));
+    BOOST_REQUIRE(contents.services.size() == 2U);
+    BOOST_REQUIRE(contents.services["t"].autoscaling);
+    BOOST_TEST((*contents.services["t"].autoscaling == autoscaling_declaration{1, 2, 1500ms}));
+    return contents;
+}
+
+} // namespace
+
+// Guards against a boot time that is read at one of its two places only.
+BOOST_AUTO_TEST_CASE(boot_time_stands_with_the_limits_or_in_the_service) {
+    const autoscaling_declaration expected{2, 20, 8s};
+    auto inside = decode_with(R"("autoscaling":{"minReplicas":2,"maxReplicas":20,"bootTimeS":8})");
+    auto outside = decode_with(R"("bootTimeS":8,"autoscaling":{"minReplicas":2,"maxReplicas":20})");
+    for (catalog* contents : {&inside, &outside}) {
+        BOOST_REQUIRE(contents->services["s"].autoscaling);
+        BOOST_TEST((*contents->services["s"].autoscaling == expected));
+        BOOST_TEST(contents->ignored.empty());
+    }
+    auto none = decode_with(R"("bootTimeS":8)");
+    BOOST_TEST(!none.services["s"].autoscaling);
+    BOOST_TEST(none.ignored.empty());
+}
+
+// Guards against limits that make no sense, and against the loss of other services with them.
+BOOST_AUTO_TEST_CASE(odd_limits_give_no_autoscaling_and_a_failure) {
+    for (const char* odd :
+         {R"({"minReplicas":5,"maxReplicas":4,"bootTimeS":8})",
+          R"({"minReplicas":-1,"maxReplicas":4,"bootTimeS":8})",
+          R"({"minReplicas":0,"maxReplicas":0,"bootTimeS":8})",
+          R"({"minReplicas":1.5,"maxReplicas":4,"bootTimeS":8})",
+          R"({"minReplicas":1,"maxReplicas":1e12,"bootTimeS":8})",
+          R"({"minReplicas":"1","maxReplicas":4,"bootTimeS":8})",
+          R"({"minReplicas":1,"maxReplicas":4,"bootTimeS":-8})",
+          R"({"minReplicas":1,"maxReplicas":4,"bootTimeS":1e9})", R"({"minReplicas":1,"maxReplicas":4})",
+          R"({"maxReplicas":4,"bootTimeS":8})", "[]", "true", "7"}) {
+        auto contents = decode_with(std::string{R"("autoscaling":)"} + odd);
+        BOOST_TEST(!contents.services["s"].autoscaling, odd);
+        BOOST_TEST(contents.ignored.size() == 1U, odd);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
