Targets: decide how many to order for a service

Cause: services with autoscaling need numbers that follow the load, a boot time ahead, and that do not swing with it.

Routers count the work offered and refused for such services; repeats after a refusal are left out. The holder of the duties derives a number for each data centre: due_target_orders() returns what to send, note_order_accepted() takes the response, note_peer_demand() the reports of the others. Without a declaration nothing is counted.

Ruled out: holding each data centre's own peak, which costs the sum of the peaks when a load moves between them; the targets' utilisation as input, which does not show how much is refused.

The services of a real deployment were not run.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -26,6 +26,7 @@
 #include "damaskhill_rate_gate.hpp"
 #include "damaskhill_store_history.hpp"
 #include "damaskhill_target_notices.hpp"
+#include "damaskhill_target_orders.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -69,6 +70,7 @@
     target_notice_settings notices;
     retry_window_settings retries;
     prompt_suspect_settings suspects;
+    target_order_settings target_orders;
     // Interval between reports to other routers.
     duration report_period{100ms};
     // Added to report_period for each neighbour, which bounds the cost of reports.
@@ -384,6 +386,7 @@
     // All attempts.
     std::uint32_t sends{}; // attempts that reached a target or may have reached it
     bool charged{};        // to the account's fair share
+    double demand_ms{};    // offered work that was counted for the request; see own_demand()
     bool may_have_run{};   // a target may have executed it, so the reply must not say "not executed"
     // Inputs and predictions of the last placement, for the log.
     double used_share{};              // of the account
@@ -409,6 +412,13 @@
 // [SECTION] Targets
 //-----------------------------------------------------------------------------
 
+/// Longest time in the current and the previous window.
+struct windowed_longest {
+    duration current{};
+    duration previous{};
+    time_point began{}; // of the current window
+};
+
 /// Speed of a service's targets, as estimated by this router.
 struct service_speed {
     engine_model model;
@@ -436,6 +446,25 @@
     time_point last_head{}; // of a response
 };
 
+/// Work for a service that declares autoscaling, as offered to this router since its start.
+struct demand_counter {
+    double offered_ms{};
+    double refused_ms{};     // of this
+    double repeated_ms{};    // not counted as offered: of requests that came again
+    double refused_any_ms{}; // refused, also of requests that came again
+    double mean_full_ms{};   // smoothed work of a whole prompt
+    double read_ratio{1.0};  // smoothed part of the prompts that was not cached, by work
+    std::unordered_map<std::string, windowed_longest> remaining; // stated by callers, by route
+};
+
+/// What the holder of the duties knows of the number of targets to order.
+struct target_order_state {
+    std::map<std::string, service_demand, std::less<>> demand; // by service
+    std::map<std::string, service_plan, std::less<>> plans;    // by service
+    time_point decided_at{};
+    time_point asked_at{};
+};
+
 struct peer_router {
     std::uint64_t incarnation{};
     std::string data_centre;   // empty if unknown
@@ -505,6 +534,8 @@
     std::map<std::string, retry_window, std::less<>> retry_windows;  // by service
     std::map<std::string, service_speed, std::less<>> speeds;        // by service
     std::map<std::string, engine_work, std::less<>> work_by_service; // of services with tight streams
+    std::map<std::string, demand_counter, std::less<>> demand;       // by service; only with autoscaling
+    target_order_state target_orders;                                // of the holder of the duties
     account_shares shares;
     std::map<std::string, peer_router, std::less<>> peers;             // by report address
     std::map<std::string, data_centre_summary, std::less<>> summaries; // by data centre
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -6,6 +6,7 @@
 // [SECTION] Notices of targets
 // [SECTION] Speed of services
 // [SECTION] Requests that crash targets
+// [SECTION] Demand and number of targets
 // [SECTION] Peers
 // [SECTION] Log lines
 
@@ -127,6 +128,27 @@
 /// Returns whether the report accuses a request that was not accused before.
 bool apply_suspect_rows(router_state& state, const router_report& report, effects& out);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Demand and number of targets
+//-----------------------------------------------------------------------------
+
+/// Counts the work of a new request if its service declares autoscaling and the request is no repeat.
+void note_offered_work(router_state& state, request& item);
+/// Updates the part of the prompts that targets have to read with the placement of an attempt.
+void note_placed_work(router_state& state, const request& item, const placement_choice& choice);
+/// The request is refused for lack of capacity.
+void note_refused_work(router_state& state, const request& item);
+/// Work offered to this router since its start, for services that declare autoscaling.
+[[nodiscard]] std::vector<service_demand_row> own_demand(const router_state& state);
+/// Holder of the duties: applies the demand that a router has reported. `router` identifies its process.
+void note_peer_demand(router_state& state, std::uint64_t router, std::span<const service_demand_row> rows,
+                      std::string_view data_centre);
+/// Holder of the duties: orders to send now, with an interval between repeats. A router that has not asked
+/// for target_order_settings::max_pause counts as a new holder.
+[[nodiscard]] std::vector<target_count_order> due_target_orders(router_state& state, effects& out);
+/// Holder of the duties: the platform has accepted an order.
+void note_order_accepted(router_state& state, const target_count_order& order);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -377,6 +377,7 @@
     target.last_send = state.now;
     target_load& load = target.load;
     ++load.running;
+    note_placed_work(state, *item, choice);
     if (is_generation(state, *item)) {
         item->charged_kv_tokens = expected_kv_tokens(item->input.prompt);
         load.kv_tokens += item->charged_kv_tokens;
@@ -585,6 +586,7 @@
 
 void refuse_for_capacity(router_state& state, const request_ptr& item, const placement_outcome& found,
                          effects& out) {
+    note_refused_work(state, *item);
     const duration retry_after =
         found.exact_retry ? found.capacity_in : retry_after_for(state, *item, found.capacity_in);
     refuse(state, item, status_unavailable, retry_after, found.refusal, out);
@@ -636,6 +638,7 @@
     if (!state.requests.contains(event.caller)) return;
     record_first_attempt(state.retry_windows[item->service], state.settings.retries, state.now);
     state.shares.on_requested(item->account_hash, item->tokens, state.now);
+    note_offered_work(state, *item);
     item->known_crashes = known_crashes(state, *item);
     const placement_outcome found = place(state, *item);
     if (found.target != nullptr) {
