Suspects: count accusations by one rule in one place

rebuild_suspected() and recount_suspected() counted the same crashes in two loops; both use count_accusations() now. accuse() uses first_byte_at().

--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -62,14 +62,15 @@
 // Bytes that were on the way when the target crashed arrive within this time.
 constexpr duration in_transit = 50ms;
 
+time_point first_byte_at(const request& item) { return item.sent_at + item.first_byte_delay; }
+
 /// Accuses the request of a crash at the given time, should it be confirmed.
 void accuse(router_state& state, const request& item, target_state& target, time_point at) {
     const prompt_suspect_settings& settings = state.settings.suspects;
     const bool expired = target.broken && state.now - target.broken->noticed > settings.max_unconfirmed;
     if (!target.broken || expired) target.broken = engine_crash{target.hash, at, {}, state.now};
     if (target.broken->accused.size() >= settings.max_accused) return;
-    const bool begun =
-        item.first_byte_received && at - (item.sent_at + item.first_byte_delay) > settings.beginning;
+    const bool begun = item.first_byte_received && at - first_byte_at(item) > settings.beginning;
     target.broken->accused.push_back({item.parts, item.request_fingerprint, begun, true});
 }
 
@@ -141,8 +142,6 @@
         out.emplace_back(log_event{"prompt_cleared", "\"parts\":" + format_parts(item.parts), true});
 }
 
-time_point first_byte_at(const request& item) { return item.sent_at + item.first_byte_delay; }
-
 } // namespace
 
 void note_answer_complete(router_state& state, const request& item, effects& out) {
--- a/core/damaskhill_prompt_suspects.cpp
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -51,16 +51,17 @@
     part.last_crash = at;
 }
 
-/// Counts the crashes that accuse each part since its last acquittal.
-void rebuild_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
-    suspects.suspected.clear();
+/// Counts the crashes that accuse each part, or one part only, since its last acquittal.
+void count_accusations(prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                       std::optional<std::uint64_t> only) {
     for (const engine_crash& crash : suspects.crashes) {
         std::unordered_set<std::uint64_t> counted; // a part counts once for each crash
         // An answer that had just begun says more than one that had been going on.
         for (const bool begun : {false, true}) {
             for (const accused_request& accused : crash.accused) {
-                if (accused.begun != begun) continue;
+                if (accused.begun != begun || (only && !accuses(accused, *only))) continue;
                 for (const std::uint64_t part : parts_of_request(accused.parts, accused.fingerprint)) {
+                    if (only && part != *only) continue;
                     if (is_acquitted(suspects, part, crash.at, begun) || !counted.insert(part).second)
                         continue;
                     suspected_part& suspected = suspects.suspected[part];
@@ -72,25 +73,15 @@
     }
 }
 
-/// The same for one part.
+void rebuild_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    suspects.suspected.clear();
+    count_accusations(suspects, settings, std::nullopt);
+}
+
 void recount_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings,
                        std::uint64_t part) {
-    suspected_part suspected;
-    suspected.answered_before = suspects.answered.contains(part);
-    for (const engine_crash& crash : suspects.crashes) {
-        std::optional<bool> found; // whether the answer had been going on
-        for (const accused_request& accused : crash.accused) {
-            if (found == false || !accuses(accused, part) ||
-                is_acquitted(suspects, part, crash.at, accused.begun))
-                continue;
-            found = accused.begun;
-        }
-        if (found) count_crash(suspected, settings, crash.at, *found);
-    }
-    if (suspected.crashes > 0)
-        suspects.suspected[part] = suspected;
-    else
-        suspects.suspected.erase(part);
+    suspects.suspected.erase(part);
+    count_accusations(suspects, settings, part);
 }
 
 /// Suspected parts that are in every accused request with this one, sorted; includes it.
