--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -109,14 +109,19 @@
             process(timer_fired{});
         }
     }
-    caller_id submit_request(const std::string& route, const std::string& key = "key-1") {
+    /// A new request without a body, a time limit and a prompt.
+    request_arrived request_for(const std::string& path, const std::string& key = "key-1") {
         request_arrived request;
         request.caller = next_caller++;
         request.attempt = "attempt-" + std::to_string(request.caller);
         request.method = "POST";
         request.host = "h.example";
-        request.path = "/" + route + "/x";
+        request.path = "/" + path;
         request.api_key = key;
+        return request;
+    }
+    caller_id submit_request(const std::string& route, const std::string& key = "key-1") {
+        request_arrived request = request_for(route + "/x", key);
         request.body = "body-" + std::to_string(request.caller);
         request.remaining = 8s;
         if (route == "chat" || route == "review")
--- a/tests/test_direct.cpp
+++ b/tests/test_direct.cpp
@@ -164,12 +164,7 @@
     test_router router;
     std::size_t sends = 0;
     for (int i = 0; i < 6; ++i) {
-        request_arrived crashing;
-        crashing.caller = router.next_caller++;
-        crashing.attempt = "p-" + std::to_string(i);
-        crashing.host = "h.example";
-        crashing.path = "/order/poison";
-        crashing.api_key = "key-1";
+        request_arrived crashing = router.request_for("order/poison");
         crashing.body = "poison";
         router.out.clear();
         router.process(crashing);
@@ -187,14 +182,8 @@
 BOOST_AUTO_TEST_CASE(sound_request_is_acquitted_by_its_answer) {
     test_router router;
     const auto submit = [&] {
-        request_arrived sound;
-        sound.caller = router.next_caller++;
-        sound.attempt = "s-" + std::to_string(sound.caller);
-        sound.host = "h.example";
-        sound.path = "/order/sound";
-        sound.api_key = "key-1";
         router.out.clear();
-        router.process(sound);
+        router.process(router.request_for("order/sound"));
         return router.has<send_request>();
     };
     for (int i = 0; i < 6; ++i) {
@@ -451,13 +440,7 @@
     test_router router;
     router.state.settings.max_buffered_bytes = 1U << 20U;
     const auto submit = [&](std::size_t size) {
-        request_arrived request;
-        request.caller = router.next_caller++;
-        request.attempt = "attempt-" + std::to_string(request.caller);
-        request.method = "POST";
-        request.host = "h.example";
-        request.path = "/order/x";
-        request.api_key = "key-1";
+        request_arrived request = router.request_for("order/x");
         request.body = std::string(size, 'b');
         router.process(request);
         return request.caller;
@@ -855,13 +838,7 @@
             router.process(stop_requested{});
             router.advance_time(passed);
             router.out.clear();
-            request_arrived order;
-            order.caller = 77;
-            order.attempt = "attempt-77";
-            order.method = "POST";
-            order.host = "h.example";
-            order.path = "/order/x";
-            order.api_key = "key-1";
+            request_arrived order = router.request_for("order/x");
             order.remaining = 2500ms;
             router.process(order);
             BOOST_TEST_CONTEXT(grace / 1ms << " " << passed / 1ms) {
