Duties: wait one step beyond the lease before competing

The key lasts a little longer than the silence of a lost holder, whose last renewal may have been just before its last report; a candidate that read the key too early waited for another lease time.

--- a/core/damaskhill_duty_holder.cpp
+++ b/core/damaskhill_duty_holder.cpp
@@ -144,7 +144,9 @@
 /// Time at which a router of this rank may compete.
 time_point campaign_due(const duty_holder& holder, std::size_t rank) {
     if (holder.retake) return holder.next_action;
-    const auto steps = static_cast<int>(std::min(rank, holder.settings.max_rank));
+    // The lease may have been renewed just before the last sign: the key lasts a little longer than the
+    // silence.
+    const auto steps = static_cast<int>(std::min(rank, holder.settings.max_rank)) + 1;
     const duration quiet = holder.known.released ? duration{0} : holder.settings.lease;
     return std::max(holder.next_action, holder.last_sign + quiet + holder.settings.candidate_step * steps);
 }
