Duties: usage reports by the holder, from the first byte to the platform

Cause: a deployment may ask for usage reports and orders for targets, each from one router at a time.

Fault found by them: port 0 was accepted as the platform's address.

--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -5,6 +5,7 @@
 
 #include "damaskhill_impl_direct.hpp"
 
+#include <algorithm>
 #include <ctime>
 
 #include <fcntl.h>
@@ -17,6 +18,58 @@
 // [SECTION] Settings
 //-----------------------------------------------------------------------------
 
+namespace {
+
+bool has_kind(const duty_daemon_settings& duties, std::string_view kind) {
+    return std::ranges::find(duties.kinds, kind) != duties.kinds.end();
+}
+
+bool has_duties(const direct_daemon_settings& settings) {
+    return settings.duties &&
+           (has_kind(*settings.duties, usage_duty) || has_kind(*settings.duties, target_count_duty));
+}
+
+bool check_duties(const duty_daemon_settings& duties, const std::string& file, failure& error) {
+    if (!check_address(duties.platform_address, "duties.platform_address", file, error)) return false;
+    if (split_address(duties.platform_address, error)->second == 0) {
+        error = {failure_kind::out_of_range, file + ": $.duties.platform_address", duties.platform_address,
+                 "a port from 1 to 65535"};
+        return false;
+    }
+    const auto check = [&](const char* name, double value, double lowest, double highest) {
+        if (value >= lowest && value <= highest) return true;
+        error = {failure_kind::out_of_range, file + ": $.duties." + name, std::to_string(value),
+                 "from " + std::to_string(lowest) + " to " + std::to_string(highest)};
+        return false;
+    };
+    constexpr double hour_s = 3600;
+    constexpr double longest_lease_ms = 600'000; // the platform's limit
+    constexpr double shortest_lease_ms = 1000;   // renewals, and timers that fire every 200 ms, must fit
+    return check("calls_per_s", duties.calls_per_s, 1, 1e6) &&
+           check("lease_ms", duties.lease_ms, shortest_lease_ms, longest_lease_ms) &&
+           check("wake_margin_ms", duties.wake_margin_ms, 0, duties.lease_ms / 2) &&
+           check("usage_window_s", duties.usage_window_s, 1, hour_s) &&
+           check("usage_due_s", duties.usage_due_s, 1, hour_s) &&
+           check("usage_tolerance", duties.usage_tolerance, 0, 1);
+}
+
+duration from_ms(double ms) { return duration{static_cast<std::int64_t>(ms * 1e3)}; }
+
+duty_settings make_duty_settings(const duty_daemon_settings& duties) {
+    constexpr double ms_per_s = 1e3;
+    return {duties.platform_address,
+            duties.calls_per_s,
+            from_ms(duties.lease_ms),
+            from_ms(duties.wake_margin_ms),
+            from_ms(duties.usage_window_s * ms_per_s),
+            from_ms(duties.usage_due_s * ms_per_s),
+            duties.usage_tolerance,
+            has_kind(duties, usage_duty),
+            has_kind(duties, target_count_duty)};
+}
+
+} // namespace
+
 std::optional<direct_daemon_settings> load_direct_settings(const std::string& file, failure& error) {
     const auto text = read_file(file, error);
     if (!text) return std::nullopt;
@@ -34,6 +87,7 @@
     for (const std::string& seed : s->seeds) {
         if (!check_address(seed, "seeds", file, error)) return std::nullopt;
     }
+    if (has_duties(*s) && !check_duties(*s->duties, file, error)) return std::nullopt;
     constexpr double min_key_limit_ms = 1000;
     if (s->key_limit_ms < min_key_limit_ms) {
         error = {failure_kind::out_of_range, file + ": $.key_limit_ms", std::to_string(s->key_limit_ms),
@@ -100,6 +154,7 @@
     core.report_address = settings.report_address;
     core.snapshot_address = settings.control_address;
     core.incarnation = incarnation;
+    if (has_duties(settings)) core.duties = make_duty_settings(*settings.duties);
     // All routers use the same ports, so only the IP address of a seed is needed.
     const std::string port = settings.report_address.substr(settings.report_address.rfind(':'));
     for (const std::string& seed : settings.seeds)
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -16,6 +16,33 @@
 // [SECTION] Settings
 //-----------------------------------------------------------------------------
 
+// Kinds of duties in the settings.
+inline constexpr const char* usage_duty = "usage_report";
+inline constexpr const char* target_count_duty = "autoscale";
+
+/// Duties of one router at a time; see duty_settings for the meaning of the figures.
+struct duty_daemon_settings {
+    std::string platform_address; // "IP:port" that takes usage reports and orders
+    double calls_per_s{50};
+    double lease_ms{3000};
+    double wake_margin_ms{300};
+    double usage_window_s{5};
+    double usage_due_s{10};
+    double usage_tolerance{0.05};
+    std::vector<std::string> kinds{usage_duty, target_count_duty}; // others are not performed
+    static constexpr auto fields() {
+        using t = duty_daemon_settings;
+        return std::tuple{field{1, "platform_address", &t::platform_address},
+                          field{2, "calls_per_s", &t::calls_per_s},
+                          field{3, "lease_ms", &t::lease_ms},
+                          field{4, "wake_margin_ms", &t::wake_margin_ms},
+                          field{5, "usage_window_s", &t::usage_window_s},
+                          field{6, "usage_due_s", &t::usage_due_s},
+                          field{7, "usage_tolerance", &t::usage_tolerance},
+                          field{8, "kinds", &t::kinds}};
+    }
+};
+
 struct direct_daemon_settings {
     std::string name;
     std::string data_centre;
@@ -38,7 +65,8 @@
     std::uint64_t max_descriptors{4096}; // file descriptors that this process may open
     double check_in_ms{1200};            // interval at which targets renew their registrations
     double drain_limit_ms{2000};         // requests must not reach a target this long after it has left
-    std::uint64_t memory_mb{};           // for this process; 0: that of the VM, at most 256
+    std::optional<duty_daemon_settings> duties; // none: this deployment has no duties
+    std::uint64_t memory_mb{};                  // for this process; 0: that of the VM, at most 256
     static constexpr auto fields() {
         using t = direct_daemon_settings;
         return std::tuple{field{1, "name", &t::name},
@@ -60,7 +88,8 @@
                           field{17, "max_descriptors", &t::max_descriptors},
                           field{18, "check_in_ms", &t::check_in_ms},
                           field{19, "drain_limit_ms", &t::drain_limit_ms},
-                          field{20, "memory_mb", &t::memory_mb}};
+                          field{20, "memory_mb", &t::memory_mb},
+                          field{21, "duties", &t::duties}};
     }
 };
 
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -13,7 +13,15 @@
 namespace damaskhill::direct {
 
 router_state::router_state(router_settings s)
-    : settings(std::move(s)), random{settings.incarnation}, shares(settings.shares) {}
+    : settings(std::move(s)), random{settings.incarnation}, shares(settings.shares) {
+    if (!settings.duties) return;
+    duty_holder_settings holder;
+    holder.incarnation = settings.incarnation;
+    holder.address = settings.report_address;
+    holder.lease = settings.duties->lease;
+    holder.margin = settings.duties->wake_margin;
+    duties.emplace(*settings.duties, std::move(holder));
+}
 
 //-----------------------------------------------------------------------------
 // [SECTION] Log lines
@@ -390,6 +398,7 @@
         state.next_waiting_pass = state.now + waiting_pass_period;
         dispatch_waiting(state, out);
     }
+    advance_duties(state, out);
     check_stop(state, out);
 }
 
@@ -446,11 +455,15 @@
                                    "\"belief_age_ms\":" + format_catalog_age(state), true});
     }
     void operator()(const report_received& event) const { on_report(state, event.report, out); }
+    void operator()(const duty_store_answer& event) const { on_store_answer(state, event, out); }
+    void operator()(const duty_call_answered& event) const { on_duty_call_answered(state, event, out); }
+    void operator()(const wall_clock_read& event) const { on_wall_clock(state, event); }
     void operator()(const settings_changed& event) const { apply_settings(state, event.settings, out); }
     void operator()(const stop_requested& /*unused*/) const {
         if (state.stopping) return;
         state.stopping = true;
         state.stop_requested_at = state.now;
+        give_up_duties(state, out);
         out.emplace_back(
             log_event{"stopping", "\"requests\":" + std::to_string(state.requests.size()), true});
     }
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -17,6 +17,7 @@
 
 #include "damaskhill_account_share.hpp"
 #include "damaskhill_catalog.hpp"
+#include "damaskhill_direct_duties.hpp"
 #include "damaskhill_direct_messages.hpp"
 #include "damaskhill_engine_load.hpp"
 #include "damaskhill_events.hpp"
@@ -127,6 +128,7 @@
     // Timer lag above which new requests are refused. At 0.09 cores, one full pass of the event loop takes
     // 100 ms.
     duration shed_lag{90ms};
+    std::optional<duty_settings> duties; // none: this router performs no duties
 };
 
 //-----------------------------------------------------------------------------
@@ -238,10 +240,10 @@
     router_settings settings;
 };
 
-using input =
-    std::variant<timer_fired, request_arrived, caller_closed, caller_congested, response_head, response_data,
-                 response_end, target_probed, catalog_updated, catalog_confirmed, targets_confirmed,
-                 store_reachable, report_received, stop_requested, settings_changed>;
+using input = std::variant<timer_fired, request_arrived, caller_closed, caller_congested, response_head,
+                           response_data, response_end, target_probed, catalog_updated, catalog_confirmed,
+                           targets_confirmed, store_reachable, report_received, stop_requested,
+                           settings_changed, duty_store_answer, duty_call_answered, wall_clock_read>;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Effects
@@ -340,9 +342,10 @@
     time_point at{};
 };
 
-using effect = std::variant<send_request, cancel_send, pause_reading, probe_target, reply_begin, reply_data,
-                            reply_end, reply_abort, reply_full, reply_refused, send_report, fetch_snapshot,
-                            write_rollout_status, log_event, count, observe, wake_at, exit_process>;
+using effect =
+    std::variant<send_request, cancel_send, pause_reading, probe_target, reply_begin, reply_data, reply_end,
+                 reply_abort, reply_full, reply_refused, send_report, fetch_snapshot, write_rollout_status,
+                 log_event, count, observe, wake_at, exit_process, duty_store_call, duty_call>;
 using effects = std::vector<effect>;
 
 //-----------------------------------------------------------------------------
@@ -528,6 +531,7 @@
     bool stopping{};
     time_point stop_requested_at{};
     bool exited{};
+    std::optional<duty_state> duties;
 };
 
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -7,6 +7,7 @@
 // [SECTION] Speed of services
 // [SECTION] Requests that crash targets
 // [SECTION] Peers
+// [SECTION] Duties
 // [SECTION] Log lines
 
 #pragma once
@@ -146,6 +147,28 @@
 [[nodiscard]] double version_share(const router_state& state, std::string_view service,
                                    std::string_view version);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Duties
+//-----------------------------------------------------------------------------
+
+// Without settings for duties, these functions do nothing.
+
+/// Competes for the duties, reports counts to the holder and, as the holder, makes the calls that are due.
+void advance_duties(router_state& state, effects& out);
+/// Counts a request of which a target has sent the first byte.
+void count_begun_request(router_state& state, const request& item);
+void add_duty_fields(const router_state& state, router_report& report);
+void apply_duty_fields(router_state& state, const router_report& report, effects& out);
+/// Counts that another router reports to the holder.
+void on_duty_report(router_state& state, const router_report& report);
+void on_wall_clock(router_state& state, const wall_clock_read& event);
+void on_store_answer(router_state& state, const duty_store_answer& answer, effects& out);
+void on_duty_call_answered(router_state& state, const duty_call_answered& event, effects& out);
+/// Lets another router take the duties before a planned stop.
+void give_up_duties(router_state& state, effects& out);
+/// Numbers of targets that the holder is to order now; each is sent until the platform acknowledges it.
+[[nodiscard]] std::vector<target_count_order> due_target_orders(router_state& state);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Log lines
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -7,7 +7,8 @@
 
 #pragma once
 
-#include "damaskhill_store_history.hpp"
+#include "damaskhill_duties.hpp"
+#include "damaskhill_duty_holder.hpp"
 
 namespace damaskhill {
 
@@ -199,6 +200,11 @@
     // `announced_ms`, the time to prefill it. Nothing else but the sender's identity is set.
     bool is_announcement{};
     std::uint64_t announced_ms{};
+    // The next three only where routers perform duties; see damaskhill_duties.hpp.
+    std::optional<duty_holder_row> duty_holder;
+    std::uint64_t wall_us{}; // wall clock of the sender, which may be wrong; 0: unknown
+    // Set in messages to the holder, which contain nothing else but the sender's identity.
+    std::optional<duty_report> duty;
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -230,7 +236,10 @@
                           field{30, "declarations", &t::declarations},
                           field{32, "notices", &t::notices},
                           field{33, "is_announcement", &t::is_announcement},
-                          field{34, "announced_ms", &t::announced_ms}};
+                          field{34, "announced_ms", &t::announced_ms},
+                          field{40, "duty_holder", &t::duty_holder},
+                          field{41, "wall_us", &t::wall_us},
+                          field{42, "duty", &t::duty}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -199,6 +199,11 @@
         on_announcement(state, report);
         return;
     }
+    if (report.duty) {
+        on_duty_report(state, report);
+        return;
+    }
+    apply_duty_fields(state, report, out);
     add_peer_addresses(state, report);
     adopt_speeds(state, report);
     apply_notice_rows(state, report, out);
@@ -301,6 +306,7 @@
     report.stopping = state.stopping;
     report.overloaded = state.overloaded;
     report.store_unreachable = !state.store_up;
+    add_duty_fields(state, report);
     add_speed_rows(state, report);
     for (const auto& [address, peer] : state.peers) {
         if (peer.incarnation != 0) report.echoes.push_back({peer.incarnation, peer.last_report.sent_us});
--- a/core/damaskhill_duties.hpp
+++ b/core/damaskhill_duties.hpp
@@ -28,6 +28,8 @@
     duration usage_window{5s};    // length of a window of usage counts, counted from 1970 in true time
     duration usage_due{10s};      // a window's counts must arrive this long after its end
     double usage_tolerance{0.05}; // relative error up to which a count is correct
+    bool reports_usage{true};
+    bool orders_targets{true};
 };
 
 //-----------------------------------------------------------------------------
--- a/programs/damaskhill_direct_router.cpp
+++ b/programs/damaskhill_direct_router.cpp
@@ -9,6 +9,7 @@
 #include "damaskhill_impl_datagram.hpp"
 #include "damaskhill_impl_direct.hpp"
 #include "damaskhill_impl_edge_server.hpp"
+#include "damaskhill_platform_duties.hpp"
 #include "damaskhill_platform_store.hpp"
 
 #include <asio.hpp>
@@ -61,6 +62,8 @@
                                      ",\"offered\":" + direct::quoted(format_position(offered)),
                                  true, boot_clock());
                   }}),
+          duties_(loop, client_, settings.store_address,
+                  {[this](direct::input&& event) { submit(event); }, boot_clock}),
           wake_timer_(*static_cast<asio::io_context*>(loop.native())) {}
 
     [[nodiscard]] std::optional<bool> start(const direct_daemon_settings& settings, failure& error);
@@ -68,6 +71,8 @@
     void submit(const direct::input& event);
     /// Logs changed connection counts and writes the buffered lines.
     void flush_log();
+    [[nodiscard]] bool has_duties() const { return state_.duties.has_value(); }
+    void read_wall_clock() { submit(direct::wall_clock_read{wall_clock()}); }
     void log_start(const direct_daemon_settings& settings);
     /// Reloads the settings file. If it is invalid, keeps the current settings.
     void reload(const std::string& settings_file);
@@ -91,6 +96,7 @@
     void schedule_wake(time_point at);
     void exit_when_written();
     void answer_control(std::uint64_t exchange, const http_request& request);
+    void set_duty_gauges();
 
     event_loop& loop_;
     direct::router_state state_;
@@ -100,6 +106,7 @@
     edge_client client_;
     datagram_transport reports_;
     platform::store_mirror store_;
+    platform::duty_client duties_;
     asio::steady_timer wake_timer_;
     time_point wake_scheduled_at_{};
     edge_server_counts last_logged_counts_;                  // in the last connections_refused line
@@ -154,6 +161,7 @@
             gauge{"caller_connections_turned_down", "", static_cast<double>(callers.refused_connections)});
         metrics_.set(gauge{"connections_opened", "", static_cast<double>(client_.connections_opened())});
         metrics_.set(gauge{"reports_unsent", "", static_cast<double>(reports_.send_failures())});
+        if (state_.duties) set_duty_gauges();
         metrics_.set(gauge{"reports_rejected", "", static_cast<double>(reports_.rejected_datagrams())});
         control_server_->send_response(exchange, 200, {{"Content-Type", "text/plain; version=0.0.4"}},
                                        metrics_.text());
@@ -164,6 +172,15 @@
     }
 }
 
+void direct_host::set_duty_gauges() {
+    const duty_holder& holder = state_.duties->holder;
+    const time_point now = boot_clock();
+    metrics_.set(gauge{"duty_holder_self", "", may_call(holder, now) ? 1.0 : 0.0});
+    metrics_.set(gauge{"duty_token", "", static_cast<double>(holder.known.token)});
+    const duration sign_age = holder.known.token == 0 ? duration{0} : now - holder.last_sign;
+    metrics_.set(gauge{"duty_holder_sign_age_seconds", "", to_seconds(sign_age)});
+}
+
 void direct_host::log_start(const direct_daemon_settings& settings) {
     log_.write("start",
                "\"name\":" + direct::quoted(settings.name) +
@@ -314,6 +331,10 @@
         metrics_.add(*sample);
     } else if (auto* wake = std::get_if<direct::wake_at>(&item)) {
         schedule_wake(wake->at);
+    } else if (auto* duty_store = std::get_if<duty_store_call>(&item)) {
+        duties_.perform(*duty_store);
+    } else if (auto* duty = std::get_if<direct::duty_call>(&item)) {
+        duties_.perform(*duty);
     } else if (std::holds_alternative<exit_process>(item)) {
         exit_when_written();
     }
@@ -348,6 +369,10 @@
     host.log_start(settings);
     constexpr duration flush_period = 250ms; // log lines are written in one batch per period
     loop.every(flush_period, [&] { host.flush_log(); });
+    if (host.has_duties()) {
+        constexpr duration wall_clock_period = 1s; // a step of the clock shows within this time
+        loop.every(wall_clock_period, [&] { host.read_wall_clock(); });
+    }
     loop.on_terminate([&] { host.stop(); });
     loop.on_hangup([&] { host.reload(settings_file); });
     loop.run();
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -62,6 +62,40 @@
     BOOST_TEST((error.kind == failure_kind::out_of_range));
 }
 
+// Guards against duties that fail only when they are due, and against a start that fails over duties that
+// nobody asks for.
+BOOST_AUTO_TEST_CASE(invalid_duties_are_rejected_by_name) {
+    failure error;
+    const auto load_duties = [&](const json& duties) {
+        json document = valid_settings();
+        document["duties"] = duties;
+        return load(document, error);
+    };
+    const json valid{{"platform_address", "10.200.0.139:8169"}, {"lease_ms", 2000}};
+    const auto settings = load_duties(valid);
+    BOOST_REQUIRE(settings.has_value());
+    const auto core = make_core_settings(*settings, 1);
+    BOOST_REQUIRE(core.duties.has_value());
+    BOOST_TEST((core.duties->lease == 2s));
+    for (const char* address :
+         {"", "10.200.0.139", "10.200.0.139:0", "10.200.0.139:65536", "10.200.0.139:-1"}) {
+        BOOST_TEST(!load_duties({{"platform_address", address}}).has_value());
+        BOOST_TEST((error.where.find("duties.platform_address") != std::string::npos));
+    }
+    for (const char* name : {"calls_per_s", "lease_ms", "wake_margin_ms", "usage_window_s", "usage_due_s"}) {
+        for (const double value : {-1.0, 1e18}) {
+            json invalid = valid;
+            invalid[name] = value;
+            BOOST_TEST(!load_duties(invalid).has_value());
+            BOOST_TEST((error.where.find(name) != std::string::npos));
+        }
+    }
+    const auto none = load_duties({{"platform_address", ""}, {"kinds", json::array()}});
+    BOOST_REQUIRE(none.has_value());
+    BOOST_TEST(!make_core_settings(*none, 1).duties.has_value());
+    BOOST_TEST(!make_core_settings(*load(valid_settings(), error), 1).duties.has_value());
+}
+
 // Guards against reports to the wrong port of the seeds (their control port instead of the report port), and
 // against limits that leave no margin below the configured ones: a stop that outlasts the platform's stop
 // limit is ended by a kill.
