--- a/backends/damaskhill_impl_direct.cpp
+++ b/backends/damaskhill_impl_direct.cpp
@@ -6,6 +6,7 @@
 #include "damaskhill_impl_direct.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <ctime>
 
 #include <fcntl.h>
@@ -75,6 +76,11 @@
     if (!text) return std::nullopt;
     auto s = parse_json_as<direct_daemon_settings>(*text, file, unknown_keys::reject, error);
     if (!s) return std::nullopt;
+    const char* const duties = std::getenv(duties_variable);
+    if (!s->duties && duties != nullptr && *duties != '\0') {
+        s->duties = parse_json_as<duty_daemon_settings>(duties, duties_variable, unknown_keys::reject, error);
+        if (!s->duties) return std::nullopt;
+    }
     const bool ok = check_not_empty(s->name, "name", file, error) &&
                     check_not_empty(s->data_centre, "data_centre", file, error) &&
                     check_address(s->http_address, "http_address", file, error) &&
--- a/backends/damaskhill_impl_direct.hpp
+++ b/backends/damaskhill_impl_direct.hpp
@@ -44,6 +44,10 @@
     }
 };
 
+/// Environment variable that holds duty_daemon_settings as JSON, for deployments whose settings file has
+/// none.
+inline constexpr const char* duties_variable = "DAMASKHILL_DUTIES";
+
 struct direct_daemon_settings {
     std::string name;
     std::string data_centre;
--- a/tests/test_direct_settings.cpp
+++ b/tests/test_direct_settings.cpp
@@ -125,6 +125,15 @@
             BOOST_TEST((error.where.find(name) != std::string::npos));
         }
     }
+    ::setenv(duties_variable, valid.dump().c_str(), 1);
+    const auto from_environment = load(valid_settings(), error);
+    ::setenv(duties_variable, "{", 1);
+    const auto malformed = load(valid_settings(), error);
+    ::setenv(duties_variable, "", 1);
+    BOOST_REQUIRE(from_environment.has_value());
+    BOOST_REQUIRE(make_core_settings(*from_environment, 1).duties.has_value());
+    BOOST_TEST((make_core_settings(*from_environment, 1).duties->lease == 2s));
+    BOOST_TEST(!malformed.has_value());
     const auto none = load_duties({{"platform_address", ""}, {"kinds", json::array()}});
     BOOST_REQUIRE(none.has_value());
     BOOST_TEST(!make_core_settings(*none, 1).duties.has_value());
