--- a/core/damaskhill_direct_speed.cpp
+++ b/core/damaskhill_direct_speed.cpp
@@ -41,7 +41,11 @@
                                                state.settings.shares, state.now)
                         .value_or(0.0);
     }
-    return std::max(declared, measured);
+    // Beyond the declared throughput, what accounts get depends on where engines have room, and the least
+    // served ones fall behind. Without a declared one, the measured one holds as it is.
+    constexpr double max_over_declared = 1.25;
+    const double most = declared > 0 ? max_over_declared * declared : measured;
+    return std::max(declared, std::min(measured, most));
 }
 
 service_speed& speed_of(router_state& state, const std::string& service) {
