--- /dev/null
+++ b/review/standins-2/many_headers.cpp
@@ -0,0 +1,86 @@
+// Case: requests inside the declared limits whose heads hold many short headers; while replicas answer them, the
+// router's memory grows beyond its machine's.
+//
+// many_headers PROGRAM DIRECTORY RECORD
+#include "fleet.hpp"
+
+using namespace review;
+
+namespace {
+
+constexpr long memory_mb = 110;            // of a front machine of the site
+constexpr std::size_t head_limit = 16'384; // limits.maxHeaderBytes of the manifest
+constexpr std::size_t streams = 460;       // at once; the replicas take 12 x 64
+
+/// Fills the head of a request up to the limit: with headers of four bytes, or with one long header.
+std::string filling(std::size_t size) {
+    if (!trouble()) return "X-Fillings: " + std::string(size - 14, 'a') + "\r\n";
+    std::string lines;
+    while (lines.size() + 4 <= size)
+        lines += "b:\r\n";
+    return lines;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    if (argc != 4 || !need_descriptors(4200)) return not_run;
+    record_file record{argv[3]};
+    fleet_options options;
+    options.routers = 1;
+    options.engines = 12;
+    options.events = 46;
+    options.event_gap_ms = 250;
+    options.more_settings = ",\"memory_mb\":" + std::to_string(memory_mb); // what the machine's sysinfo says
+    fleet shop{record, argv[1], argv[2], options};
+    if (!shop.start()) return not_run;
+    pause_for(1000);
+    const long at_rest = shop.routers[0]->status_kb("VmRSS:");
+    record.line("memory at rest: " + std::to_string(at_rest) + " kB of " + std::to_string(memory_mb * 1024));
+    tally stocks_served;
+    ordinary_callers stocks{shop, false, 200};
+    stocks.count_in(stocks_served);
+    std::vector<int> channels;
+    const auto until = steady::now() + milliseconds{30'000};
+    long peak = at_rest;
+    bool killed = false;
+    const auto look = [&] {
+        const long now = shop.routers[0]->status_kb("VmRSS:");
+        peak = std::max(peak, now);
+        if (killed || now <= memory_mb * 1024) return;
+        record.line("the router holds " + std::to_string(now) + " kB with " + std::to_string(channels.size()) +
+                    " streams open; the platform kills it");
+        shop.routers[0]->signal(SIGKILL);
+        killed = true;
+    };
+    for (std::size_t i = 0; i < streams && !killed && steady::now() < until; ++i) {
+        const int fd = connect_to(shop.places[0].front_at(), 1000);
+        if (fd < 0) break;
+        const std::string plain = fleet::chat("key-beta", new_attempt_id(), 12000, "10,100");
+        send_all(fd, fleet::chat("key-beta", new_attempt_id(), 12000, "10,100", filling(head_limit - plain.size())));
+        channels.push_back(fd);
+        pause_for(22); // 45 requests a second
+        look();
+    }
+    for (int i = 0; i < 30 && !killed; ++i) {
+        look();
+        pause_for(100);
+    }
+    std::size_t begun = 0;
+    std::size_t cut = 0;
+    std::map<int, int> statuses;
+    for (const int fd : channels) {
+        const answer got = read_answer(fd, steady::now() + milliseconds{killed ? 200 : 20});
+        ++statuses[got.status];
+        if (got.status == 200) ++begun;
+        if (got.status == 200 && !got.complete && killed) ++cut;
+        ::close(fd);
+    }
+    stocks.stop();
+    for (const auto& [status, count] : statuses)
+        record.line("streams with status " + std::to_string(status) + ": " + std::to_string(count));
+    record.line("peak memory: " + std::to_string(peak) + " kB; streams begun: " + std::to_string(begun) +
+                ", cut by the kill: " + std::to_string(cut) + "; ordinary stock requests: " + stocks_served.text());
+    if (!killed && begun < streams / 2) return not_run; // too few ran at once
+    return killed ? broken : held;
+}
