--- a/review/standins-2/cut_failure.cpp
+++ b/review/standins-2/cut_failure.cpp
@@ -1,5 +1,5 @@
-// Case: a replica crashes in the middle of a failure answer that has neither a length nor chunks; the client gets
-// the first half as a complete answer.
+// Case: a replica crashes in the middle of a failure answer that has neither a length nor chunks; the client
+// gets the first half as a complete answer.
 //
 // cut_failure PROGRAM DIRECTORY RECORD
 #include "fleet.hpp"
@@ -9,11 +9,12 @@
 
 namespace {
 
-constexpr std::string_view first_half = "{\"error\":\"lot is taken\",\"lot\":4711,\"held_until\":\"2026-12-24\",";
+constexpr std::string_view first_half =
+    "{\"error\":\"lot is taken\",\"lot\":4711,\"held_until\":\"2026-12-24\",";
 constexpr std::string_view second_half = "\"booked\":false,\"may_ask_again\":false}\n";
 
-/// A plain replica as a process of its own. It answers each order with a whole 409 that ends with its channel.
-/// Between the halves it reports to the parent and works on for half a second.
+/// A plain replica as a process of its own. It answers each order with a whole 409 that ends with its
+/// channel. Between the halves it reports to the parent and works on for half a second.
 pid_t start_replica(const endpoint& at, const std::string& id, int report_to) {
     const pid_t pid = ::fork();
     if (pid != 0) return pid;
@@ -24,8 +25,9 @@
         if (request.header("Damaskhill-Expect-Replica") != id)
             return send_all(fd, "HTTP/1.1 421 Misdirected Request\r\nDamaskhill-Attempt-Id: " + attempt +
                                     "\r\nDamaskhill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-        send_all(fd, "HTTP/1.1 409 Conflict\r\nDamaskhill-Attempt-Id: " + attempt + "\r\nDamaskhill-Replica-Seal: s." +
-                         attempt + "\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n" +
+        send_all(fd, "HTTP/1.1 409 Conflict\r\nDamaskhill-Attempt-Id: " + attempt +
+                         "\r\nDamaskhill-Replica-Seal: s." + attempt +
+                         "\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n" +
                          std::string{first_half});
         (void)!::write(report_to, "h", 1);
         pause_for(500);
@@ -72,19 +74,21 @@
         ran = shop.start();
         for (int i = 0; ran && i < rounds; ++i) {
             const std::string id = "o-" + std::to_string(i + 1);
-            shop.platform.put("servers/" + id,
-                              "{\"service\":\"app\",\"address\":\"" + addresses[static_cast<std::size_t>(i)].text() +
-                                  "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":6,\"state\":\"ready\"," +
-                                  "\"coldRemainingMs\":0,\"sequence\":1,\"born\":1700000000000}");
+            shop.platform.put(
+                "servers/" + id,
+                "{\"service\":\"app\",\"address\":\"" + addresses[static_cast<std::size_t>(i)].text() +
+                    "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":6,\"state\":\"ready\"," +
+                    "\"coldRemainingMs\":0,\"sequence\":1,\"born\":1700000000000}");
             pause_for(2500); // until all routers know it
             const std::string attempt = new_attempt_id();
             answer got;
             std::thread client{[&] {
-                got = ask_once(shop.places[0].front_at(),
-                               "POST /order/9 HTTP/1.1\r\nHost: shop.example\r\nDamaskhill-Attempt-Id: " + attempt +
-                                   "\r\nDamaskhill-Deadline-Remaining: 4000\r\nAuthorization: Token key-alfa\r\n" +
-                                   "Content-Length: 2\r\n\r\nhi",
-                               4000);
+                got = ask_once(
+                    shop.places[0].front_at(),
+                    "POST /order/9 HTTP/1.1\r\nHost: shop.example\r\nDamaskhill-Attempt-Id: " + attempt +
+                        "\r\nDamaskhill-Deadline-Remaining: 4000\r\nAuthorization: Token key-alfa\r\n" +
+                        "Content-Length: 2\r\n\r\nhi",
+                    4000);
             }};
             pollfd half{halves[0], POLLIN, 0};
             char byte = 0;
@@ -97,8 +101,8 @@
             client.join();
             const bool is_whole = got.body == std::string{first_half} + std::string{second_half};
             record.line("order " + attempt + ": status " + std::to_string(got.status) + ", " +
-                        (got.complete ? "complete" : "broken off") + ", " + std::to_string(got.body.size()) + " of " +
-                        std::to_string(first_half.size() + second_half.size()) + " bytes, seal '" +
+                        (got.complete ? "complete" : "broken off") + ", " + std::to_string(got.body.size()) +
+                        " of " + std::to_string(first_half.size() + second_half.size()) + " bytes, seal '" +
                         header_of(got.head, "Damaskhill-Replica-Seal") + "', length '" +
                         header_of(got.head, "Content-Length") + "', body " + got.body);
             ran = ran && begun;
--- a/review/standins-2/late_part.cpp
+++ b/review/standins-2/late_part.cpp
@@ -1,4 +1,5 @@
-// Case: a part of a prompt crashes each replica that begins to write an answer on it. Its prompts have many parts.
+// Case: a part of a prompt crashes each replica that begins to write an answer on it. Its prompts have many
+// parts.
 //
 // late_part PROGRAM DIRECTORY RECORD
 // late_part replica IP PORT ID CRASHES: a model replica; it ends at a request with the part if CRASHES is 1.
@@ -12,9 +13,9 @@
 constexpr int sound_parts = 24; // of each prompt, besides its own part
 constexpr int contact_ms = 3000;
 constexpr int engines = 6;
-constexpr int down_ms = 2000;          // "the replica is back after some seconds"
-constexpr int check_in_ms = 1200;      // an entry lapses after three of silence
-constexpr int bad_requests = 20;       // one each 2 s
+constexpr int down_ms = 2000;     // "the replica is back after some seconds"
+constexpr int check_in_ms = 1200; // an entry lapses after three of silence
+constexpr int bad_requests = 20;  // one each 2 s
 constexpr int bad_gap_ms = 2000;
 
 /// Number of sound parts; PARTS is for comparison only.
@@ -30,8 +31,8 @@
         const std::string attempt = request.header("Damaskhill-Attempt-Id");
         const std::string common = "Damaskhill-Attempt-Id: " + attempt + "\r\n";
         if (request.header("Damaskhill-Expect-Replica") != id)
-            return send_all(fd, "HTTP/1.1 421 Misdirected Request\r\n" + common + "Damaskhill-Replica-Id: " + id +
-                                    "\r\nDamaskhill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return send_all(fd, "HTTP/1.1 421 Misdirected Request\r\n" + common + "Damaskhill-Replica-Id: " +
+                                    id + "\r\nDamaskhill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         pause_for(20); // reads the prompt
         if (request.header("Damaskhill-Prompt-Prefix").find(bad_part) != std::string::npos) {
             const std::string line = attempt + "\n";
@@ -84,17 +85,18 @@
             const pid_t pid = ::fork();
             if (pid == 0) {
                 ::dup2(lines[1], STDOUT_FILENO);
-                ::execl("/proc/self/exe", "late_part", "replica", at_.ip.c_str(), port.c_str(), id.c_str(), flag.c_str(),
-                        nullptr);
+                ::execl("/proc/self/exe", "late_part", "replica", at_.ip.c_str(), port.c_str(), id.c_str(),
+                        flag.c_str(), nullptr);
                 ::_exit(127);
             }
             ::close(lines[1]);
             pause_for(100);
-            fleet_.platform.put("servers/" + id,
-                                "{\"service\":\"lm\",\"address\":\"" + at_.text() +
-                                    "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":64,\"state\":\"ready\"," +
-                                    "\"coldRemainingMs\":0,\"sequence\":1,\"born\":" +
-                                    std::to_string(1700000000000LL + fleet_.record.elapsed_ms()) + "}");
+            fleet_.platform.put(
+                "servers/" + id,
+                "{\"service\":\"lm\",\"address\":\"" + at_.text() +
+                    "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":64,\"state\":\"ready\"," +
+                    "\"coldRemainingMs\":0,\"sequence\":1,\"born\":" +
+                    std::to_string(1700000000000LL + fleet_.record.elapsed_ms()) + "}");
             std::string text;
             receive_line(lines[0], text, pid);
             ::close(lines[0]);
@@ -182,8 +184,8 @@
         models.push_back(std::make_unique<crashing_replica>(shop, i, [&, i](const std::string& attempt) {
             const std::lock_guard lock{mutex};
             arrivals.push_back(steady::now());
-            record.line("replica " + std::to_string(i) + " begins to answer " + attempt + ", which has the part (" +
-                        std::to_string(arrivals.size()) + ")");
+            record.line("replica " + std::to_string(i) + " begins to answer " + attempt +
+                        ", which has the part (" + std::to_string(arrivals.size()) + ")");
         }));
         models.back()->start();
     }
@@ -199,7 +201,8 @@
                 const auto got = shop.ask(
                     [&](const std::string& attempt, int left_ms) {
                         return fleet::chat("key-alfa", attempt, left_ms,
-                                           std::to_string(part_count() * 20 + 100) + ",30", prefix(attempt, false));
+                                           std::to_string(part_count() * 20 + 100) + ",30",
+                                           prefix(attempt, false));
                     },
                     12000, true, static_cast<std::uint64_t>(i * 1000 + n));
                 ++sent;
@@ -223,10 +226,11 @@
         others.emplace_back([&, n] {
             const std::string attempt = new_attempt_id();
             record.line("request " + attempt + " with the part is sent");
-            const answer got = ask_once(shop.places[static_cast<std::size_t>(n) % shop.places.size()].front_at(),
-                                        fleet::chat("key-alfa", attempt, 12000,
-                                                    std::to_string(part_count() * 20 + 120) + ",30", prefix(attempt, true)),
-                                        12000);
+            const answer got =
+                ask_once(shop.places[static_cast<std::size_t>(n) % shop.places.size()].front_at(),
+                         fleet::chat("key-alfa", attempt, 12000,
+                                     std::to_string(part_count() * 20 + 120) + ",30", prefix(attempt, true)),
+                         12000);
             record.line("request " + attempt + " with the part: status " + std::to_string(got.status));
         });
         pause_for(bad_gap_ms);
@@ -244,8 +248,9 @@
         const auto bound = arrivals[4] + milliseconds{contact_ms};
         late = static_cast<int>(std::ranges::count_if(arrivals, [&](const auto& at) { return at > bound; }));
     }
-    record.line("crashes: " + std::to_string(crashes) + "; requests with the part that reached replicas: " +
-                std::to_string(arrivals.size()) + ", later than contactMs after the fifth crash: " + std::to_string(late) +
+    record.line("crashes: " + std::to_string(crashes) +
+                "; requests with the part that reached replicas: " + std::to_string(arrivals.size()) +
+                ", later than contactMs after the fifth crash: " + std::to_string(late) +
                 "; sound chats: " + std::to_string(served) + " of " + std::to_string(sent) + " served");
     if (!trouble() && crashes > 0) return not_run;
     return late > 3 ? broken : held;
--- a/review/standins-2/oversized_prompt.cpp
+++ b/review/standins-2/oversized_prompt.cpp
@@ -33,7 +33,8 @@
         for (const router_place& place : shop.places) {
             const std::string attempt = new_attempt_id();
             record.line("the other client sends " + attempt + " with Damaskhill-Token-Count: 5000000,100");
-            const answer got = ask_once(place.front_at(), fleet::chat("key-beta", attempt, 12000, "5000000,100"), 12000);
+            const answer got =
+                ask_once(place.front_at(), fleet::chat("key-beta", attempt, 12000, "5000000,100"), 12000);
             record.line("its answer: " + std::to_string(got.status));
             if (got.status != 503) break;
             pause_for(static_cast<int>(std::clamp(got.retry_after_s * 1000, 0.0, 4000.0)));
