--- a/review/standins-2/oversized_prompt.cpp
+++ b/review/standins-2/oversized_prompt.cpp
@@ -13,17 +13,18 @@
         record.line("the deployment did not start");
         return not_run;
     }
-    tally chat_before;
-    tally chat_after;
-    tally stock_before;
-    tally stock_after;
-    ordinary_callers chats{shop, true, 200};
-    ordinary_callers stocks{shop, false, 200};
-    chats.count_in(chat_before);
-    stocks.count_in(stock_before);
-    pause_for(6000);
-    record.line("before: chats " + chat_before.text() + ", stock " + stock_before.text());
-    if (chat_before.served * 10 < chat_before.sent * 9 || stock_before.served * 10 < stock_before.sent * 9) {
+    tally chats;
+    tally stocks;
+    // Callers are many and don't wait for each other: five requests a second of each kind.
+    constexpr int gap_ms = 200;
+    constexpr int callers = 65; // so many that none is still busy when its next request is due
+    ordinary_callers chat_callers{shop, true, gap_ms, "key-alfa", callers};
+    ordinary_callers stock_callers{shop, false, gap_ms, "key-alfa", callers};
+    chat_callers.count_in(chats);
+    stock_callers.count_in(stocks);
+    pause_for(4100); // the moment lies between two chats, which come each 200 ms
+    record.line("before: chats " + chats.text() + ", stock " + stocks.text());
+    if (chats.served * 10 < chats.sent * 9 || stocks.served * 10 < stocks.sent * 9) {
         record.line("ordinary callers were not served before the disruption");
         return not_run;
     }
@@ -40,22 +41,19 @@
             pause_for(static_cast<int>(std::clamp(got.retry_after_s * 1000, 0.0, 4000.0)));
         }
     }
-    pause_for(2000);
-    chats.count_in(chat_after);
-    stocks.count_in(stock_after);
-    pause_for(40000);
-    chats.stop();
-    stocks.stop();
-    record.line("after: chats " + chat_after.text() + ", stock " + stock_after.text());
+    pause_for(60000);
+    chat_callers.stop();
+    stock_callers.stop();
+    record.line("whole run: chats " + chats.text() + ", stock " + stocks.text());
     for (const auto& server : shop.replicas)
         record.line(server->id + " (" + server->service + "): " + std::to_string(server->runs) + " runs, " +
                     std::to_string(server->refusals) + " rejected as too large");
-    const int all_sent = chat_after.sent + stock_after.sent;
-    const int all_served = chat_after.served + stock_after.served;
-    // Starved: a kind of request is served less than a quarter as often as all requests.
-    const double chat_share = static_cast<double>(chat_after.served) / std::max(1, chat_after.sent.load());
-    const double all_share = static_cast<double>(all_served) / std::max(1, all_sent);
+    // Starved: a kind of request is served less than a quarter as often as all requests. Judged over the
+    // whole run, with the time before the disruption; the oversized request is left out.
+    const double chat_share = static_cast<double>(chats.served) / std::max(1, chats.sent.load());
+    const double all_share =
+        static_cast<double>(chats.served + stocks.served) / std::max(1, chats.sent + stocks.sent);
     const bool starved = chat_share < all_share / 4;
-    record.line(starved ? "BROKEN: chats of ordinary callers are starved" : "held");
+    record.line(starved ? "Starved: BROKEN" : "Starved: held");
     return starved ? broken : held;
 }
