--- a/review/standins-2/costly_heads.cpp
+++ b/review/standins-2/costly_heads.cpp
@@ -90,6 +90,8 @@
     record.line("the other client sent " + std::to_string(sent) + " heads in " + std::to_string(trouble_s) +
                 " s, " + std::to_string(answered) + " were answered with 401");
     record.line("whole run: " + all.text());
+    for (const auto& server : shop.replicas)
+        record.line(server->id + " (" + server->service + "): " + std::to_string(server->runs) + " runs");
     // Gate: refused + failed requests are at most 60% of those owed. Judged over the whole run, with the time
     // before the disruption. The other client's requests have no key; they aren't owed.
     const bool is_broken = (all.sent - all.served) * 10 > all.sent * 6;
