--- a/review/standins-2/many_headers.cpp
+++ b/review/standins-2/many_headers.cpp
@@ -58,6 +58,8 @@
                     "Content-Length: 2\r\n\r\nhi";
                 if (!send_all(fd, text, 1000)) break;
                 const answer got = read_answer(fd, steady::now() + milliseconds{4000});
+                fleet_.record.line("order " + attempt + ": status " + std::to_string(got.status) +
+                                   (got.complete ? ", complete" : ", not complete"));
                 if (got.status == 200 && got.complete) {
                     ++served;
                     if (header_of(got.head, "Connection") != "close") continue;
@@ -99,6 +101,7 @@
     kept_clients orders{shop, 10};
     std::vector<int> channels;
     std::vector<std::string> received; // the streams are read as they come
+    std::vector<std::string> attempts;
     const auto read_all = [&] {
         for (std::size_t i = 0; i < channels.size(); ++i)
             receive_some(channels[i], received[i], 0);
@@ -118,9 +121,11 @@
     for (std::size_t i = 0; i < streams && !killed && steady::now() < until; ++i) {
         const int fd = connect_to(shop.places[0].front_at(), 1000);
         if (fd < 0) break;
-        const std::string plain = fleet::chat("key-beta", new_attempt_id(), 12000, "10,100");
-        send_all(fd, fleet::chat("key-beta", new_attempt_id(), 12000, "10,100",
-                                 filling(head_limit - plain.size())));
+        const std::string attempt = new_attempt_id();
+        const std::string plain = fleet::chat("key-beta", attempt, 12000, "10,100");
+        send_all(fd, fleet::chat("key-beta", attempt, 12000, "10,100", filling(head_limit - plain.size())));
+        record.line("stream " + attempt + " is sent");
+        attempts.push_back(attempt);
         channels.push_back(fd);
         received.emplace_back();
         if (i % 10 == 0) read_all();
@@ -143,12 +148,17 @@
         const int status = has_head ? std::atoi(received[i].c_str() + received[i].find(' ') + 1) : 0;
         ++statuses[status];
         if (status == 200) ++begun;
-        if (status == 200 && !received[i].ends_with("0\r\n\r\n")) ++cut;
+        const bool whole = received[i].ends_with("0\r\n\r\n");
+        if (status == 200 && !whole) ++cut;
+        record.line("stream " + attempts[i] + ": status " + std::to_string(status) +
+                    (whole ? ", whole" : ", not whole"));
         ::close(channels[i]);
     }
     orders.stop();
     for (const auto& [status, count] : statuses)
         record.line("streams with status " + std::to_string(status) + ": " + std::to_string(count));
+    for (const auto& server : shop.replicas)
+        record.line(server->id + " (" + server->service + "): " + std::to_string(server->runs) + " runs");
     record.line("peak memory: " + std::to_string(peak) + " kB; streams begun: " + std::to_string(begun) +
                 ", not whole: " + std::to_string(cut) + "; orders on kept channels: " +
                 std::to_string(orders.served) + " served, " + std::to_string(orders.lost) + " lost");
