A reset that a write runs into is not the end of an answer

Callers saw: a target answered a long upload at once with 200 and no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the kernel reports a reset once, to the call that comes first. If the edge client's write gets ECONNRESET, the next read returns what has been received and then end-of-file, as after an orderly close, which completes an answer without a length. The probe of the target does not help: it is still up. It is a race only in whether a write is tried; after one it happened each time.

Fix: a write that fails marks the connection as broken, and an end-of-file on it completes nothing. EPIPE is left out: Linux reports it when the target had closed its side before the reset, and the answer ended in order. Answers that state their end are not affected.

--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -52,6 +52,7 @@
     bool sent_bytes{};
     bool response_begun{}; // a response head was accepted
     bool writing{};
+    bool broken{};         // a write has failed, and not since the server had closed its side
     bool reading{};        // an asynchronous read is under way
     bool reading_paused{}; // see edge_client::set_reading_paused
     bool closed{};
@@ -364,7 +365,8 @@
     }
     // Only an orderly close completes a close-delimited response; after a reset it is interrupted.
     const std::uint64_t call_id = connection->call;
-    if (orderly) http_parser_execute(&connection->parser, &parser_callbacks, nullptr, 0);
+    if (orderly && !connection->broken)
+        http_parser_execute(&connection->parser, &parser_callbacks, nullptr, 0);
     if (connection->closed || connection->call != call_id) return;
     finish_call(connection, connection->response_complete ? edge_result::complete : edge_result::interrupted);
 }
@@ -378,6 +380,9 @@
         // The server may have responded without reading the whole request, so the result is left to the read.
         connection->unsent.clear();
         connection->reusable = false;
+        // The kernel reports a reset once. If a write gets the report, a later read returns the same as after
+        // an orderly close. A broken pipe means that the server had closed its side before the reset.
+        if (ec != asio::error::broken_pipe) connection->broken = true;
         if (connection->sent_bytes) return;
         asio::post(context, [self = shared_from_this(), connection, call_id = connection->call] {
             if (!connection->closed && connection->call == call_id)
--- a/tests/real_router.hpp
+++ b/tests/real_router.hpp
@@ -109,26 +109,21 @@
 /// The platform runs in a thread of its own, the router in a process of its own.
 class router_under_test {
 public:
-    explicit router_under_test(const json& extra_settings) {
+    /// Requests to `/uploads/` and `/upload-streams/` go to the target at this address, if there is one.
+    explicit router_under_test(const json& extra_settings, const std::string& upload_target = {}) {
         failure error;
         BOOST_REQUIRE(store_.listen(store_address_, error).has_value());
         BOOST_REQUIRE(target_.listen(error).has_value());
-        store_.put("op/config", {{"version", 1},
-                                 {"routes",
-                                  {{{"name", "stock"},
-                                    {"host", "soak.example"},
-                                    {"pathPrefix", "/stock/"},
-                                    {"kind", "idempotent"},
-                                    {"service", "app"},
-                                    {"streamResume", false},
-                                    {"maxAttempts", 2},
-                                    {"timeoutMs", 6000},
-                                    {"targetLatencyMs", 500},
-                                    {"targetGapMs", 500}}}},
-                                 {"services", {{{"name", "app"}}}},
-                                 {"tenants", {{{"name", "account-0"}, {"apiKeys", {"key-0"}}}}},
-                                 {"limits", {{"tokensPerS", 300000}}}});
+        store_.put("op/config",
+                   {{"version", 1},
+                    {"routes",
+                     {route("stock", "idempotent", "app"), route("uploads", "non_idempotent", "uploads"),
+                      route("upload-streams", "streaming", "uploads")}},
+                    {"services", {{{"name", "app"}}, {{"name", "uploads"}}}},
+                    {"tenants", {{{"name", "account-0"}, {"apiKeys", {"key-0"}}}}},
+                    {"limits", {{"tokensPerS", 300000}}}});
         target_.start();
+        if (!upload_target.empty()) register_target("uploads", upload_target);
         platform_ = std::thread([this] { loop_.run(); });
         json settings{{"name", "router-0"},
                       {"data_centre", "dc-0"},
@@ -221,6 +216,22 @@
     }
 
 private:
+    static json route(const std::string& name, const char* kind, const char* service) {
+        return {{"name", name},      {"host", "soak.example"}, {"pathPrefix", "/" + name + "/"},
+                {"kind", kind},      {"service", service},     {"streamResume", false},
+                {"maxAttempts", 2},  {"timeoutMs", 6000},      {"targetLatencyMs", 500},
+                {"targetGapMs", 500}};
+    }
+    void register_target(const std::string& service, const std::string& address) {
+        store_.put("servers/i-" + service, {{"service", service},
+                                            {"address", address},
+                                            {"zone", "dc-0"},
+                                            {"version", "v1"},
+                                            {"capacity", 6},
+                                            {"state", "ready"},
+                                            {"coldRemainingMs", 0},
+                                            {"sequence", 1}});
+    }
     void start() {
         const std::string program =
             (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "damaskhill_direct_router")
