An answer whose status is not one of HTTP is no answer

Callers saw, with a target in trouble: an answer with status 000 was taken for an interim one and skipped, so what came behind it on the connection reached the client as the answer, or the client waited for its time limit. 20, 0200 and "2 00" were read as numbers; 600 and 999 reached the client.

Cause: the edge client takes the number that http_parser has read, which may have any digits and any value up to 999, and treats each one below 200 as interim. libcurl rejects statuses below 100 by itself and accepts those from 600 on.

Fix: response_head_check reads the lines of each head, interim ones too, before their parser has read them to the end. A status has three digits from 100 to 599, and its line no control byte; all else is malformed: the router's own 502, or another target, as the route allows. Both HTTP clients use it, so the store's and the platform's answers are covered.

Evidence, broken_answers, 16 statuses in 6 forms, real sockets.

--- a/backends/damaskhill_impl_curl.cpp
+++ b/backends/damaskhill_impl_curl.cpp
@@ -30,6 +30,7 @@
     bool streaming{};
     CURL* easy{};
     curl_slist* headers{};
+    response_head_check head_check;
     http_result result;
     event_loop* loop{};
     std::shared_ptr<call_handlers_by_id> handlers;
@@ -72,6 +73,14 @@
     return bytes;
 }
 
+/// Called for each line of a head, and of a trailer, which is ignored. Ends the transfer if it returns 0.
+std::size_t on_header(char* data, std::size_t size, std::size_t count, void* context) {
+    auto& t = *static_cast<transfer*>(context);
+    const std::string_view line{data, size * count};
+    const bool is_trailer = t.head_check.is_complete() && !line.starts_with("HTTP/");
+    return is_trailer || t.head_check.accept(line) ? line.size() : 0;
+}
+
 void prepare(transfer& t) {
     t.easy = curl_easy_init();
     for (const auto& [name, value] : t.call.headers) {
@@ -88,6 +97,8 @@
         curl_easy_setopt(t.easy, CURLOPT_POSTFIELDS, t.call.body.data());
         curl_easy_setopt(t.easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(t.call.body.size()));
     }
+    curl_easy_setopt(t.easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(t.easy, CURLOPT_HEADERDATA, &t);
     curl_easy_setopt(t.easy, CURLOPT_WRITEFUNCTION, on_write);
     curl_easy_setopt(t.easy, CURLOPT_WRITEDATA, &t);
     curl_easy_setopt(t.easy, CURLOPT_PRIVATE, &t);
--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -42,6 +42,8 @@
     edge_handlers handlers;
     std::string unsent;
     bool head_only{};
+    response_head_check head_check;
+    std::string partial_line; // of the head
     edge_response_head head;
     bool header_value_started{}; // the next header name begins a new header
     bool skipping{};             // the response is an interim one (1xx), or on_head returned skip
@@ -121,10 +123,11 @@
     };
     settings.on_message_complete = [](http_parser* parser) {
         client_connection& c = connection_from(parser);
+        c.head_check = {};
+        http_parser_pause(parser, 1);
         if (c.skipping) return 0;
         c.response_complete = true;
         c.reusable = c.reusable && http_should_keep_alive(parser) != 0;
-        http_parser_pause(parser, 1);
         return 0;
     };
     return settings;
@@ -201,6 +204,8 @@
     connection->response_complete = false;
     connection->sent_bytes = false;
     connection->response_begun = false;
+    connection->head_check = {};
+    connection->partial_line.clear();
     connection->unsent = std::move(call.head);
     connection->unsent += call.body;
     http_parser_init(&connection->parser, HTTP_RESPONSE);
@@ -338,6 +343,23 @@
         });
 }
 
+namespace {
+
+/// Number of bytes to parse next: while a head is read, up to the end of the line, so that no line is parsed
+/// to its end before it has been checked. None if the line may not stand in a head.
+std::optional<std::size_t> next_size(client_connection& connection, std::string_view bytes) {
+    if (connection.head_check.is_complete()) return bytes.size();
+    const std::size_t end = bytes.find('\n');
+    const std::string_view line = bytes.substr(0, end == std::string_view::npos ? end : end + 1);
+    connection.partial_line.append(line);
+    if (end == std::string_view::npos) return line.size();
+    const bool accepted = connection.head_check.accept(connection.partial_line);
+    connection.partial_line.clear();
+    return accepted ? std::optional{line.size()} : std::nullopt;
+}
+
+} // namespace
+
 void edge_client::implementation::on_bytes(const connection_ptr& connection, std::string_view bytes) {
     if (connection->call == 0) { // unsolicited data on an idle connection
         std::erase(idle_connections[connection->address], connection);
@@ -345,14 +367,27 @@
         return;
     }
     const std::uint64_t call_id = connection->call;
-    const std::size_t used =
-        http_parser_execute(&connection->parser, &parser_callbacks, bytes.data(), bytes.size());
-    if (connection->closed || connection->call != call_id) return; // a handler cancelled the call
-    if (connection->response_complete) {
-        if (used < bytes.size()) connection->reusable = false;
-        finish_call(connection, edge_result::complete);
-    } else if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
-        finish_call(connection, edge_result::malformed);
+    http_parser& parser = connection->parser;
+    while (!bytes.empty()) {
+        const auto size = next_size(*connection, bytes);
+        if (!size) {
+            finish_call(connection, edge_result::malformed);
+            return;
+        }
+        const std::size_t used = http_parser_execute(&parser, &parser_callbacks, bytes.data(), *size);
+        if (connection->closed || connection->call != call_id) return; // a handler cancelled the call
+        if (connection->response_complete) {
+            if (used < bytes.size()) connection->reusable = false;
+            finish_call(connection, edge_result::complete);
+            return;
+        }
+        if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED)
+            http_parser_pause(&parser, 0); // a skipped one is complete
+        if (HTTP_PARSER_ERRNO(&parser) != HPE_OK) {
+            finish_call(connection, edge_result::malformed);
+            return;
+        }
+        bytes.remove_prefix(used);
     }
 }
 
--- a/backends/damaskhill_impl_http.hpp
+++ b/backends/damaskhill_impl_http.hpp
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Headers
 // [SECTION] Requests
+// [SECTION] Heads of responses
 
 #pragma once
 
@@ -37,4 +38,23 @@
     std::string body;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Heads of responses
+//-----------------------------------------------------------------------------
+
+/// Checks the lines of a response's head. The parsers of the clients are more tolerant than the callers'
+/// clients, and each in another way.
+class response_head_check {
+public:
+    /// Whether the next line may stand in the head. After the empty line that ends it, the line is the first
+    /// one of the next response.
+    [[nodiscard]] bool accept(std::string_view line);
+    /// Whether the last line ended a head, so that what follows is a body or another head.
+    [[nodiscard]] bool is_complete() const { return complete_; }
+
+private:
+    bool status_expected_{true};
+    bool complete_{};
+};
+
 } // namespace damaskhill
--- a/tests/broken_target.hpp
+++ b/tests/broken_target.hpp
@@ -15,6 +15,7 @@
 #include <atomic>
 
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
 namespace damaskhill::real {
@@ -37,6 +38,7 @@
     connection_end end{connection_end::in_order};
     std::vector<std::chrono::microseconds> delays{{}}; // used in turn, before the connection ends
     std::size_t read_first{};                          // bytes of the body that are read before the answer
+    bool byte_by_byte{};
 };
 
 /// Serves one connection after the other in a thread of its own.
@@ -73,6 +75,8 @@
             pollfd waiting{listener_.fd(), POLLIN, 0};
             if (::poll(&waiting, 1, poll_ms) <= 0) continue;
             client_socket connection{::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC)};
+            constexpr int at_once = 1;
+            ::setsockopt(connection.fd(), IPPROTO_TCP, TCP_NODELAY, &at_once, sizeof at_once);
             std::string request;
             if (!read_until(connection, request, [&] { return has_head(request); })) continue;
             const std::size_t wanted = request.find("\r\n\r\n") + 4 + answer_.read_first;
@@ -86,8 +90,10 @@
         for (std::size_t at = bytes.find("$ID"); at != std::string::npos; at = bytes.find("$ID"))
             bytes.replace(at, 3, id);
         for (std::string_view rest = bytes; !rest.empty();) {
-            const ssize_t sent = ::send(connection.fd(), rest.data(), rest.size(), MSG_NOSIGNAL);
+            const std::size_t size = answer_.byte_by_byte ? 1 : rest.size();
+            const ssize_t sent = ::send(connection.fd(), rest.data(), size, MSG_NOSIGNAL);
             if (sent <= 0) return;
+            if (answer_.byte_by_byte) std::this_thread::sleep_for(std::chrono::microseconds{50});
             rest.remove_prefix(static_cast<std::size_t>(sent));
         }
         std::this_thread::sleep_for(answer_.delays[answers_++ % answer_.delays.size()]);
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Helpers
 // [SECTION] Connections that end
+// [SECTION] Status lines
 
 #include "broken_target.hpp"
 
@@ -76,6 +77,54 @@
     }
 }
 
+/// The beginning of an answer, for messages.
+std::string printable(std::string_view text) {
+    constexpr std::size_t shown = 160;
+    std::string out;
+    for (const char c : text.substr(0, shown)) {
+        if (c >= ' ' && c <= '~')
+            out += c;
+        else
+            out += "<" + std::to_string(static_cast<unsigned char>(c)) + ">";
+    }
+    return out;
+}
+
+/// Checks that both families of programs reject an answer at once, whatever its connection does.
+void check_rejected(const scripted_answer& broken) {
+    for (const named_client& client : clients()) {
+        const broken_target target{broken};
+        const auto begin = std::chrono::steady_clock::now();
+        const read_answer received = client.read(target.address(), "question");
+        BOOST_TEST_CONTEXT(client.name << ", end " << static_cast<int>(broken.end) << ", "
+                                       << printable(broken.bytes)) {
+            BOOST_TEST(received.ended);
+            BOOST_TEST(!received.complete);
+            BOOST_TEST(received.body.empty());
+            BOOST_TEST((std::chrono::steady_clock::now() - begin < answer_wait / 2));
+        }
+    }
+}
+void check_rejected(const std::string& bytes) {
+    check_rejected({bytes, connection_end::in_order});
+    check_rejected({bytes, connection_end::kept_open});
+}
+
+/// Checks that a client of the real router gets the router's own failure instead of this answer.
+void check_replaced(const std::string& bytes) {
+    const broken_target target{{bytes, connection_end::in_order}};
+    const router_under_test router{json::object(), target.address()};
+    for (const std::string path : {"/uploads/", "/upload-streams/"}) {
+        const read_answer received = upload_to_router(router, path, path.substr(1) + "1", "question");
+        BOOST_TEST_CONTEXT(path << ", " << printable(bytes)) {
+            BOOST_TEST(received.complete);
+            BOOST_TEST(received.status == 502U);
+            BOOST_TEST((received.body.find("trouble") == std::string::npos));
+        }
+    }
+    BOOST_TEST(target.answers() == 2U);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_answers)
@@ -161,4 +210,61 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Status lines
+//-----------------------------------------------------------------------------
+
+const std::vector<std::string> broken_statuses{
+    "000",  "001", "099",  "600", "999", "0",    "20", "2000",
+    "0200", "-20", "2 00", "2x0", "abc", "1000", "",   "200 O\rX-Odd: 1"};
+
+// Guards against an answer with a status that HTTP does not have, which counts as an answer or an interim
+// one.
+BOOST_AUTO_TEST_CASE(answer_without_a_status_is_no_answer) {
+    for (const std::string& status : broken_statuses) {
+        check_rejected(answer(status + " Odd", length, part));
+        check_rejected(answer(status + " Odd", "", part));
+        // A sound answer behind it belongs to nobody.
+        check_rejected(answer(status, "Content-Length: 0\r\n", "") + answer("200 OK", length, part));
+    }
+    check_rejected({answer("000", length, part), connection_end::in_order, {0us}, 0, true});
+}
+BOOST_AUTO_TEST_CASE(answer_without_a_status_does_not_reach_clients) {
+    check_replaced(answer("000 Odd", "Content-Length: 7\r\n", "trouble"));
+    check_replaced(answer("000 Odd", "Content-Length: 0\r\n", "") +
+                   answer("200 OK", "Content-Length: 9\r\n", "trouble\n\n"));
+    check_replaced(answer("0200 Odd", "Content-Length: 9\r\n", "trouble\n\n"));
+}
+
+// Guards against sound answers that are lost since their heads are unusual.
+BOOST_AUTO_TEST_CASE(unusual_heads_are_sound) {
+    const std::string body = "sound";
+    const std::string marks = "!#$%&'*+-.^_`|~azAZ09: 1\r\n";
+    const std::string values = "x-empty:\r\nX-Tabs:\ta\tb\t\r\nX-Latin: \344\366\r\nX-Colons: a:b :c\r\n";
+    const std::string fields = marks + values + "Content-Length: 5\r\n";
+    const std::vector<std::pair<std::uint32_t, std::string>> sound{
+        {200, answer("200 OK", fields, body)},
+        {200, answer("200", fields, body)},
+        {200, answer("200 ", fields, body)},
+        {200, "HTTP/1.0 200 OK\r\n" + fields + "\r\n" + body},
+        {200, "HTTP/1.1 200 OK\nContent-Length: 5\n\n" + body},
+        {599, answer("599 Own status", fields, body)},
+        {200, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Own\r\n" + marks + "\r\n" +
+                  answer("200 OK", fields, body)},
+        {200, answer("200 OK", chunked, "5;a=b\r\n" + body + "\r\n0\r\nX-Trailer: 1\r\n\r\n")}};
+    for (const named_client& client : clients()) {
+        for (const auto& [status, bytes] : sound) {
+            for (const bool byte_by_byte : {false, true}) {
+                const broken_target target{{bytes, connection_end::kept_open, {0us}, 0, byte_by_byte}};
+                const read_answer received = client.read(target.address(), "question");
+                BOOST_TEST_CONTEXT(client.name << ", " << byte_by_byte << ", " << printable(bytes)) {
+                    BOOST_TEST(received.complete);
+                    BOOST_TEST(received.status == status);
+                    BOOST_TEST((received.body == body));
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
