An answer with a broken field in its head is no answer

Callers saw, with a target in trouble: a field whose name held a blank or a control byte was passed on, or decided the length of the body, so that the body was not the target's.

Cause: the packaged http_parser is built without its strict mode, in which a blank may not be part of a name; "Content-Length : 3" even counts as a length there. libcurl accepts any line. It ignores "Content-Length : 3", and passes on the bytes behind. Lines that continue the one before were joined without a blank.

Fix: response_head_check accepts a field only if its name has the characters that RFC 9110 allows, at least one, and its value holds no control byte. A continued line is rejected, which RFC 9112 allows a gateway.

Evidence, broken_answers, 20 fields in 8 forms, real sockets.

--- a/backends/damaskhill_impl_http.cpp
+++ b/backends/damaskhill_impl_http.cpp
@@ -46,6 +46,19 @@
            status.front() <= '5';
 }
 
+/// Whether a line is a field: a name of the characters that a token may have (RFC 9110), a colon, and a value
+/// without control bytes. A line that continues the one before, as older versions of HTTP allowed, is none.
+bool is_field(std::string_view line) {
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const auto is_token = [&](char c) {
+        return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               marks.find(c) != std::string_view::npos;
+    };
+    const std::size_t colon = line.find(':');
+    if (colon == 0 || colon == std::string_view::npos) return false;
+    return std::ranges::all_of(line.substr(0, colon), is_token) && !has_control_byte(line.substr(colon));
+}
+
 } // namespace
 
 bool response_head_check::accept(std::string_view line) {
@@ -58,7 +71,7 @@
         return line.empty() || has_status(line);
     }
     status_expected_ = complete_;
-    return true;
+    return complete_ || is_field(line);
 }
 
 } // namespace damaskhill
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -4,6 +4,7 @@
 // [SECTION] Helpers
 // [SECTION] Connections that end
 // [SECTION] Status lines
+// [SECTION] Fields
 
 #include "broken_target.hpp"
 
@@ -236,6 +237,49 @@
     check_replaced(answer("0200 Odd", "Content-Length: 9\r\n", "trouble\n\n"));
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Fields
+//-----------------------------------------------------------------------------
+
+const std::vector<std::string> broken_fields{"X Odd: 1",
+                                             "X-Odd : 1",
+                                             " X-Odd: 1",
+                                             "\tX-Odd: 1",
+                                             "X-Odd\t: 1",
+                                             "X\001Odd: 1",
+                                             "X-Odd\177: 1",
+                                             std::string{"X\0Odd: 1", 8},
+                                             "X\rOdd: 1",
+                                             "X\vOdd: 1",
+                                             "X\200Odd: 1",
+                                             "X(Odd): 1",
+                                             ": 1",
+                                             "X-Odd",
+                                             "X-Odd: a\001b",
+                                             "Content-Length : 3",
+                                             "Content Length: 3",
+                                             "Content-Length\001: 3",
+                                             "Transfer-Encoding : chunked",
+                                             "Transfer-Encoding\t: chunked"};
+
+// Guards against fields that each reader understands in another way: what they say of its length decides what
+// the body is.
+BOOST_AUTO_TEST_CASE(answer_with_a_broken_field_is_no_answer) {
+    const std::string body = "7\r\ntrouble\r\n0\r\n\r\n";
+    for (const std::string& field : broken_fields) {
+        check_rejected("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 17\r\n\r\n" + body);
+        check_rejected(answer("200 OK", "Content-Length: 17\r\n" + field + "\r\n", body));
+        check_rejected(answer("200 OK", field + "\r\n", body));
+        check_rejected("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + answer("200 OK", length, part));
+        check_rejected({answer("200 OK", field + "\r\n", body), connection_end::in_order, {0us}, 0, true});
+    }
+}
+BOOST_AUTO_TEST_CASE(answer_with_a_broken_field_does_not_reach_clients) {
+    check_replaced(answer("200 OK", "X Odd: 1\r\nContent-Length: 9\r\n", "trouble\n\n"));
+    check_replaced(answer("200 OK", "Content-Length : 9\r\n", "trouble\n\nmore\n\n"));
+    check_replaced(answer("200 OK", "X\001Odd: 1\r\nContent-Length: 9\r\n", "trouble\n\n"));
+}
+
 // Guards against sound answers that are lost since their heads are unusual.
 BOOST_AUTO_TEST_CASE(unusual_heads_are_sound) {
     const std::string body = "sound";
