Tests: no address is drawn twice for the router under test

Cause: free_address() closes each port before it asks for the next, so that the kernel may choose the same one again. Six addresses of one router, or of a router and its target, could be the same.

--- a/tests/real_router.hpp
+++ b/tests/real_router.hpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -90,16 +91,21 @@
     return socket;
 }
 
-/// Own part of 127.0.0.0/8 with a port that the kernel chose.
+/// Own part of 127.0.0.0/8 with a port that the kernel chose. No address is returned twice: the kernel may
+/// choose a port again before anybody listens there.
 inline std::string free_address(int type = SOCK_STREAM) {
+    static std::set<std::string> returned;
     const std::string ip =
         "127." + std::to_string(10 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".9";
-    client_socket probe{::socket(AF_INET, type | SOCK_CLOEXEC, 0)};
-    sockaddr_in endpoint = endpoint_of(ip + ":0");
-    socklen_t size = sizeof endpoint;
-    BOOST_REQUIRE(::bind(probe.fd(), reinterpret_cast<sockaddr*>(&endpoint), size) == 0);
-    BOOST_REQUIRE(::getsockname(probe.fd(), reinterpret_cast<sockaddr*>(&endpoint), &size) == 0);
-    return ip + ":" + std::to_string(ntohs(endpoint.sin_port));
+    while (true) {
+        const client_socket probe{::socket(AF_INET, type | SOCK_CLOEXEC, 0)};
+        sockaddr_in endpoint = endpoint_of(ip + ":0");
+        socklen_t size = sizeof endpoint;
+        BOOST_REQUIRE(::bind(probe.fd(), reinterpret_cast<sockaddr*>(&endpoint), size) == 0);
+        BOOST_REQUIRE(::getsockname(probe.fd(), reinterpret_cast<sockaddr*>(&endpoint), &size) == 0);
+        std::string address = ip + ":" + std::to_string(ntohs(endpoint.sin_port));
+        if (returned.insert(address).second) return address;
+    }
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/test_hostile_clients.cpp
+++ b/tests/test_hostile_clients.cpp
@@ -8,6 +8,7 @@
 // [SECTION] Connections
 // [SECTION] Other protocols
 // [SECTION] Readiness and control
+// [SECTION] Fixture
 
 #include "real_router.hpp"
 
@@ -217,4 +218,17 @@
     check_router(router);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Fixture
+//-----------------------------------------------------------------------------
+
+// Guards against a router under test that does not start, since two of its addresses are the same.
+BOOST_AUTO_TEST_CASE(drawn_addresses_are_distinct) {
+    constexpr std::size_t draws = 2000;
+    std::set<std::string> drawn;
+    for (std::size_t i = 0; i < draws; ++i)
+        drawn.insert(free_address(i % 2 == 0 ? SOCK_STREAM : SOCK_DGRAM));
+    BOOST_TEST(drawn.size() == draws);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
