--- a/backends/damaskhill_impl_edge_client.cpp
+++ b/backends/damaskhill_impl_edge_client.cpp
@@ -347,7 +347,7 @@
 
 /// Number of bytes to parse next: while a head is read, up to the end of the line, so that no line is parsed
 /// to its end before it has been checked. None if the line may not stand in a head.
-std::optional<std::size_t> next_size(client_connection& connection, std::string_view bytes) {
+std::optional<std::size_t> check_next_part(client_connection& connection, std::string_view bytes) {
     if (connection.head_check.is_complete()) return bytes.size();
     const std::size_t end = bytes.find('\n');
     const std::string_view line = bytes.substr(0, end == std::string_view::npos ? end : end + 1);
@@ -369,7 +369,7 @@
     const std::uint64_t call_id = connection->call;
     http_parser& parser = connection->parser;
     while (!bytes.empty()) {
-        const auto size = next_size(*connection, bytes);
+        const auto size = check_next_part(*connection, bytes);
         if (!size) {
             finish_call(connection, edge_result::malformed);
             return;
--- a/backends/damaskhill_impl_http.hpp
+++ b/backends/damaskhill_impl_http.hpp
@@ -42,8 +42,8 @@
 // [SECTION] Heads of responses
 //-----------------------------------------------------------------------------
 
-/// Checks the lines of a response's head. The parsers of the clients are more tolerant than the callers'
-/// clients, and each in another way.
+/// Checks the lines of a response's head. The parsers of the HTTP clients accept more than HTTP allows, and
+/// each something else.
 class response_head_check {
 public:
     /// Whether the next line may stand in the head. After the empty line that ends it, the line is the first
--- a/tests/broken_target.hpp
+++ b/tests/broken_target.hpp
@@ -97,18 +97,38 @@
             rest.remove_prefix(static_cast<std::size_t>(sent));
         }
         std::this_thread::sleep_for(answer_.delays[answers_++ % answer_.delays.size()]);
-        if (answer_.end == connection_end::reset) connection.reset();
-        if (answer_.end == connection_end::in_order || answer_.end == connection_end::in_order_then_reset)
+        end(connection);
+    }
+    void end(client_socket& connection) const {
+        switch (answer_.end) {
+        case connection_end::reset:
+            connection.reset();
+            break;
+        case connection_end::closed_with_unread_bytes:
+            await_unread_bytes(connection);
+            break;
+        case connection_end::in_order:
+            ::shutdown(connection.fd(), SHUT_WR);
+            discard_until_closed(connection);
+            break;
+        case connection_end::in_order_then_reset:
             ::shutdown(connection.fd(), SHUT_WR);
-        if (answer_.end == connection_end::in_order || answer_.end == connection_end::kept_open) {
-            std::string ignored;
-            (void)read_until(connection, ignored, [] { return false; });
-            return;
+            await_acknowledgement(connection);
+            await_unread_bytes(connection);
+            break;
+        case connection_end::kept_open:
+            discard_until_closed(connection);
+            break;
         }
-        if (answer_.end == connection_end::in_order_then_reset) await_acknowledgement(connection);
-        // Without unread bytes, closing would not cause a reset.
+    }
+    void discard_until_closed(const client_socket& connection) const {
+        std::string ignored;
+        (void)read_until(connection, ignored, [] { return false; });
+    }
+    /// Without unread bytes, closing would not cause a reset.
+    static void await_unread_bytes(const client_socket& connection) {
         pollfd waiting{connection.fd(), POLLIN, 0};
-        if (connection.fd() >= 0) (void)::poll(&waiting, 1, poll_ms * patience);
+        (void)::poll(&waiting, 1, poll_ms * patience);
     }
     /// A reset discards what is not acknowledged, the end of the answer too.
     void await_acknowledgement(const client_socket& connection) const {
