--- a/core/damaskhill_account_share.cpp
+++ b/core/damaskhill_account_share.cpp
@@ -6,6 +6,7 @@
 #include "damaskhill_account_share.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 
 namespace damaskhill {
@@ -56,6 +57,10 @@
     add_to(own.dispatched, tokens, now, settings_.slice);
 }
 
+void account_shares::on_begun(std::uint64_t account, double tokens, time_point now) {
+    add_to(own_[account].begun, tokens, now, settings_.slice);
+}
+
 void account_shares::set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
                               time_point now) {
     peers_[router] = {std::move(rows), now};
@@ -150,6 +155,32 @@
     return used_share(account, now) < 1.0;
 }
 
+share_summary account_shares::summary(std::size_t max_accounts, time_point now) const {
+    share_summary result{fair_level_, lowest_backlogged_usage_, peers_.size(), {}, {}};
+    for (const auto& [router, peer] : peers_)
+        result.oldest_report = std::max(result.oldest_report, now - peer.received_at);
+    for (const auto& [account, usage] : own_usage(now)) {
+        const own_sums& own = own_.at(account);
+        const auto requested = requested_.find(account);
+        const double used = used_share(account, now);
+        result.accounts.push_back(
+            {account,
+             usage,
+             sum_at(own.begun, now, settings_.slice),
+             {requested == requested_.end() ? 0.0 : requested->second, used * fair_level_},
+             used,
+             pace_per_second(account, own, now),
+             pace_balance_at(account, own, now),
+             is_throttled(account, now)});
+    }
+    const auto kept =
+        result.accounts.begin() + static_cast<std::ptrdiff_t>(std::min(max_accounts, result.accounts.size()));
+    std::ranges::partial_sort(result.accounts, kept, std::greater{},
+                              [](const account_summary& item) { return item.own.requested; });
+    result.accounts.erase(kept, result.accounts.end());
+    return result;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Max-min fairness
 //-----------------------------------------------------------------------------
--- a/core/damaskhill_account_share.hpp
+++ b/core/damaskhill_account_share.hpp
@@ -50,6 +50,26 @@
     double dispatched{}; // of these, tokens of requests that were sent to a target
 };
 
+/// What a router knows of an account; tokens within the window.
+struct account_summary {
+    std::uint64_t account{};
+    account_usage own;
+    double own_begun{}; // of the dispatched tokens, those of requests that have had their first byte
+    account_usage fleet;
+    double used_share{};
+    double pace_per_second{}; // at this router
+    double balance{};
+    bool throttled{};
+};
+
+struct share_summary {
+    double level{}; // tokens per window
+    double lowest_backlogged_usage{};
+    std::size_t peers{};
+    duration oldest_report{};
+    std::vector<account_summary> accounts; // in descending order of the requested tokens
+};
+
 /// Tracks account usage at this router and, from the latest reports, at all other routers.
 class account_shares {
 public:
@@ -57,6 +77,7 @@
 
     void on_requested(std::uint64_t account, double tokens, time_point now);
     void on_dispatched(std::uint64_t account, double tokens, time_point now);
+    void on_begun(std::uint64_t account, double tokens, time_point now);
     void set_peer(std::uint64_t router, std::unordered_map<std::uint64_t, account_usage> rows,
                   time_point now);
     [[nodiscard]] std::unordered_map<std::uint64_t, account_usage> own_usage(time_point now) const;
@@ -77,10 +98,14 @@
     /// all routers together enforce the allowed rate, however old the reports are.
     [[nodiscard]] bool is_throttled(std::uint64_t account, time_point now) const;
 
+    /// What this router knows and decides, for the log: the accounts that have requested most at this router.
+    [[nodiscard]] share_summary summary(std::size_t max_accounts, time_point now) const;
+
 private:
     struct own_sums {
         windowed_sum requested;
         windowed_sum dispatched;
+        windowed_sum begun;
         double balance{}; // token bucket level at `balance_time`; negative: debt
         time_point balance_time{};
     };
--- a/core/damaskhill_direct.cpp
+++ b/core/damaskhill_direct.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace damaskhill::direct {
 
@@ -383,6 +384,45 @@
         update_unreported_load(target.load, since, age);
 }
 
+std::string_view account_name(const router_state& state, std::uint64_t account) {
+    const auto& accounts = state.active_catalog->accounts.account_by_key;
+    const auto found = std::ranges::find_if(
+        accounts, [&](const auto& entry) { return stable_hash(entry.second) == account; });
+    return found == accounts.end() ? std::string_view{} : std::string_view{found->second};
+}
+
+/// Logs what the shares rest on, while requests are refused for lack of capacity.
+void log_shares(router_state& state, effects& out) {
+    constexpr duration period = 1s;
+    constexpr std::size_t max_accounts = 4;
+    if (!state.refused_since_share_log || state.now < state.next_share_log) return;
+    state.refused_since_share_log = false;
+    state.next_share_log = state.now + period;
+    const share_summary summary = state.shares.summary(max_accounts, state.now);
+    const auto number = [](double value) {
+        return std::to_string(std::llround(std::clamp(value, -1e15, 1e15)));
+    };
+    std::string accounts;
+    for (const account_summary& item : summary.accounts) {
+        accounts +=
+            (accounts.empty() ? "{\"account\":" : ",{\"account\":") +
+            quoted(account_name(state, item.account)) + ",\"requested\":" + number(item.own.requested) +
+            ",\"sent\":" + number(item.own.dispatched) + ",\"begun\":" + number(item.own_begun) +
+            ",\"fleet_requested\":" + number(item.fleet.requested) +
+            ",\"fleet_sent\":" + number(item.fleet.dispatched) +
+            ",\"used_share_percent\":" + number(item.used_share * 100) +
+            ",\"pace_per_s\":" + number(item.pace_per_second) + ",\"balance\":" + number(item.balance) +
+            ",\"throttled\":" + (item.throttled ? "true" : "false") + "}";
+    }
+    out.emplace_back(log_event{"account_shares",
+                               "\"level\":" + number(summary.level) +
+                                   ",\"lowest_percent\":" + number(summary.lowest_backlogged_usage * 100) +
+                                   ",\"tokens_per_s\":" + number(fleet_tokens_per_second(state)) +
+                                   ",\"peers\":" + std::to_string(summary.peers) + ",\"oldest_report_ms\":" +
+                                   format_ms(summary.oldest_report) + ",\"accounts\":[" + accounts + "]",
+                               true});
+}
+
 void on_timer(router_state& state, effects& out) {
     if (state.timer_armed) update_lag(state, out);
     state.timer_armed = false;
@@ -392,7 +432,10 @@
     if (state.now >= state.next_share_update) {
         update_unreported_loads(state);
         state.next_share_update = state.now + state.settings.share_update_period;
-        if (state.active_catalog) state.shares.update(fleet_tokens_per_second(state), state.now);
+        if (state.active_catalog) {
+            state.shares.update(fleet_tokens_per_second(state), state.now);
+            log_shares(state, out);
+        }
         end_restore(state, out);
         remove_missing_targets(state, out);
         settle_begun_answers(state, out);
--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -400,7 +400,7 @@
     duration predicted_first_token{}; // from the start of the attempt
     duration first_byte_delay{};      // measured from the start of the attempt; 0 until the first byte
     prefill_work predicted_work;      // of the current attempt
-    double predicted_backlog_ms{};    // at the start of the attempt
+    double predicted_backlog_ms{};    // at the start of the attempt; before it, the least of all targets
     bool measures_speed{};            // the current attempt is a sample for the service's engine model
     double recompute_ms{};            // expected prefill of shared segments that other engines have cached
     duration capacity_in{};           // estimated time until capacity, if no target had any
@@ -561,6 +561,8 @@
     bool overloaded{};
     time_point overloaded_since{};
     time_point next_share_update{};
+    time_point next_share_log{};
+    bool refused_since_share_log{}; // a request, for lack of capacity
     time_point timer_at{};
     bool timer_armed{};
     time_point snapshot_requested_at{};
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -42,9 +42,11 @@
         ",\"sends\":" + std::to_string(item.sends) +
         ",\"used_share_percent\":" + format_percent(item.used_share) +
         ",\"prompt_tokens\":" + std::to_string(item.input.prompt.tokens) +
+        ",\"share_tokens\":" + std::to_string(std::lround(item.tokens)) +
         ",\"uncached_tokens\":" + std::to_string(std::lround(item.predicted_work.tokens)) +
         ",\"backlog_ms\":" + std::to_string(std::lround(item.predicted_backlog_ms)) +
         ",\"predicted_ms\":" + format_ms(item.predicted_first_token) +
+        ",\"queued_ms\":" + format_ms(item.sends > 0 ? item.sent_at - item.arrived : duration{}) +
         ",\"first_byte_ms\":" + format_ms(item.first_byte_delay) +
         ",\"longest_gap_ms\":" + format_ms(item.longest_gap) +
         ",\"read_again_ms\":" + std::to_string(std::lround(item.recompute_ms)) +
@@ -296,6 +298,7 @@
                          state.now);
     outcome.capacity_in = result.capacity_in;
     item.capacity_in = result.chosen ? duration{} : result.capacity_in;
+    if (item.sends == 0) item.predicted_backlog_ms = result.least_backlog_ms;
     if (!result.chosen) return outcome;
     outcome.choice = *result.chosen;
     outcome.target = list.targets[result.chosen->target];
@@ -534,6 +537,7 @@
 void refuse_for_capacity(router_state& state, const request_ptr& item, const placement_outcome& found,
                          effects& out) {
     note_refused_work(state, *item);
+    state.refused_since_share_log = true;
     const duration retry_after =
         found.exact_retry ? found.capacity_in : retry_after_for(state, *item, found.capacity_in);
     refuse(state, item, status_unavailable, retry_after, found.refusal, out);
--- a/core/damaskhill_direct_responses.cpp
+++ b/core/damaskhill_direct_responses.cpp
@@ -133,6 +133,7 @@
                                  to_seconds(item.first_byte_delay) / to_seconds(item.predicted_first_token)});
     }
     if (is_failure(item.head.status)) return;
+    state.shares.on_begun(item.account_hash, item.tokens, state.now);
     count_begun_request(state, item);
     record_speed_sample(state, item, out);
 }
--- a/core/damaskhill_engine_load.cpp
+++ b/core/damaskhill_engine_load.cpp
@@ -270,9 +270,11 @@
     result.capacity_in = slot_retry;
     double best_score = 0;
     double min_excess = -1;
+    std::optional<double> least_backlog;
     for (const placement_option& option : options) {
         const candidate_estimate estimate = estimate_candidate(option, prompt, limits, speed, settings, now);
         if (!estimate.has_capacity) continue;
+        least_backlog = std::min(least_backlog.value_or(estimate.backlog_ms), estimate.backlog_ms);
         if (!estimate.within_limit) {
             if (min_excess < 0 || estimate.excess_ms < min_excess) min_excess = estimate.excess_ms;
             continue;
@@ -284,6 +286,7 @@
                              estimate.prefill_ms, estimate.recompute_ms,
                              estimate.work,       estimate.backlog_ms};
     }
+    result.least_backlog_ms = least_backlog.value_or(0);
     if (!result.chosen && min_excess >= 0)
         result.capacity_in = from_milliseconds(std::max(1.0, min_excess / settings.prefill_time_share));
     return result;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -200,6 +200,7 @@
 struct placement_result {
     std::optional<placement_choice> chosen; // lowest score within the limits
     duration capacity_in{};                 // if none: estimated time until a target may have capacity
+    double least_backlog_ms{};              // of the engines with slots and memory left
 };
 
 /// Limits on the predicted time to the first token.
