--- a/review/standins-3/platform.hpp
+++ b/review/standins-3/platform.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -375,7 +376,24 @@
     return query;
 }
 
-/// The platform's store: reads and watches. The cases need no writes of the system.
+inline std::string decode_base64(const std::string& in) {
+    static const std::string letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string out;
+    std::uint32_t bits = 0;
+    int count = 0;
+    for (const char c : in) {
+        const auto value = letters.find(c);
+        if (value == std::string::npos) break;
+        bits = bits << 6U | static_cast<std::uint32_t>(value);
+        count += 6;
+        if (count < 8) continue;
+        count -= 8;
+        out += static_cast<char>(bits >> static_cast<unsigned>(count) & 255U);
+    }
+    return out;
+}
+
+/// The platform's store: reads, watches and conditional writes. The cases need no leases.
 class store {
 public:
     bool start(const std::string& address) {
@@ -383,6 +401,7 @@
     }
     std::uint64_t put(const std::string& key, const json& value) { return change(key, value.dump()); }
     std::uint64_t remove(const std::string& key) { return change(key, std::nullopt); }
+    std::function<void(const std::string& key, const std::string& value)> on_write; // by the system
 
 private:
     struct item {
@@ -439,6 +458,35 @@
             changed_.wait_until(lock, until);
         }
     }
+    std::pair<int, json> write(const std::string& text) {
+        const json call = json::parse(text, nullptr, false);
+        if (!call.is_object()) return {400, json::object()};
+        std::vector<std::pair<std::string, std::string>> written;
+        std::uint64_t rev = 0;
+        {
+            std::lock_guard lock{writes_mutex_};
+            for (const json& row : call.value("expectedRev", json::array())) {
+                std::lock_guard items_lock{mutex_};
+                const auto found = items_.find(row.at("key").get<std::string>());
+                const std::uint64_t current = found == items_.end() ? 0 : found->second.rev;
+                if (current != row.at("rev").get<std::uint64_t>())
+                    return {
+                        412,
+                        {{"items", found == items_.end()
+                                       ? json::array()
+                                       : json::array({shown(found->first, found->second.value, current)})}}};
+            }
+            for (const json& row : call.value("setKeys", json::array())) {
+                const auto key = row.at("key").get<std::string>();
+                const auto value = decode_base64(row.at("value").get<std::string>());
+                rev = change(key, value);
+                written.emplace_back(key, value);
+            }
+        }
+        for (const auto& [key, value] : written)
+            if (on_write) on_write(key, value);
+        return {200, {{"rev", rev}}};
+    }
     void serve(int channel) {
         reader in{channel};
         while (true) {
@@ -453,6 +501,8 @@
                 body = range(query);
             } else if (call == "/damaskhill/kv-watch") {
                 body = watch(query);
+            } else if (call == "/damaskhill/kv-txn") {
+                std::tie(status, body) = write(m.body);
             } else {
                 status = 503; // nothing was done
             }
@@ -463,6 +513,7 @@
     }
     server server_;
     std::mutex mutex_;
+    std::mutex writes_mutex_;
     std::condition_variable changed_;
     std::map<std::string, item> items_;
     std::deque<event> events_;
@@ -526,6 +577,7 @@
         const char* program = "target/build/bin/damaskhill_direct_router";
         pid = fork();
         if (pid != 0) return pid > 0;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with this program, however that ends
         const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, 1);
         dup2(log, 2);
