--- a/review/standins-3/engines.hpp
+++ b/review/standins-3/engines.hpp
@@ -1,4 +1,4 @@
-// Model replicas that a part of a prompt crashes, and clients of them, for the case 14.
+// Model replicas that a part of a prompt crashes, and clients of them, for the case 13.
 #pragma once
 
 #include "platform.hpp"
