--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t bad_answers = 50; // RULES.md, EXPOSURE
 
 struct arrival {
+    double at{};
     double sent{};
     bool is_new{};
 };
@@ -76,7 +77,8 @@
             {
                 std::lock_guard lock{all->mutex};
                 const bool is_new = version == "v2";
-                if (seconds() >= all->ordered) all->arrivals.push_back({all->sent[attempt], is_new});
+                if (seconds() >= all->ordered)
+                    all->arrivals.push_back({seconds(), all->sent[attempt], is_new});
                 if (is_bad && m.path().rfind("/returns/", 0) == 0)
                     fails = static_cast<double>(number_++ * 37 % 100) < failing * 100;
             }
@@ -223,7 +225,7 @@
     int reached = 0, exposed = 0, after = 0;
     const double fiftieth = all.bad.size() >= bad_answers ? all.bad[bad_answers - 1] : 1e9;
     for (const arrival& a : all.arrivals) {
-        if (a.sent < ordered + duration_s) {
+        if (a.at < ordered + duration_s) {
             ++reached;
             exposed += a.is_new ? 1 : 0;
         }
