Direct router: a version that is bad on one route is taken back

Cause: the direct router had a judge of its own that summed answers over all routes and since the order, allowed 5 in 100 more failures over all of them, compared mean times, and let the share grow by the clock.

Change: core/damaskhill_versions judges for both routers, by route and load level, with its sequential test. It gains measures for small and for large excesses of failures and for versions that are slow in a part of their answers. The rows of the release before are ignored.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -28,6 +28,7 @@
 #include "damaskhill_store_history.hpp"
 #include "damaskhill_target_notices.hpp"
 #include "damaskhill_target_orders.hpp"
+#include "damaskhill_versions.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -42,6 +43,22 @@
 
 struct request;
 
+/// How traffic moves to a new version. Times are parts of the order's time limit.
+struct rollout_settings {
+    // Accepts a version sooner than a fleet with sidecars does: orders are short, and the test goes on.
+    verdict_settings verdict{.false_negative_rate = 0.05,
+                             .slow_margin = 2,
+                             .min_baseline_attempts = 20,
+                             .monitored_attempts = 2'000.0};
+    double canary_share{0.06}; // of the requests, until the version is accepted, and while it is in doubt
+    double canary_end{0.5};    // the share does not grow before, so that a late fault shows at a small share
+    double latest_ramp_start{0.65}; // without an acceptance
+    double full_share_start{0.74};
+    double min_ramp{0.2};
+    double forced_completion{0.9}; // without an acceptance, or although requests run on the old version
+    std::size_t max_routes{24};    // of all rollouts together that are judged by themselves
+};
+
 struct router_settings {
     std::string name;
     std::string data_centre;
@@ -73,6 +90,7 @@
     target_notice_settings notices;
     retry_window_settings retries;
     prompt_suspect_settings suspects;
+    rollout_settings rollouts;
     target_order_settings target_orders;
     // Interval between reports to other routers.
     duration report_period{100ms};
@@ -405,6 +423,13 @@
     double recompute_ms{};            // expected prefill of shared segments that other engines have cached
     duration capacity_in{};           // estimated time until capacity, if no target had any
     std::uint32_t known_crashes{};    // of targets under copies of the request, at its arrival
+    // Evidence on the version that runs the current attempt.
+    std::uint32_t load_level{};      // of its target at the start
+    double expected_first_byte_ms{}; // of an engine of usual speed; 0: not predicted
+    bool outcome_recorded{};
+    // Choice of a version, once during a rollout.
+    bool counted_for_exposure{};
+    bool exposed{}; // to the new version
     // Progress over all attempts.
     bool reply_started{};
     bool caller_is_congested{}; // responses are not read meanwhile
@@ -487,17 +512,21 @@
     bool must_forward{}; // not yet forwarded within this data centre
 };
 
-struct version_counts {
-    std::uint32_t responses{};
-    std::uint32_t failures{};
-    std::uint64_t latency_ms_total{};
-};
-
+/// Progress of a rollout, as this router knows it.
 struct rollout_progress {
-    rollout_order order;        // the counts belong to
-    time_point first_seen{};    // time at which the first router saw the order
-    version_counts new_version; // responses to this router
-    version_counts old_version;
+    rollout_order order;    // the progress belongs to
+    time_point first_seen;  // time at which the first router saw the order
+    time_point test_start;  // identifies the test
+    version_evidence local; // outcomes at the routers of this data centre
+    version_evidence fleet; // at all routers
+    move_test test;
+    std::size_t names{1};       // under which outcomes are counted
+    std::size_t shared_names{}; // the same, if several routes have one name; 0: each route has its own
+    bool condemned{};           // by this router or another one
+    std::optional<time_point> accepted_at; // by the first router
+    exposure_credit credit;
+    time_point last_old_break{}; // that counted as a failure of the old version
+    time_point last_new_break{};
     time_point next_write{};
     std::optional<rollout_phase> settled; // final phase, once it has been in the store
 };
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -164,13 +164,44 @@
                       effects& out);
 /// Rank of this router among all routers by rendezvous hash for a target; 0 is the first.
 [[nodiscard]] std::size_t rank_for_target(const router_state& state, std::uint64_t target_hash);
-void record_version_response(router_state& state, const request& item, const target_state& target,
-                             bool failed);
-/// Follows the current rollout orders. The router that leads the rollouts also writes their status.
-void advance_rollouts(router_state& state, effects& out);
+/// Whether this is the live router with the lowest address. If two routers take themselves for it, the
+/// conditional writes decide.
+[[nodiscard]] bool is_lowest_router(const router_state& state);
+/// Pseudo router id under which the sums of a data centre are stored.
+[[nodiscard]] std::uint64_t summary_id(std::string_view data_centre);
+//-----------------------------------------------------------------------------
+// [SECTION] Rollouts
+//-----------------------------------------------------------------------------
+
+/// Versions of a service on which a request may run.
+struct version_choice {
+    bool old_version{true};
+    bool new_version{true};
+};
+
+/// Chooses between the versions during a rollout, once for each request; a retry runs on the old version.
+[[nodiscard]] version_choice choose_version(router_state& state, request& item);
+/// No target of the new version has room: returns the credit that the request has taken. Returns whether it
+/// may run on the old version instead.
+bool give_back_exposure(router_state& state, request& item);
+[[nodiscard]] bool is_version_allowed(const router_state& state, const target_state& target,
+                                      const version_choice& choice);
 /// Share of new requests that a version receives during a rollout.
 [[nodiscard]] double version_share(const router_state& state, std::string_view service,
                                    std::string_view version);
+/// Prepares the evidence on the attempt that starts at the target, before it counts as load.
+void begin_version_attempt(router_state& state, request& item, const target_state& target,
+                           const placement_choice& choice);
+/// Records an answer to the current attempt, the first time only.
+void record_version_answer(router_state& state, request& item, bool failed);
+/// Records that the connection of the current attempt broke.
+void record_version_break(router_state& state, request& item);
+/// Follows the current rollout orders. The router that leads the rollouts also writes their status.
+void advance_rollouts(router_state& state, effects& out);
+/// Adds what this router knows of the rollouts; to a summary, what its data centre knows.
+void add_rollout_rows(const router_state& state, router_report& report);
+/// Returns whether the report condemns a version that was not condemned before.
+bool apply_rollout_rows(router_state& state, const router_report& report, effects& out);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Duties
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -9,6 +9,7 @@
 
 #include "damaskhill_duties.hpp"
 #include "damaskhill_duty_holder.hpp"
+#include "damaskhill_messages.hpp"
 
 namespace damaskhill {
 
@@ -104,24 +105,22 @@
     }
 };
 
-/// Responses of a service version since the start of its rollout, as counted by the sender.
-struct version_row {
-    std::uint64_t order{}; // revision of the rollout order in the store
-    bool is_new{};         // true: the version being rolled out; false: all others
-    std::uint32_t responses{};
-    std::uint32_t failures{};
-    std::uint64_t latency_ms_total{}; // of the successful responses
-    std::uint64_t order_age_us{};     // time since a router first saw the order, at the time of sending
-    std::uint64_t order_era{};        // of the revision
+/// What the sender knows of a rollout: its own outcomes; in a summary, those of its data centre.
+struct rollout_row {
+    std::uint64_t order{};           // revision of the rollout order in the store
+    std::uint64_t order_era{};       // of the revision
+    std::uint64_t order_age_us{};    // time since a router first saw the order, at the time of sending
+    bool condemned{};                // the new version is bad
+    std::uint64_t accepted_age_us{}; // time since a router accepted the new version; 0: none has
+    std::vector<evidence_row> outcomes;
     static constexpr auto fields() {
-        using t = version_row;
+        using t = rollout_row;
         return std::tuple{field{1, "order", &t::order},
-                          field{2, "is_new", &t::is_new},
-                          field{3, "answers", &t::responses},
-                          field{4, "failures", &t::failures},
-                          field{5, "latency_ms_total", &t::latency_ms_total},
-                          field{6, "order_age_us", &t::order_age_us},
-                          field{7, "order_era", &t::order_era}};
+                          field{2, "order_era", &t::order_era},
+                          field{3, "order_age_us", &t::order_age_us},
+                          field{4, "condemned", &t::condemned},
+                          field{5, "outcomes", &t::outcomes},
+                          field{6, "accepted_age_us", &t::accepted_age_us}};
     }
 };
 
@@ -183,7 +182,6 @@
     std::vector<echo_row> echoes;
     std::vector<target_load_row> targets;
     std::vector<account_usage_row> accounts;
-    std::vector<version_row> versions;
     std::vector<speed_row> speeds;            // estimates with enough samples only
     std::uint64_t targets_changed_revision{}; // as operator_changed_revision, of the latest registration
     bool store_unreachable{};                 // the sender's last call to the store failed
@@ -205,6 +203,7 @@
     std::uint64_t wall_us{}; // wall clock of the sender, which may be wrong; 0: unknown
     // Set in messages to the holder, which contain nothing else but the sender's identity.
     std::optional<duty_report> duty;
+    std::vector<rollout_row> rollouts;
     static constexpr auto fields() {
         using t = router_report;
         return std::tuple{field{1, "router", &t::router},
@@ -222,7 +221,6 @@
                           field{14, "echoes", &t::echoes},
                           field{15, "targets", &t::targets},
                           field{16, "accounts", &t::accounts},
-                          field{18, "versions", &t::versions},
                           field{19, "operator_changed_revision", &t::operator_changed_revision},
                           field{20, "speeds", &t::speeds},
                           field{21, "targets_changed_revision", &t::targets_changed_revision},
@@ -239,7 +237,8 @@
                           field{34, "announced_ms", &t::announced_ms},
                           field{40, "duty_holder", &t::duty_holder},
                           field{41, "wall_us", &t::wall_us},
-                          field{42, "duty", &t::duty}};
+                          field{42, "duty", &t::duty},
+                          field{43, "rollouts", &t::rollouts}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -3,7 +3,6 @@
 // [SECTION] Report sending
 // [SECTION] Store readers
 // [SECTION] Shared limits
-// [SECTION] Rollouts
 
 #include "damaskhill_direct_internal.hpp"
 
@@ -16,6 +15,8 @@
 // [SECTION] Report handling
 //-----------------------------------------------------------------------------
 
+std::uint64_t summary_id(std::string_view data_centre) { return stable_hash(data_centre, 1); }
+
 namespace {
 
 duration microseconds(std::uint64_t us) { return duration{static_cast<std::int64_t>(us)}; }
@@ -34,9 +35,6 @@
     return state.now - summary.last_heard <= state.settings.peer_timeout;
 }
 
-/// Pseudo router id under which the summed load of a data centre is stored.
-std::uint64_t summary_id(std::string_view data_centre) { return stable_hash(data_centre, 1); }
-
 declarations_rank rank_in_force(const router_state& state) {
     return state.active_catalog ? state.active_catalog->declarations.rank : declarations_rank{};
 }
@@ -87,18 +85,6 @@
         remove_peer_load(target.load, sender);
 }
 
-// Adopts the earliest known start of each rollout, so that a router that starts during a rollout continues at
-// the progress of the others.
-void merge_order_ages(router_state& state, const router_report& report) {
-    for (const version_row& row : report.versions) {
-        for (auto& [service, progress] : state.rollouts) {
-            if (progress.order.position == store_position{row.order_era, row.order})
-                progress.first_seen =
-                    std::min(progress.first_seen, state.now - microseconds(row.order_age_us));
-        }
-    }
-}
-
 constexpr duration min_snapshot_interval = 300ms; // between two snapshot requests
 
 /// Requests the sender's snapshot of the store if it has newer declarations, or newer targets while this
@@ -221,7 +207,8 @@
     } else {
         on_router_report(state, report, out);
     }
-    merge_order_ages(state, report);
+    if (apply_rollout_rows(state, report, out) && is_relay(state, live_neighbours(state)))
+        state.next_report = state.now;
     apply_peer_confirmation(state, report);
     request_newer_snapshot(state, report, out);
 }
@@ -251,24 +238,6 @@
     });
 }
 
-void add_version_rows(const router_state& state, router_report& report) {
-    for (const auto& item : state.rollouts) {
-        const rollout_progress& progress = item.second;
-        const auto order = state.active_catalog->rollouts.find(item.first);
-        if (order == state.active_catalog->rollouts.end() ||
-            progress.order.position != order->second.position)
-            continue;
-        const auto age = static_cast<std::uint64_t>((state.now - progress.first_seen).count());
-        const auto add = [&](bool is_new, const version_counts& counts) {
-            report.versions.push_back({progress.order.position.revision, is_new, counts.responses,
-                                       counts.failures, counts.latency_ms_total, age,
-                                       progress.order.position.era});
-        };
-        add(true, progress.new_version);
-        add(false, progress.old_version);
-    }
-}
-
 void add_routers(const router_state& state, router_report& report, bool all) {
     report.routers.push_back({state.settings.report_address, state.settings.data_centre});
     for (const auto& [address, peer] : state.peers) {
@@ -326,7 +295,7 @@
         report->accounts.push_back({account, static_cast<std::uint32_t>(usage.requested),
                                     static_cast<std::uint32_t>(usage.dispatched)});
     }
-    add_version_rows(state, *report);
+    add_rollout_rows(state, *report);
     add_suspect_rows(state, *report);
     add_notice_rows(state, *report);
     return report;
@@ -336,7 +305,6 @@
 struct report_sums {
     std::map<std::uint64_t, target_load_row> targets;
     std::map<std::uint64_t, account_usage_row> accounts;
-    std::map<std::pair<store_position, bool>, version_row> versions; // by order
     std::vector<engine_crash_row> engine_crashes;
     std::map<std::uint64_t, acquittal_row> acquittals;
     std::map<std::uint64_t, quarantine_row> quarantines;
@@ -360,16 +328,6 @@
             quarantines.try_emplace(row.part, row);
         for (const target_notice_row& row : report.notices)
             add_notice(row);
-        for (const version_row& row : report.versions) {
-            version_row& sum = versions[{{row.order_era, row.order}, row.is_new}];
-            sum = {row.order,
-                   row.is_new,
-                   sum.responses + row.responses,
-                   sum.failures + row.failures,
-                   sum.latency_ms_total + row.latency_ms_total,
-                   std::max(sum.order_age_us, row.order_age_us),
-                   row.order_era};
-        }
     }
     void add_notice(const target_notice_row& row) {
         const auto [found, is_new] = notices.try_emplace(row.target, row);
@@ -401,13 +359,13 @@
     add_identity(state, *summary);
     add_routers(state, *summary, false);
     summary->is_summary = true;
+    add_rollout_rows(state, *summary);
     const auto values = [](const auto& from, auto& to) {
         for (const auto& [key, row] : from)
             to.push_back(row);
     };
     values(sums.targets, summary->targets);
     values(sums.accounts, summary->accounts);
-    values(sums.versions, summary->versions);
     values(sums.acquittals, summary->acquittals);
     values(sums.quarantines, summary->quarantines);
     values(sums.notices, summary->notices);
@@ -597,105 +555,7 @@
     return rank;
 }
 
-namespace {
-
-/// Calls visit with the latest report of each router of this data centre and the summary of each other one.
-template <class F>
-void for_each_report(const router_state& state, F&& visit) {
-    for (const auto& [address, peer] : state.peers) {
-        if (peer.data_centre == state.settings.data_centre) visit(peer.last_report);
-    }
-    for (const auto& [data_centre, summary] : state.summaries)
-        visit(summary.last_report);
-}
-
-} // namespace
-
-//-----------------------------------------------------------------------------
-// [SECTION] Rollouts
-//-----------------------------------------------------------------------------
-
-namespace {
-
-/// Responses of both versions, as counted by all routers.
-struct rollout_evidence {
-    version_counts new_version;
-    version_counts old_version;
-};
-
-void add_counts(version_counts& sum, const version_counts& more) {
-    sum.responses += more.responses;
-    sum.failures += more.failures;
-    sum.latency_ms_total += more.latency_ms_total;
-}
-
-rollout_evidence collect_evidence(const router_state& state, const rollout_progress& own,
-                                  const rollout_order& order) {
-    rollout_evidence sum{own.new_version, own.old_version};
-    for_each_report(state, [&](const router_report& report) {
-        for (const version_row& row : report.versions) {
-            if (store_position{row.order_era, row.order} != order.position) continue;
-            add_counts(row.is_new ? sum.new_version : sum.old_version,
-                       {row.responses, row.failures, row.latency_ms_total});
-        }
-    });
-    return sum;
-}
-
-double failure_rate(const version_counts& counts) {
-    return counts.responses == 0 ? 0.0 : static_cast<double>(counts.failures) / counts.responses;
-}
-
-double mean_latency_ms(const version_counts& counts) {
-    const std::uint32_t successful = counts.responses - counts.failures;
-    return successful == 0 ? 0.0 : static_cast<double>(counts.latency_ms_total) / successful;
-}
-
-// A version fails if its failure rate is clearly above that of the old one or if it is several times slower.
-constexpr std::uint32_t min_responses = 12;
-constexpr double failure_margin = 0.05;   // fraction of the responses
-constexpr double failure_deviations = 3;  // binomial standard deviations; one false alarm in 700 checks
-constexpr double min_failure_rate = 0.05; // lower bound for an old version with few responses
-constexpr double slow_factor = 2.5;
-constexpr double slow_margin_ms = 40;
-
-bool is_failing_version(const rollout_evidence& evidence) {
-    if (evidence.new_version.responses < min_responses) return false;
-    const double responses = evidence.new_version.responses;
-    const double rate = std::clamp(failure_rate(evidence.old_version), min_failure_rate, 1.0);
-    const double expected = responses * (failure_rate(evidence.old_version) + failure_margin);
-    const double deviation = std::sqrt(responses * rate * (1 - rate));
-    if (evidence.new_version.failures > expected + failure_deviations * deviation) return true;
-    const double old_ms = mean_latency_ms(evidence.old_version);
-    return old_ms > 0 && mean_latency_ms(evidence.new_version) > slow_factor * old_ms + slow_margin_ms;
-}
-
-// Fractions of the rollout's time limit. From canary_end on, the share of a version that proved good grows.
-constexpr double canary_end = 0.45;
-constexpr double full_share_start = 0.7;  // the old version gets no requests from here on
-constexpr double forced_completion = 0.9; // completes although requests still run on the old version
-// Share of new requests until canary_end; below the exposure that is allowed for a bad version.
-constexpr double canary_share = 0.06;
-constexpr duration status_write_interval = 700ms;
-
-double elapsed_share(const router_state& state, const rollout_progress& progress,
-                     const rollout_order& order) {
-    return order.time_limit > 0s ? to_seconds(state.now - progress.first_seen) / to_seconds(order.time_limit)
-                                 : 0.0;
-}
-
-const rollout_status* current_status(const router_state& state, const rollout_order& order) {
-    const auto status = state.active_catalog->rollout_states.find(order.service);
-    // A status older than the order belongs to a previous order, and so may one that a restored store has
-    // instead of what was written for an order of the era before.
-    if (status == state.active_catalog->rollout_states.end() || status->second.position < order.position ||
-        status->second.position.era != order.position.era)
-        return nullptr;
-    return status->second.version == order.version ? &status->second : nullptr;
-}
-
-bool is_rollout_leader(const router_state& state) {
-    // The live router with the lowest address. If two routers claim to be it, the conditional write decides.
+bool is_lowest_router(const router_state& state) {
     bool is_lowest = is_relay(state, live_neighbours(state));
     for (const auto& [data_centre, summary] : state.summaries) {
         if (is_live(state, summary))
@@ -704,120 +564,4 @@
     return is_lowest;
 }
 
-} // namespace
-
-void record_version_response(router_state& state, const request& item, const target_state& target,
-                             bool failed) {
-    if (!state.active_catalog) return;
-    const auto order = state.active_catalog->rollouts.find(target.entry.service);
-    if (order == state.active_catalog->rollouts.end()) return;
-    const auto progress = state.rollouts.find(target.entry.service);
-    if (progress == state.rollouts.end()) return;
-    version_counts& counts = target.entry.version == order->second.version ? progress->second.new_version
-                                                                           : progress->second.old_version;
-    ++counts.responses;
-    if (failed) {
-        ++counts.failures;
-    } else {
-        counts.latency_ms_total += static_cast<std::uint64_t>(to_milliseconds(state.now - item.sent_at));
-    }
-}
-
-double version_share(const router_state& state, std::string_view service, std::string_view version) {
-    if (!state.active_catalog) return 1.0;
-    const auto order = state.active_catalog->rollouts.find(service);
-    if (order == state.active_catalog->rollouts.end()) return 1.0;
-    const rollout_status* status = current_status(state, order->second);
-    const bool is_new = order->second.version == version;
-    if (status != nullptr && status->phase != rollout_phase::running)
-        return (status->phase == rollout_phase::completed) == is_new ? 1.0 : 0.0;
-    const auto progress = state.rollouts.find(service);
-    if (progress == state.rollouts.end()) return is_new ? 0.0 : 1.0;
-    if (const auto& settled = progress->second.settled)
-        return (*settled == rollout_phase::completed) == is_new ? 1.0 : 0.0;
-    const rollout_evidence evidence = collect_evidence(state, progress->second, order->second);
-    if (is_failing_version(evidence)) return is_new ? 0.0 : 1.0;
-    const bool is_proven = evidence.new_version.responses >= min_responses;
-    const double elapsed = elapsed_share(state, progress->second, order->second);
-    const double share =
-        !is_proven || elapsed < canary_end
-            ? canary_share
-            : std::min(1.0, canary_share + (elapsed - canary_end) / (full_share_start - canary_end));
-    return is_new ? share : 1.0 - share;
-}
-
-namespace {
-
-/// Whether requests of any router run on other versions than the order's. Their targets stop immediately when
-/// the rollout is completed.
-bool is_old_version_running(const router_state& state, const rollout_order& order) {
-    const auto targets = state.targets_by_service.find(order.service);
-    return targets != state.targets_by_service.end() &&
-           std::ranges::any_of(targets->second, [&](const target_state* target) {
-               return target->entry.version != order.version && total_running(target->load) > 0;
-           });
-}
-
-bool may_complete(const router_state& state, const rollout_progress& progress, const rollout_order& order,
-                  const rollout_evidence& evidence) {
-    const double elapsed = elapsed_share(state, progress, order);
-    if (elapsed < full_share_start || evidence.new_version.responses < min_responses) return false;
-    return elapsed >= forced_completion || !is_old_version_running(state, order);
-}
-
-} // namespace
-
-namespace {
-
-/// Starts the progress of a new order. An order that is written again after a restore of the store goes on.
-void follow_order(rollout_progress& progress, const rollout_order& order, time_point now) {
-    if (progress.order == order) return;
-    rollout_order rewritten = progress.order;
-    rewritten.position = order.position;
-    const bool restored = order.position.era > progress.order.position.era && rewritten == order;
-    if (!restored) progress = {{}, now, {}, {}, {}, {}};
-    progress.order = order;
-}
-
-} // namespace
-
-void advance_rollouts(router_state& state, effects& out) {
-    if (!state.active_catalog) return;
-    std::erase_if(state.rollouts,
-                  [&](const auto& item) { return !state.active_catalog->rollouts.contains(item.first); });
-    for (const auto& [service, order] : state.active_catalog->rollouts) {
-        rollout_progress& progress = state.rollouts[service];
-        follow_order(progress, order, state.now);
-        const rollout_status* status = current_status(state, order);
-        if (status != nullptr && status->phase != rollout_phase::running) {
-            progress.settled = status->phase;
-            continue;
-        }
-        if (!is_rollout_leader(state) || !state.store_up || state.now < progress.next_write) continue;
-        rollout_phase phase = rollout_phase::running;
-        const rollout_evidence evidence = collect_evidence(state, progress, order);
-        if (progress.settled) {
-            phase = *progress.settled; // the store has lost it in a restore
-        } else if (is_failing_version(evidence)) {
-            phase = rollout_phase::rolled_back;
-        } else if (may_complete(state, progress, order, evidence)) {
-            phase = rollout_phase::completed;
-        }
-        if (status != nullptr && phase == rollout_phase::running) continue;
-        progress.next_write = state.now + status_write_interval;
-        const auto stored_status = state.active_catalog->rollout_states.find(service);
-        const store_position expected = stored_status == state.active_catalog->rollout_states.end()
-                                            ? store_position{}
-                                            : stored_status->second.position;
-        out.emplace_back(write_rollout_status{service, {order.version, phase, {}}, expected});
-        out.emplace_back(log_event{"rollout",
-                                   "\"service\":" + quoted(service) +
-                                       ",\"version\":" + quoted(order.version) +
-                                       ",\"phase\":" + std::to_string(static_cast<int>(phase)) +
-                                       ",\"answers\":" + std::to_string(evidence.new_version.responses) +
-                                       ",\"failures\":" + std::to_string(evidence.new_version.failures),
-                                   true});
-    }
-}
-
 } // namespace damaskhill::direct
--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -127,17 +127,6 @@
     return segments.size() >= 2 ? segments[segments.size() - 2].id : segments.front().id;
 }
 
-/// Whether the request may run on the target's version during a rollout. The attempt id decides, so that each
-/// version gets its share of the requests.
-bool is_version_allowed(const router_state& state, const request& item, const target_state& target) {
-    constexpr double hash_range = 18446744073709551616.0; // 2^64
-    const double position = static_cast<double>(stable_hash(item.input.attempt, 1)) / hash_range;
-    const auto& order = state.active_catalog->rollouts.find(item.service)->second;
-    const double share = version_share(state, item.service, order.version);
-    const bool is_new = target.entry.version == order.version;
-    return is_new ? position < share : position >= share;
-}
-
 struct candidate_list {
     std::vector<placement_option> options;
     std::vector<target_state*> targets; // indexed by placement_option::target
@@ -183,7 +172,7 @@
 }
 
 /// Targets to which the request may be sent now, whatever their load.
-candidate_list find_candidates(router_state& state, const request& item) {
+candidate_list find_candidates(router_state& state, const request& item, const version_choice& versions) {
     candidate_list list;
     const auto found = state.targets_by_service.find(item.service);
     if (found == state.targets_by_service.end()) return list;
@@ -192,13 +181,11 @@
         service == state.active_catalog->services.end() ? 0.0 : service->second.cold_per_s;
     const std::uint64_t prefix_id = shared_prefix_id(item);
     std::array<std::pair<std::uint64_t, std::size_t>, affinity_targets> preferred{};
-    const bool rollout_active = state.active_catalog->rollouts.contains(item.service);
     list.options.reserve(found->second.size());
     list.targets.reserve(found->second.size());
     for (target_state* const candidate : found->second) {
         target_state& target = *candidate;
-        if (!is_available(state, target) || (rollout_active && !is_version_allowed(state, item, target)))
-            continue;
+        if (!is_available(state, target) || !is_version_allowed(state, target, versions)) continue;
         if (std::ranges::find(item.tried_targets, target.entry.id) != item.tried_targets.end()) continue;
         const auto earliest = earliest_send(state, target, cold_per_s);
         if (!earliest || *earliest > state.now) {
@@ -275,10 +262,8 @@
     return outcome;
 }
 
-placement_outcome place(router_state& state, request& item) {
-    const prompt_judgement judged = judge_request(state, item);
-    if (judged.verdict != prompt_verdict::clear) return blocked_outcome(state, item, judged);
-    const candidate_list list = find_candidates(state, item);
+placement_outcome place_on(router_state& state, request& item, const version_choice& versions) {
+    const candidate_list list = find_candidates(state, item, versions);
     placement_outcome outcome;
     outcome.has_candidates = !list.options.empty();
     if (outcome.has_candidates) outcome.refusal = is_throttled(state, item) ? "above_share" : "no_room";
@@ -305,6 +290,14 @@
     return outcome;
 }
 
+placement_outcome place(router_state& state, request& item) {
+    const prompt_judgement judged = judge_request(state, item);
+    if (judged.verdict != prompt_verdict::clear) return blocked_outcome(state, item, judged);
+    const placement_outcome outcome = place_on(state, item, choose_version(state, item));
+    if (outcome.target != nullptr || !give_back_exposure(state, item)) return outcome;
+    return place_on(state, item, choose_version(state, item));
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Start of an attempt
 //-----------------------------------------------------------------------------
@@ -329,6 +322,7 @@
     item->tried_targets.push_back(target.entry.id);
     state.caller_by_send[item->send_id] = item->input.caller;
     target.last_send = state.now;
+    begin_version_attempt(state, *item, target, choice);
     target_load& load = target.load;
     ++load.running;
     note_placed_work(state, *item, choice);
--- a/core/damaskhill_direct_responses.cpp
+++ b/core/damaskhill_direct_responses.cpp
@@ -124,6 +124,10 @@
     out.emplace_back(reply_begin{item.input.caller, item.head.status, item.head.headers});
 }
 
+bool is_stream(const request& item) {
+    return item.route.retry == retry_policy::streaming && item.head.status < 300;
+}
+
 void record_first_byte(router_state& state, request& item, effects& out) {
     item.first_byte_received = true;
     item.first_byte_delay = state.now - item.sent_at;
@@ -133,15 +137,12 @@
                                  to_seconds(item.first_byte_delay) / to_seconds(item.predicted_first_token)});
     }
     if (is_failure(item.head.status)) return;
+    if (is_stream(item)) record_version_answer(state, item, false);
     state.shares.on_begun(item.account_hash, item.tokens, state.now);
     count_begun_request(state, item);
     record_speed_sample(state, item, out);
 }
 
-bool is_stream(const request& item) {
-    return item.route.retry == retry_policy::streaming && item.head.status < 300;
-}
-
 /// Position in the event stream after the data received so far.
 body_position position_of(const request& item) {
     if (!is_stream(item)) return body_position::not_a_stream;
@@ -169,7 +170,7 @@
     if (target_state* target = find_target(state, item->target)) {
         note_sign_of_life(state, *target);
         record_target_result(*target, failed);
-        record_version_response(state, *item, *target, failed);
+        if (failed) record_version_answer(state, *item, true);
     }
     if (!event.has_seal && event.status < 300) {
         out.emplace_back(count{"answers_without_seal_total", item->service, 1});
@@ -273,6 +274,7 @@
 
 void on_response_complete(router_state& state, const request_ptr& item, effects& out) {
     note_answer_complete(state, *item, out);
+    record_version_answer(state, *item, is_failure(item->head.status));
     if (is_stream(*item)) {
         start_reply(*item, out);
         clear_attempt(state, *item);
@@ -309,7 +311,7 @@
             note_break(state, *item, *target);
             if (!item->head_received) record_target_result(*target, true);
         }
-        record_version_response(state, *item, *target, true);
+        record_version_break(state, *item);
     }
     out.emplace_back(count{"answers_broken_total", item->service, 1});
     clear_attempt(state, *item);
--- a/core/damaskhill_versions.cpp
+++ b/core/damaskhill_versions.cpp
@@ -16,8 +16,19 @@
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
 
+namespace {
+
+constexpr double buckets_per_doubling = 4.0;
+
+duration bucket_start(std::size_t bucket) {
+    constexpr double first_us = 1000.0;
+    const double us = first_us * std::exp2(static_cast<double>(bucket) / buckets_per_doubling);
+    return duration{static_cast<std::int64_t>(std::ceil(us))};
+}
+
+} // namespace
+
 std::size_t latency_bucket(duration latency) {
-    constexpr double buckets_per_doubling = 4.0;
     const double ms = std::max(1.0, to_milliseconds(latency));
     const auto bucket = static_cast<std::size_t>(std::log2(ms) * buckets_per_doubling);
     return std::min(bucket, latency_bucket_count - 1);
@@ -84,12 +95,13 @@
 double accept_bound(const verdict_settings& s) { return std::log(s.false_negative_rate); }
 
 // Log likelihood ratio at which a version is condemned. Before acceptance this is Wald's bound, which holds
-// for any number of evaluations (Ville's inequality), with the error rate divided among the cells. After
-// acceptance the ratio is clamped to the acceptance bound from below, so every attempt may start a new
-// excursion; the error rate is therefore also divided by the number of attempts.
+// for any number of evaluations (Ville's inequality), with the error rate divided among the cells and the
+// measures of each. After acceptance the ratio is clamped to the acceptance bound from below, so every
+// attempt may start a new excursion; the error rate is therefore also divided by the number of attempts.
 double condemn_bound(const verdict_settings& s, bool accepted) {
-    if (!accepted) return std::log(s.max_cells / (s.false_positive_rate * exposure_alarm_share));
-    const double climbs = s.max_cells * s.monitored_attempts;
+    const double tests = s.max_cells * static_cast<double>(test_measure_count);
+    if (!accepted) return std::log(tests / (s.false_positive_rate * exposure_alarm_share));
+    const double climbs = tests * s.monitored_attempts;
     return accept_bound(s) + std::log(climbs / (s.false_positive_rate * (1.0 - exposure_alarm_share)));
 }
 
@@ -150,16 +162,16 @@
     return nullptr;
 }
 
-// First bucket that counts as slow. Above the bucket that contains the old version's (1 - baseline_slow_rate)
-// quantile, one bucket (19%) is skipped so that quantisation at the boundary does not affect the test.
-std::size_t first_slow_bucket(const baseline_rates& old, double baseline_slow_rate) {
+// First bucket that counts as slow: above the bucket that contains the old version's (1 - rate) quantile and
+// the margin.
+std::size_t first_slow_bucket(const baseline_rates& old, double rate, const verdict_settings& s) {
     double above = 0.0;
     std::size_t bucket = latency_bucket_count;
-    while (bucket > 0 && above + old.latency[bucket - 1] <= baseline_slow_rate * old.timed) {
+    while (bucket > 0 && above + old.latency[bucket - 1] <= rate * old.timed) {
         --bucket;
         above += old.latency[bucket];
     }
-    return bucket + 1;
+    return bucket + s.slow_margin;
 }
 
 template <class Counts>
@@ -170,6 +182,14 @@
     return sum;
 }
 
+double& ratio_of(test_cell& cell, test_measure measure) {
+    return cell.llr[static_cast<std::size_t>(measure)];
+}
+
+double ratio_of(const test_cell& cell, test_measure measure) {
+    return cell.llr[static_cast<std::size_t>(measure)];
+}
+
 // Adds a step to a ratio. After acceptance the ratio does not fall below the acceptance bound; otherwise
 // earlier good results would delay the detection of a version that turns bad later.
 void add_step(double& ratio, double step, bool accepted, double floor) {
@@ -177,6 +197,45 @@
     if (accepted) ratio = std::max(ratio, floor);
 }
 
+void add_failures(std::span<test_cell* const> cells, const baseline_rates& old, double failures,
+                  std::uint64_t attempts, bool accepted, const verdict_settings& s) {
+    // Lower bound of the baseline rate: if the old version had no failures, a single failure must not decide.
+    constexpr double min_rate = 0.005;
+    const double p0 = std::clamp(upper_rate(old.failures, old.attempts), min_rate, 0.8);
+    for (test_cell* cell : cells) {
+        cell->attempts += attempts;
+        for (const auto& [measure, excess] :
+             {std::pair{test_measure::small_failure_excess, s.small_failure_excess},
+              std::pair{test_measure::failure_excess, s.max_failure_excess},
+              std::pair{test_measure::large_failure_excess, s.large_failure_excess}}) {
+            const double p1 = std::min(0.95, p0 + excess);
+            add_step(ratio_of(*cell, measure),
+                     log_likelihood_ratio(p0, p1, failures, static_cast<double>(attempts)), accepted,
+                     accept_bound(s));
+        }
+    }
+}
+
+void add_latencies(std::span<test_cell* const> cells, const baseline_rates& old,
+                   const std::array<std::uint64_t, latency_bucket_count>& added, bool accepted,
+                   const verdict_settings& s) {
+    constexpr double max_baseline = 0.45; // below bad_slow_rate
+    const std::size_t from = first_slow_bucket(old, s.baseline_slow_rate, s);
+    const double old_rate = upper_rate(count_at_or_above(old.latency, from), old.timed);
+    const double timed = count_at_or_above(added, 0);
+    const double slow = count_at_or_above(added, from);
+    const double usual = std::clamp(old_rate, s.baseline_slow_rate, max_baseline);
+    const double own = std::clamp(old_rate, s.min_slow_rate, max_baseline);
+    const double bad = std::min(0.95, own + s.bad_slow_excess);
+    for (test_cell* cell : cells) {
+        cell->timed += static_cast<std::uint64_t>(timed);
+        add_step(ratio_of(*cell, test_measure::slow),
+                 log_likelihood_ratio(usual, s.bad_slow_rate, slow, timed), accepted, accept_bound(s));
+        add_step(ratio_of(*cell, test_measure::slow_excess), log_likelihood_ratio(own, bad, slow, timed),
+                 accepted, accept_bound(s));
+    }
+}
+
 void add_candidate(move_test& test, const evidence_key& key, const evidence_counts& current,
                    const verdict_settings& s) {
     evidence_counts& processed = test.processed[key];
@@ -186,49 +245,31 @@
     const auto min_attempts = static_cast<double>(s.min_baseline_attempts);
     if (old.attempts < min_attempts) return; // not enough baseline data yet
     const bool accepted = test.verdict == version_verdict::good;
-    const double floor = accept_bound(s);
-    auto& cell = test.cells[{key.route, key.load_level}];
-    auto& route = test.routes[key.route];
-    // Lower bound of the baseline rate: if the old version had no failures, a single failure must not decide.
-    constexpr double min_rate = 0.005;
-    const double p0 = std::clamp(upper_rate(old.failures, old.attempts), min_rate, 0.8);
-    const double p1 = std::min(0.95, p0 + s.max_failure_excess);
-    const double failure_step = log_likelihood_ratio(
-        p0, p1, static_cast<double>(current.failures - processed.failures), static_cast<double>(attempts));
-    for (test_cell* part : {&cell, &route}) {
-        part->attempts += attempts;
-        add_step(part->failure_llr, failure_step, accepted, floor);
-    }
+    const std::array<test_cell*, 2> cells{&test.cells[{key.route, key.load_level}], &test.routes[key.route]};
+    add_failures(cells, old, static_cast<double>(current.failures - processed.failures), attempts, accepted,
+                 s);
     const baseline_rates* comparable =
         key.load_level == load_level_warming
             ? nullptr
             : comparable_baseline(test, key.route, key.load_level, min_attempts);
     if (comparable != nullptr) {
-        const std::size_t from = first_slow_bucket(*comparable, s.baseline_slow_rate);
         std::array<std::uint64_t, latency_bucket_count> added{};
         for (std::size_t i = 0; i < latency_bucket_count; ++i)
             added[i] = current.latency[i] - processed.latency[i];
-        const double timed = count_at_or_above(added, 0);
-        const double q0 =
-            std::clamp(upper_rate(count_at_or_above(comparable->latency, from), comparable->timed),
-                       s.baseline_slow_rate, 0.45);
-        const double step = log_likelihood_ratio(q0, s.bad_slow_rate, count_at_or_above(added, from), timed);
-        for (test_cell* part : {&cell, &route}) {
-            part->timed += static_cast<std::uint64_t>(timed);
-            add_step(part->latency_llr, step, accepted, floor);
-        }
+        add_latencies(cells, *comparable, added, accepted, s);
     }
     processed = current;
 }
 
-bool is_bad(const test_cell& cell, double bound) {
-    return cell.failure_llr >= bound || cell.latency_llr >= bound;
+template <class Predicate>
+bool any_cell(const move_test& test, Predicate&& matches) {
+    const auto has_match = [&](const auto& entry) { return matches(entry.second); };
+    return std::ranges::any_of(test.cells, has_match) || std::ranges::any_of(test.routes, has_match);
 }
 
 bool any_cell_bad(const move_test& test, const verdict_settings& s) {
     const double bound = condemn_bound(s, test.verdict == version_verdict::good);
-    const auto bad = [&](const auto& entry) { return is_bad(entry.second, bound); };
-    return std::ranges::any_of(test.cells, bad) || std::ranges::any_of(test.routes, bad);
+    return any_cell(test, [&](const test_cell& cell) { return std::ranges::max(cell.llr) >= bound; });
 }
 
 // Every route with at least min_route_share of the traffic must have been accepted.
@@ -249,8 +290,8 @@
     test.accepted_at = now;
     const double floor = accept_bound(s);
     const auto raise_to_floor = [&](test_cell& cell) {
-        cell.failure_llr = std::max(cell.failure_llr, floor);
-        cell.latency_llr = std::max(cell.latency_llr, floor);
+        for (double& ratio : cell.llr)
+            ratio = std::max(ratio, floor);
     };
     for (auto& [key, cell] : test.cells)
         raise_to_floor(cell);
@@ -265,27 +306,68 @@
     if (found == test.routes.end()) return false;
     const double bound = accept_bound(settings);
     const test_cell& cell = found->second;
-    return cell.failure_llr <= bound && cell.latency_llr <= bound;
+    return ratio_of(cell, test_measure::failure_excess) <= bound &&
+           ratio_of(cell, test_measure::slow) <= bound;
+}
+
+namespace {
+
+bool is_doubtful(const move_test& test, const test_cell& cell, const verdict_settings& s) {
+    // A version as good as the old one climbs this far once in 400 times.
+    constexpr double doubtful_climb = 6.0;
+    const double floor = test.verdict == version_verdict::good ? accept_bound(s) : 0.0;
+    return std::ranges::max(cell.llr) >= floor + doubtful_climb;
+}
+
+} // namespace
+
+bool is_doubtful(const move_test& test, const verdict_settings& settings) {
+    return any_cell(test, [&](const test_cell& cell) { return is_doubtful(test, cell, settings); });
+}
+
+bool is_doubtful(const move_test& test, std::string_view route, const verdict_settings& settings) {
+    const auto sum = test.routes.find(route);
+    return (sum != test.routes.end() && is_doubtful(test, sum->second, settings)) ||
+           std::ranges::any_of(test.cells, [&](const auto& entry) {
+               return entry.first.first == route && is_doubtful(test, entry.second, settings);
+           });
+}
+
+std::optional<duration> slow_latency(const move_test& test, const std::string& route,
+                                     std::uint32_t load_level, const verdict_settings& settings) {
+    if (load_level == load_level_warming) return std::nullopt;
+    const baseline_rates* old =
+        comparable_baseline(test, route, load_level, static_cast<double>(settings.min_baseline_attempts));
+    if (old == nullptr) return std::nullopt;
+    return bucket_start(first_slow_bucket(*old, settings.baseline_slow_rate, settings));
 }
 
 version_verdict advance_test(move_test& test, const version_evidence& evidence, const move_declaration& move,
                              const verdict_settings& settings, time_point now) {
-    if (test.start != move.start || test.to_version != move.to_version) {
+    return advance_test(test, evidence, {move.pool, move.from_version, move.to_version, move.start}, settings,
+                        now);
+}
+
+version_verdict advance_test(move_test& test, const version_evidence& evidence,
+                             const version_comparison& versions, const verdict_settings& settings,
+                             time_point now) {
+    if (test.start != versions.start || test.to_version != versions.new_version) {
         test = {};
-        test.start = move.start;
-        test.to_version = move.to_version;
+        test.start = versions.start;
+        test.to_version = versions.new_version;
         // Outcomes of the old version before the start of this move are not counted.
         for (const auto& [key, counts] : evidence.totals) {
-            if (key.pool == move.pool && key.version == move.from_version) test.processed[key] = counts;
+            if (key.pool == versions.pool && key.version == versions.old_version)
+                test.processed[key] = counts;
         }
     }
     if (test.verdict == version_verdict::bad) return test.verdict;
     for (const auto& [key, counts] : evidence.totals) {
-        if (key.pool == move.pool && key.version == move.from_version)
+        if (key.pool == versions.pool && key.version == versions.old_version)
             add_baseline(test, key, counts, settings.baseline_window);
     }
     for (const auto& [key, counts] : evidence.totals) {
-        if (key.pool == move.pool && key.version == move.to_version)
+        if (key.pool == versions.pool && key.version == versions.new_version)
             add_candidate(test, key, counts, settings);
     }
     if (any_cell_bad(test, settings)) {
--- a/core/damaskhill_versions.hpp
+++ b/core/damaskhill_versions.hpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace damaskhill {
@@ -66,14 +67,33 @@
 // [SECTION] Sequential test
 //-----------------------------------------------------------------------------
 
+/// What is tested on each route and load level, in parallel. Small excesses need many attempts and large ones
+/// few. The share of slow answers is tested against a usual one, and against the old version's own, which
+/// finds a version that is slow in a part of its answers.
+enum class test_measure : std::uint8_t {
+    small_failure_excess,
+    failure_excess, // decides the acceptance, together with `slow`
+    large_failure_excess,
+    slow,
+    slow_excess
+};
+inline constexpr std::size_t test_measure_count = 5;
+
 struct verdict_settings {
     // probability of rolling back a version that is as good as the old one
     double false_positive_rate{0.001};
     double false_negative_rate{0.001}; // probability of accepting a version whose excess is at the limit
     double max_failure_excess{0.10};   // failure rate above the old version's that counts as bad
+    double small_failure_excess{0.02}; // tested beside it, but not needed for the acceptance
+    double large_failure_excess{0.30}; // the same
     double baseline_slow_rate{0.10};   // share of the old version's answers that count as slow
     double bad_slow_rate{0.50};        // share of slow answers that counts as bad
-    double min_route_share{0.01};      // routes with a smaller share of traffic need not be accepted
+    double min_slow_rate{0.005};       // the old version's own share of slow answers, at least
+    double bad_slow_excess{0.20};      // above the old version's own share
+    // Latency buckets between the quantile of the old version and an answer that counts as slow. At least one
+    // (19%), so that quantisation at the boundary does not affect the test.
+    std::size_t slow_margin{1};
+    double min_route_share{0.01};            // routes with a smaller share of traffic need not be accepted
     std::uint64_t min_baseline_attempts{50}; // of the old version before the comparison starts
     double baseline_window{2000.0}; // attempts over which the old version's current rates are estimated
     double max_cells{32.0};         // parallel tests of one move that share the false positive rate
@@ -93,12 +113,19 @@
 
 /// Log likelihood ratios of "bad" versus "as good as the old version" for one route and load level.
 struct test_cell {
-    double failure_llr{};
-    double latency_llr{};
+    std::array<double, test_measure_count> llr{}; // by test_measure
     std::uint64_t attempts{};
     std::uint64_t timed{};
 };
 
+/// The versions that a test compares.
+struct version_comparison {
+    std::string_view pool;
+    std::string_view old_version;
+    std::string_view new_version;
+    time_point start; // of the move; a later one begins a new test
+};
+
 /// State of the test of one move in one router.
 struct move_test {
     time_point start{}; // start of the move under test
@@ -114,11 +141,24 @@
 
 /// Adds the evidence received since the last call to the test and returns the verdict. A bad verdict is
 /// final; after a good one monitoring continues.
+version_verdict advance_test(move_test& test, const version_evidence& evidence,
+                             const version_comparison& versions, const verdict_settings& settings,
+                             time_point now);
 version_verdict advance_test(move_test& test, const version_evidence& evidence, const move_declaration& move,
                              const verdict_settings& settings, time_point now);
 /// Returns whether the test has accepted the new version on the route.
 [[nodiscard]] bool route_accepted(const move_test& test, std::string_view route,
                                   const verdict_settings& settings);
+/// Whether a part of the test leans towards a bad verdict, so that the share of traffic should not grow now.
+[[nodiscard]] bool is_doubtful(const move_test& test, const verdict_settings& settings);
+/// Whether it is this route that leans so.
+[[nodiscard]] bool is_doubtful(const move_test& test, std::string_view route,
+                               const verdict_settings& settings);
+/// Latency from which an answer counts as slow, so that one that is still awaited counts already; none if too
+/// little is known of the old version.
+[[nodiscard]] std::optional<duration> slow_latency(const move_test& test, const std::string& route,
+                                                   std::uint32_t load_level,
+                                                   const verdict_settings& settings);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Traffic share
