Prompt suspects: a part is the same with every model

Cause: decode_prompt hashes the model into a part's id, for the prefix cache, and the evidence on crashes used the same id.

Change: a segment has two identities, what an engine caches and what the request holds.

--- a/core/damaskhill_direct_requests.cpp
+++ b/core/damaskhill_direct_requests.cpp
@@ -483,11 +483,14 @@
     return prompt.tokens + output_weight * std::min(output, prompt.output_limit);
 }
 
-/// Parts of the prompt that other requests may share: all but the last one.
+/// Parts of the prompt that other requests may share: all but the last one. Each has two identities, since it
+/// may crash engines with every model or with this one only: the latter is not acquitted by other models.
 prompt_parts shared_parts(const prompt_shape& prompt) {
     prompt_parts parts;
-    for (std::size_t i = 0; i + 1 < prompt.segments.size(); ++i)
+    for (std::size_t i = 0; i + 1 < prompt.segments.size(); ++i) {
+        parts.push_back(prompt.segments[i].content);
         parts.push_back(prompt.segments[i].id);
+    }
     std::ranges::sort(parts);
     parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
     return parts;
--- a/core/damaskhill_engine_load.hpp
+++ b/core/damaskhill_engine_load.hpp
@@ -157,8 +157,9 @@
 //-----------------------------------------------------------------------------
 
 struct prompt_segment {
-    std::uint64_t id{};
+    std::uint64_t id{}; // of what an engine caches, which differs by model
     std::uint32_t tokens{};
+    std::uint64_t content{}; // of what the request holds, whatever its model
 };
 
 struct prompt_shape {
--- a/tests/crash_fleet.hpp
+++ b/tests/crash_fleet.hpp
@@ -6,8 +6,11 @@
 
 #pragma once
 
+#include "damaskhill_platform_wire.hpp"
 #include "direct_fixture.hpp"
 
+#include <set>
+
 namespace damaskhill::direct {
 
 //-----------------------------------------------------------------------------
@@ -75,6 +78,7 @@
     std::uint64_t last_event{};
     std::vector<time_point> crashes;
     std::vector<time_point> crashing_arrivals;
+    std::set<std::string> crashing_attempts; // of requests that were submitted as text
     std::size_t sound_sent{};
     std::size_t sound_begun{};
     std::size_t sound_whole{};
@@ -128,9 +132,28 @@
         const std::uint64_t last_part = body.empty() ? next_id++ : stable_hash(body) % 1'000'000;
         parts.push_back(1'000'000 + last_part);
         for (const std::uint64_t part : parts)
-            request.prompt.segments.push_back({part, 200});
+            request.prompt.segments.push_back({part, 200, part});
         router.process(request);
     }
+    /// Submits a request as a caller writes it. `prefix` lists the parts of its prompt.
+    void submit_text(test_router& router, const std::string& prefix, const std::string& model,
+                     bool is_crashing) {
+        http_request text;
+        text.method = "POST";
+        text.target = "/" + kind.route + "/x";
+        const std::string attempt = "attempt-" + std::to_string(next_id++);
+        text.body = attempt;
+        text.headers = {{"Host", "h.example"},
+                        {"Authorization", "Token key-1"},
+                        {"Damaskhill-Attempt-Id", attempt},
+                        {"Damaskhill-Deadline-Remaining", "8000"},
+                        {"Damaskhill-Token-Count", "800,100"},
+                        {"Damaskhill-Prompt-Prefix", prefix}};
+        if (!model.empty()) text.headers.emplace_back("Damaskhill-Model", model);
+        if (is_crashing) crashing_attempts.insert(attempt);
+        sound_sent += is_crashing ? 0 : 1;
+        router.process(platform::decode_request(router.next_caller++, std::move(text)));
+    }
     void handle_effects() {
         for (const auto& router : routers) {
             direct::effects out;
@@ -169,7 +192,7 @@
             return;
         }
         const request_arrived& arrived = sent.content->input;
-        const bool crashing = arrived.body == crashing_body ||
+        const bool crashing = arrived.body == crashing_body || crashing_attempts.contains(arrived.attempt) ||
                               std::ranges::any_of(arrived.prompt.segments, [](const prompt_segment& segment) {
                                   return segment.id == crashing_part || segment.id == second_crashing_part;
                               });
--- a/tests/direct_fixture.hpp
+++ b/tests/direct_fixture.hpp
@@ -125,7 +125,7 @@
         request.body = "body-" + std::to_string(request.caller);
         request.remaining = 8s;
         if (route == "chat" || route == "review")
-            request.prompt = {800, 100, 0, {{1, 400}, {request.caller + 10, 400}}};
+            request.prompt = {800, 100, 0, {{1, 400, 1}, {request.caller + 10, 400, request.caller + 10}}};
         process(request);
         return request.caller;
     }
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -67,6 +67,7 @@
     BOOST_TEST(request.prompt.output_hint == 60U);
     BOOST_REQUIRE(request.prompt.segments.size() == 3U);
     BOOST_TEST(request.prompt.segments[1].tokens == 410U);
+    BOOST_TEST(request.prompt.segments[1].id != request.prompt.segments[1].content);
     for (const char* name :
          {"Authorization", "Damaskhill-Tenant", "Damaskhill-Cache-Hold", "Kv-From", "X-Hop"})
         BOOST_TEST(find_header(request.headers, name).empty());
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -122,6 +122,82 @@
                begun_before / 2);
 }
 
+namespace {
+
+/// How callers write the crashing part, and what else their requests hold.
+struct written_part {
+    const char* name{};
+    std::size_t models{1};
+    bool sound_names_models{true};
+    std::string part{"d00d0001:100"};
+    std::string after;       // further parts
+    std::string last{":40"}; // behind the id of the request's own part
+};
+
+std::ostream& operator<<(std::ostream& out, const written_part& written) { return out << written.name; }
+
+std::vector<written_part> written_parts() {
+    return {{.name = "one model"},
+            {.name = "two models", .models = 2},
+            {.name = "eight models", .models = 8},
+            {.name = "24 models", .models = 24},
+            {.name = "eight models, others without a model", .models = 8, .sound_names_models = false},
+            {.name = "blanks", .models = 8, .part = " d00d0001 : 100"},
+            {.name = "last part without a readable size", .last = ":many"},
+            {.name = "last part without a size", .models = 2, .last = ""},
+            {.name = "part without a readable size", .models = 2, .part = "d00d0001:"},
+            {.name = "list with empty elements", .models = 2, .part = ",d00d0001:100,", .last = ":40,"}};
+}
+
+} // namespace
+
+// Guards against a part that counts as another one with each model, or is not accused because of how a caller
+// writes the prompt.
+BOOST_DATA_TEST_CASE(part_is_the_same_in_all_requests, boost::unit_test::data::make(written_parts()),
+                     written) {
+    crash_fleet fleet{4, 8};
+    const auto submit = [&](std::size_t i, std::size_t router, const std::string& middle, std::size_t models,
+                            bool crashes) {
+        const std::string model = models == 0 ? "" : "m" + std::to_string(i % models);
+        const std::string own = "r" + std::to_string(i) + (crashes ? "x" + written.last : ":40");
+        fleet.submit_text(*fleet.routers[router % fleet.routers.size()], "5c1e0000:200," + middle + own,
+                          model, crashes);
+    };
+    const auto both = [&](std::size_t i) {
+        const std::size_t models = written.sound_names_models ? written.models : 0;
+        submit(i, i, "a" + std::to_string(i % 7) + ":80,", models, false);
+        if (i % 25 == 0) submit(i / 25, i / 25, written.part + "," + written.after, written.models, true);
+    };
+    fleet.run_for(16s, both);
+    BOOST_REQUIRE(fleet.crashes.size() >= 3U);
+    const time_point fifth = fleet.crashes[std::min<std::size_t>(fleet.crashes.size(), 5) - 1];
+    fleet.sound_sent = 0;
+    fleet.sound_begun = 0;
+    fleet.run_for(20s, both);
+    BOOST_TEST(fleet.crashing_arrivals_after(fifth + contact_time) <= max_late_arrivals);
+    BOOST_TEST(static_cast<double>(fleet.sound_begun) > 0.9 * static_cast<double>(fleet.sound_sent));
+}
+
+// Guards against a part that crashes engines with one model and is acquitted by the answers of others, and
+// against refusing these.
+BOOST_AUTO_TEST_CASE(part_that_crashes_with_one_model_is_quarantined_for_that_model) {
+    crash_fleet fleet{4, 8};
+    const auto both = [&](std::size_t i) {
+        const bool is_crashing = i % 25 == 0;
+        const std::string model = is_crashing ? "m0" : "m" + std::to_string(1 + i % 3);
+        fleet.submit_text(*fleet.routers[i / (is_crashing ? 25 : 1) % fleet.routers.size()],
+                          "5c1e0000:200,d00d0001:100,r" + std::to_string(i) + ":40", model, is_crashing);
+    };
+    fleet.run_for(16s, both);
+    BOOST_REQUIRE(fleet.crashes.size() >= 3U);
+    const time_point fifth = fleet.crashes[std::min<std::size_t>(fleet.crashes.size(), 5) - 1];
+    fleet.sound_sent = 0;
+    fleet.sound_begun = 0;
+    fleet.run_for(20s, both);
+    BOOST_TEST(fleet.crashing_arrivals_after(fifth + contact_time) <= max_late_arrivals);
+    BOOST_TEST(static_cast<double>(fleet.sound_begun) > 0.9 * static_cast<double>(fleet.sound_sent));
+}
+
 // Guards against refusing the sound requests of every account after a failure of many engines at once, which
 // accuses all parts in use, and after connections that broke while the engine lived on.
 BOOST_AUTO_TEST_CASE(engine_failures_quarantine_no_sound_part) {
