Prompt suspects: no part hides behind a bound

Cause: merge_crash kept the first 16 parts of an accused request by id. A part behind them was dropped by every crash.

Change: up to 1,024 parts of a request are kept, first those that other crashes accuse, then those without an answer, then the others, among equal ones by a hash that changes with each crash. The bounds beside it: requests of a crash are an even selection instead of the first ones; rows in reports and in summaries take turns within a size that fits a datagram (summaries had no bound); answered parts that a stored crash accuses are not forgotten; quarantines prefer the parts with most crashes; an acquittal that ends quarantines has the part behind them judged at once. Rows state the identity of the whole request.

--- a/core/damaskhill_direct.hpp
+++ b/core/damaskhill_direct.hpp
@@ -512,6 +512,13 @@
     bool must_forward{}; // not yet forwarded within this data centre
 };
 
+/// Rows about crashes with which the next report begins, if one report has no room for all of them.
+struct announced_suspects {
+    std::size_t accused{};
+    std::size_t acquittals{};
+    std::size_t quarantines{};
+};
+
 /// Progress of a rollout, as this router knows it.
 struct rollout_progress {
     rollout_order order;    // the progress belongs to
@@ -580,6 +587,8 @@
     // Next report to the addresses that get no regular reports.
     time_point next_probe{};
     prompt_suspects suspects;
+    announced_suspects announced;
+    announced_suspects announced_in_summary;
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
 
     time_point next_report{};
--- a/core/damaskhill_direct_internal.hpp
+++ b/core/damaskhill_direct_internal.hpp
@@ -128,7 +128,10 @@
 [[nodiscard]] prompt_judgement judge_request(const router_state& state, const request& item);
 /// Crashes of targets of which copies of the request are accused.
 [[nodiscard]] std::uint32_t known_crashes(const router_state& state, const request& item);
-void add_suspect_rows(const router_state& state, router_report& report);
+void add_suspect_rows(router_state& state, router_report& report);
+/// Leaves out the rows about crashes that a report has no room for. The next one continues with these.
+void limit_suspect_rows(const prompt_suspect_settings& settings, announced_suspects& next,
+                        router_report& report);
 /// Returns whether the report accuses a request that was not accused before.
 bool apply_suspect_rows(router_state& state, const router_report& report, effects& out);
 
--- a/core/damaskhill_direct_messages.hpp
+++ b/core/damaskhill_direct_messages.hpp
@@ -51,11 +51,12 @@
     std::vector<std::uint64_t> parts; // of the prompt
     std::uint64_t request{};          // hash of account, path and body
     bool begun{};                     // the answer had been going on
+    std::uint64_t identity{};         // of the request with all its parts, some of which may be left out
     static constexpr auto fields() {
         using t = engine_crash_row;
         return std::tuple{field{1, "engine", &t::engine}, field{2, "age_us", &t::age_us},
-                          field{3, "parts", &t::parts}, field{4, "request", &t::request},
-                          field{5, "begun", &t::begun}};
+                          field{3, "parts", &t::parts},   field{4, "request", &t::request},
+                          field{5, "begun", &t::begun},   field{6, "identity", &t::identity}};
     }
 };
 
--- a/core/damaskhill_direct_peers.cpp
+++ b/core/damaskhill_direct_peers.cpp
@@ -128,7 +128,7 @@
     apply_report_rows(state, summary_id(report.data_centre), report);
 }
 
-std::shared_ptr<const router_report> make_report(const router_state& state, bool all_routers);
+std::shared_ptr<const router_report> make_report(router_state& state, bool all_routers);
 std::vector<std::string> live_neighbours(const router_state& state);
 bool is_relay(const router_state& state, std::span<const std::string> neighbours);
 
@@ -282,7 +282,7 @@
     }
 }
 
-std::shared_ptr<const router_report> make_report(const router_state& state, bool all_routers) {
+std::shared_ptr<const router_report> make_report(router_state& state, bool all_routers) {
     auto report = std::make_shared<router_report>();
     add_identity(state, *report);
     add_routers(state, *report, all_routers);
@@ -340,7 +340,7 @@
     }
 };
 
-std::shared_ptr<const router_report> make_summary(const router_state& state, const router_report& own) {
+std::shared_ptr<const router_report> make_summary(router_state& state, const router_report& own) {
     report_sums sums;
     sums.add(own);
     for (const auto& [address, peer] : state.peers) {
@@ -370,6 +370,7 @@
     values(sums.quarantines, summary->quarantines);
     values(sums.notices, summary->notices);
     summary->engine_crashes = std::move(sums.engine_crashes);
+    limit_suspect_rows(state.settings.suspects, state.announced_in_summary, *summary);
     return summary;
 }
 
--- a/core/damaskhill_direct_suspects.cpp
+++ b/core/damaskhill_direct_suspects.cpp
@@ -19,13 +19,15 @@
 namespace {
 
 std::string format_parts(std::span<const std::uint64_t> parts) {
+    constexpr std::size_t most = 32;
     std::string list{"["};
-    for (const std::uint64_t part : parts) {
+    for (const std::uint64_t part : parts.first(std::min(parts.size(), most))) {
         if (list.size() > 1) list.push_back(',');
         std::array<char, 20> text{};
         std::snprintf(text.data(), text.size(), "\"%llx\"", static_cast<unsigned long long>(part));
         list.append(text.data());
     }
+    if (parts.size() > most) list += ",\"" + std::to_string(parts.size() - most) + " more\"";
     return list + "]";
 }
 
@@ -69,9 +71,9 @@
     const prompt_suspect_settings& settings = state.settings.suspects;
     const bool expired = target.broken && state.now - target.broken->noticed > settings.max_unconfirmed;
     if (!target.broken || expired) target.broken = engine_crash{target.hash, at, {}, state.now};
-    if (target.broken->accused.size() >= settings.max_accused) return;
     const bool begun = item.first_byte_received && at - first_byte_at(item) > settings.beginning;
-    target.broken->accused.push_back({item.parts, item.request_fingerprint, begun, true});
+    accuse_request(state.suspects, settings, *target.broken,
+                   {item.parts, item.request_fingerprint, begun, true, 0});
 }
 
 } // namespace
@@ -210,16 +212,45 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - at).count()));
 }
 
+/// Keeps the rows from the cursor on whose sizes fit into the room; at least the first one, unless it alone
+/// is larger than that. The next report continues behind them.
+template <class Row, class F>
+void keep_in_turn(std::vector<Row>& rows, std::size_t& cursor, std::size_t room, F&& size_of) {
+    if (rows.empty()) return;
+    std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(cursor % rows.size()), rows.end());
+    std::size_t kept = 0;
+    for (std::size_t used = 0; kept < rows.size(); ++kept) {
+        used += size_of(rows[kept]);
+        if (used > room) break;
+    }
+    const std::size_t before = rows.size();
+    rows.resize(kept);
+    cursor = kept == before ? 0 : (cursor % before) + std::max<std::size_t>(kept, 1);
+}
+
 } // namespace
 
-void add_suspect_rows(const router_state& state, router_report& report) {
+void limit_suspect_rows(const prompt_suspect_settings& settings, announced_suspects& next,
+                        router_report& report) {
+    // A row counts as some parts, so that the limit on rows holds too.
+    const std::size_t row_size = settings.max_announced_parts / settings.max_announced + 1;
+    keep_in_turn(report.engine_crashes, next.accused, settings.max_announced_parts,
+                 [&](const engine_crash_row& row) { return row_size + row.parts.size(); });
+    keep_in_turn(report.acquittals, next.acquittals, settings.max_announced_acquittals,
+                 [](const acquittal_row&) { return std::size_t{1}; });
+    // Others find a part with too many companions by the crashes themselves.
+    keep_in_turn(report.quarantines, next.quarantines, settings.max_announced_companions,
+                 [](const quarantine_row& row) { return 1 + row.companions.size(); });
+}
+
+void add_suspect_rows(router_state& state, router_report& report) {
     const prompt_suspects& suspects = state.suspects;
     for (const engine_crash& crash : suspects.crashes) {
         if (state.now - crash.noticed > state.settings.suspects.announce_time) continue;
         for (const accused_request& item : crash.accused) {
-            if (item.is_own && report.engine_crashes.size() < state.settings.suspects.max_announced)
-                report.engine_crashes.push_back(
-                    {crash.engine, age_us(state.now, crash.at), item.parts, item.fingerprint, item.begun});
+            if (item.is_own)
+                report.engine_crashes.push_back({crash.engine, age_us(state.now, crash.at), item.parts,
+                                                 item.fingerprint, item.begun, item.identity});
         }
     }
     for (const auto& [part, answered] : suspects.own_acquittals) {
@@ -231,6 +262,7 @@
     for (const auto& [part, quarantined] : suspects.quarantined)
         report.quarantines.push_back({part, quarantined.moments, age_us(state.now, quarantined.last_crash),
                                       quarantined.companions, quarantined.begun});
+    limit_suspect_rows(state.settings.suspects, state.announced, report);
 }
 
 bool apply_suspect_rows(router_state& state, const router_report& report, effects& out) {
@@ -247,7 +279,7 @@
             return other.engine != row->engine || other.age_us != row->age_us;
         });
         for (; row != end; ++row)
-            crash.accused.push_back({row->parts, row->request, row->begun, false});
+            crash.accused.push_back({row->parts, row->request, row->begun, false, row->identity});
         crashes.push_back(std::move(crash));
     }
     const bool is_news = add_crashes(state.suspects, settings, std::move(crashes), state.now);
--- a/core/damaskhill_prompt_suspects.cpp
+++ b/core/damaskhill_prompt_suspects.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <functional>
-#include <unordered_set>
+#include <tuple>
 
 namespace damaskhill {
 
@@ -23,8 +23,19 @@
 
 namespace {
 
-bool is_same_request(const accused_request& a, const accused_request& b) {
-    return a.fingerprint == b.fingerprint && a.begun == b.begun && a.parts == b.parts;
+std::uint64_t mix(std::uint64_t value, std::uint64_t salt) {
+    // SplitMix64.
+    value += salt * 0x9e3779b97f4a7c15U;
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+std::uint64_t identity_of(const accused_request& accused) {
+    std::uint64_t identity = mix(accused.fingerprint, accused.begun ? 2 : 1);
+    for (const std::uint64_t part : accused.parts)
+        identity = mix(identity ^ part, 3);
+    return std::max<std::uint64_t>(identity, 1);
 }
 
 /// Whether the part has been acquitted of an accusation at this time. `begun`: see accused_request.
@@ -74,6 +85,13 @@
 }
 
 void rebuild_suspected(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    suspects.accused.clear();
+    for (const engine_crash& crash : suspects.crashes) {
+        for (const accused_request& accused : crash.accused) {
+            suspects.accused.insert(accused.parts.begin(), accused.parts.end());
+            if (accused.fingerprint != 0) suspects.accused.insert(accused.fingerprint);
+        }
+    }
     suspects.suspected.clear();
     count_accusations(suspects, settings, std::nullopt);
 }
@@ -111,9 +129,10 @@
     return (crashed_early || part.crashes >= crashes) && part.moments >= moments;
 }
 
-using crash_times = std::vector<std::pair<time_point, std::uint64_t>>; // of the last crash, and the part
+/// Time of the last crash, number of crashes or moments, and the part.
+using crash_times = std::vector<std::tuple<time_point, std::uint32_t, std::uint64_t>>;
 
-/// Keeps the entries with the latest crashes.
+/// Keeps the entries with the latest crashes, and of these the ones with most.
 void keep_latest(crash_times& entries, std::size_t most) {
     if (entries.size() <= most) return;
     std::ranges::nth_element(entries, entries.begin() + static_cast<std::ptrdiff_t>(most), std::greater{});
@@ -124,10 +143,10 @@
     if (suspects.quarantined.size() <= settings.max_quarantines) return;
     crash_times kept;
     for (const auto& [part, quarantined] : suspects.quarantined)
-        kept.emplace_back(quarantined.last_crash, part);
+        kept.emplace_back(quarantined.last_crash, quarantined.moments, part);
     keep_latest(kept, settings.max_quarantines);
     std::erase_if(suspects.quarantined, [oldest = std::ranges::min(kept)](const auto& entry) {
-        return std::pair{entry.second.last_crash, entry.first} < oldest;
+        return std::tuple{entry.second.last_crash, entry.second.moments, entry.first} < oldest;
     });
 }
 
@@ -137,7 +156,7 @@
     for (const auto& [id, part] : suspects.suspected) {
         const auto found = suspects.quarantined.find(id);
         if (found == suspects.quarantined.end()) {
-            if (must_quarantine(part, settings)) added.emplace_back(part.last_crash, id);
+            if (must_quarantine(part, settings)) added.emplace_back(part.last_crash, part.crashes, id);
             continue;
         }
         quarantined_part& quarantined = found->second;
@@ -149,7 +168,7 @@
         quarantined.last_crash = part.last_crash;
     }
     keep_latest(added, settings.max_quarantines);
-    for (const auto& [last_crash, id] : added) {
+    for (const auto& [last_crash, crashes, id] : added) {
         const suspected_part& part = suspects.suspected.at(id);
         suspects.quarantined[id] = {part.moments, part.last_crash, companions_of(suspects, id),
                                     part.begun_crashes > 0};
@@ -159,56 +178,108 @@
 
 time_point latest(const answered_part& answered) { return std::max(answered.begun, answered.whole); }
 
-/// Forgets the parts whose last answer is oldest.
+/// Forgets the parts whose last answer is oldest, except for those whose acquittal rests on it.
 void limit_answered(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
-    if (suspects.answered.size() <= settings.max_answered) return;
+    if (suspects.answered.size() <= std::max(settings.max_answered, suspects.answered_limit)) return;
     std::vector<time_point> times;
     times.reserve(suspects.answered.size());
-    for (const auto& [part, answered] : suspects.answered)
-        times.push_back(latest(answered));
+    for (const auto& [part, answered] : suspects.answered) {
+        if (!suspects.accused.contains(part)) times.push_back(latest(answered));
+    }
     // Removes half at once, so that the search is rare.
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::ranges::nth_element(times, middle);
-    std::erase_if(suspects.answered,
-                  [limit = *middle](const auto& entry) { return latest(entry.second) < limit; });
+    if (!times.empty()) {
+        const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+        std::ranges::nth_element(times, middle);
+        std::erase_if(suspects.answered, [&, limit = *middle](const auto& entry) {
+            return latest(entry.second) <= limit && !suspects.accused.contains(entry.first);
+        });
+    }
+    suspects.answered_limit = suspects.answered.size() + settings.max_answered / 2;
+}
+
+/// Cuts the parts of a request to those that may explain the crash best. Which of equal ones are left out
+/// depends on the salt.
+void cut_parts(const prompt_suspects& suspects, prompt_parts& parts, std::size_t most, std::uint64_t salt) {
+    if (parts.size() <= most) return;
+    const auto rank = [&](std::uint64_t part) {
+        if (suspects.suspected.contains(part) || suspects.quarantined.contains(part)) return 0;
+        return suspects.answered.contains(part) ? 2 : 1;
+    };
+    std::vector<std::tuple<int, std::uint64_t, std::uint64_t>> ranked;
+    ranked.reserve(parts.size());
+    for (const std::uint64_t part : parts)
+        ranked.emplace_back(rank(part), mix(part, salt), part);
+    std::ranges::nth_element(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(most));
+    ranked.resize(most);
+    parts.clear();
+    for (const auto& [order, hash, part] : ranked)
+        parts.push_back(part);
+}
+
+std::size_t count_parts(const engine_crash& crash) {
+    std::size_t sum = 0;
+    for (const accused_request& accused : crash.accused)
+        sum += accused.parts.size();
+    return sum;
+}
+
+/// Forgets the oldest crashes.
+void limit_crashes(prompt_suspects& suspects, const prompt_suspect_settings& settings) {
+    std::size_t parts = 0;
+    for (const engine_crash& crash : suspects.crashes)
+        parts += count_parts(crash);
+    while (suspects.crashes.size() > 1 &&
+           (suspects.crashes.size() > settings.max_crashes || parts > settings.max_stored_parts)) {
+        parts -= count_parts(suspects.crashes.front());
+        suspects.crashes.erase(suspects.crashes.begin());
+    }
 }
 
 /// Adds a crash, or what is new of a known one. Returns whether anything is.
 bool merge_crash(prompt_suspects& suspects, const prompt_suspect_settings& settings, engine_crash crash,
                  time_point now) {
     if (now - crash.at > settings.crash_lifetime) return false;
-    for (accused_request& accused : crash.accused) {
-        if (accused.parts.size() > settings.max_parts) accused.parts.resize(settings.max_parts);
-        std::ranges::sort(accused.parts);
-    }
-    std::erase_if(crash.accused, [](const accused_request& accused) {
-        return accused.parts.empty() && accused.fingerprint == 0;
-    });
     auto known = std::ranges::find_if(suspects.crashes, [&](const engine_crash& other) {
         return other.engine == crash.engine &&
                std::chrono::abs(other.at - crash.at) < settings.min_restart_time;
     });
-    const bool is_new = known == suspects.crashes.end();
-    if (is_new) known = suspects.crashes.insert(known, {crash.engine, crash.at, {}, now});
+    bool is_news = known == suspects.crashes.end();
+    if (is_news) known = suspects.crashes.insert(known, {crash.engine, crash.at, {}, now});
     engine_crash& stored = *known;
-    const std::size_t accused_before = stored.accused.size();
     stored.at = std::min(stored.at, crash.at);
-    for (accused_request& accused : crash.accused) {
-        const bool is_known = std::ranges::any_of(
-            stored.accused, [&](const accused_request& other) { return is_same_request(other, accused); });
-        if (!is_known && stored.accused.size() < settings.max_accused)
-            stored.accused.push_back(std::move(accused));
-    }
-    const bool is_news = is_new || stored.accused.size() > accused_before;
+    for (accused_request& accused : crash.accused)
+        is_news = accuse_request(suspects, settings, stored, std::move(accused)) || is_news;
     if (!is_news) return false;
     stored.noticed = now;
     std::ranges::sort(suspects.crashes, {}, &engine_crash::at);
-    if (suspects.crashes.size() > settings.max_crashes) suspects.crashes.erase(suspects.crashes.begin());
+    limit_crashes(suspects, settings);
     return true;
 }
 
 } // namespace
 
+bool accuse_request(const prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                    engine_crash& crash, accused_request accused) {
+    if (accused.parts.empty() && accused.fingerprint == 0) return false;
+    std::ranges::sort(accused.parts);
+    if (accused.identity == 0) accused.identity = identity_of(accused);
+    if (std::ranges::find(crash.accused, accused.identity, &accused_request::identity) != crash.accused.end())
+        return false;
+    const auto order = [&](const accused_request& item) { return mix(item.identity, crash.engine); };
+    if (crash.accused.size() >= settings.max_accused) {
+        const auto last = std::ranges::max_element(crash.accused, {}, order);
+        if (order(*last) <= order(accused)) return false;
+        crash.accused.erase(last);
+    }
+    const std::size_t stored = count_parts(crash);
+    const std::size_t left = settings.max_crash_parts - std::min(settings.max_crash_parts, stored);
+    cut_parts(suspects, accused.parts, std::clamp(left, settings.min_parts, settings.max_parts),
+              accused.identity ^ static_cast<std::uint64_t>(crash.at.time_since_epoch().count()));
+    std::ranges::sort(accused.parts);
+    crash.accused.push_back(std::move(accused));
+    return true;
+}
+
 bool add_crashes(prompt_suspects& suspects, const prompt_suspect_settings& settings,
                  std::vector<engine_crash> crashes, time_point now) {
     bool is_news = false;
@@ -226,24 +297,37 @@
     const auto time_in = [&](answered_part& answered) -> time_point& {
         return is_whole ? answered.whole : answered.begun;
     };
+    std::vector<std::uint64_t> acquitted;
+    bool ended_quarantine = false;
     for (const std::uint64_t part : parts) {
-        time_point& answered = time_in(suspects.answered[part]);
-        if (at <= answered) continue;
-        answered = at;
         const auto quarantined = suspects.quarantined.find(part);
         const bool is_quarantined = quarantined != suspects.quarantined.end();
-        const bool ends_quarantine = is_quarantined && quarantined->second.last_crash <= at &&
-                                     (is_whole || !quarantined->second.begun);
         const bool is_suspected = suspects.suspected.contains(part);
+        time_point& answered = time_in(suspects.answered[part]);
+        if (at <= answered) continue;
+        answered = at;
         if (!is_quarantined && !is_suspected) continue;
         if (is_own) time_in(suspects.own_acquittals[part]) = at;
-        if (ends_quarantine) suspects.quarantined.erase(quarantined);
+        if (is_quarantined && quarantined->second.last_crash <= at &&
+            (is_whole || !quarantined->second.begun)) {
+            suspects.quarantined.erase(quarantined);
+            ended_quarantine = true;
+        }
         for (auto& [other, entry] : suspects.quarantined) {
             if (entry.last_crash <= at && other != part && (is_whole || !entry.begun))
                 std::erase(entry.companions, part);
         }
-        if (is_suspected) recount_suspected(suspects, settings, part);
+        if (is_suspected) acquitted.push_back(part);
+    }
+    constexpr std::size_t few = 8; // recounted one by one
+    if (acquitted.size() > few) {
+        rebuild_suspected(suspects, settings);
+    } else {
+        for (const std::uint64_t part : acquitted)
+            recount_suspected(suspects, settings, part);
     }
+    // The part that has been hidden by the others.
+    if (ended_quarantine) update_quarantines(suspects, settings);
     limit_answered(suspects, settings);
 }
 
--- a/core/damaskhill_prompt_suspects.hpp
+++ b/core/damaskhill_prompt_suspects.hpp
@@ -11,6 +11,10 @@
 // requests with it are sent one at a time, so that a sound part is acquitted and a bad one costs one more
 // target.
 //
+// A request may list thousands of parts. What is kept of them is bounded, and what is left out changes with
+// each crash, so that no part can hide behind the bound. Parts that earlier crashes accuse come first, then
+// those without an answer: sound parts have answers, since sound requests share them.
+//
 // Load patterns: requests that are never alike share one bad part, arrive at every router, and crash all
 // engines within a second, or each of them at any time of its answer; sound requests share the account and
 // the other parts, and lose a whole batch of streams with each crash. One request is repeated at every router
@@ -28,6 +32,7 @@
 #include <map>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace damaskhill {
 
@@ -57,14 +62,21 @@
     // An answer has been going on after this time: less than proof_of_life, so that a crash just after the
     // latter is not taken for one at the beginning.
     duration beginning{200ms};
-    duration max_unconfirmed{5s};   // a broken connection without a further sign is no crash
-    duration announce_time{2s};     // crashes and acquittals are repeated in reports for this long
-    std::size_t max_crashes{64};    // kept
-    std::size_t max_accused{128};   // requests of one crash
-    std::size_t max_announced{256}; // accused requests in one report
-    std::size_t max_parts{16};      // of one request
+    duration max_unconfirmed{5s};      // a broken connection without a further sign is no crash
+    duration announce_time{2s};        // crashes and acquittals are repeated in reports for this long
+    std::size_t max_crashes{64};       // kept
+    std::size_t max_accused{128};      // requests of one crash
+    std::size_t max_parts{1024};       // of one accused request
+    std::size_t max_crash_parts{4096}; // of all accused requests of one crash; each has min_parts anyway
+    std::size_t min_parts{16};
+    std::size_t max_stored_parts{131'072}; // of all crashes
     std::size_t max_quarantines{64};
-    std::size_t max_answered{4096}; // parts whose last answer is remembered
+    std::size_t max_answered{65'536}; // parts whose last answer is remembered
+    // Of one report. If there is more, the reports take turns.
+    std::size_t max_announced{256};        // accused requests
+    std::size_t max_announced_parts{1500}; // of these; more than max_parts
+    std::size_t max_announced_acquittals{250};
+    std::size_t max_announced_companions{1000}; // of quarantined parts, which count themselves
 };
 
 //-----------------------------------------------------------------------------
@@ -79,6 +91,7 @@
     std::uint64_t fingerprint{}; // of account, path and body
     bool begun{};                // its answer had been going on
     bool is_own{};               // seen by this router, which announces it
+    std::uint64_t identity{}; // of the request with all its parts, some of which may be left out; 0: unknown
 };
 
 /// Crash of one target incarnation.
@@ -118,8 +131,10 @@
 };
 
 struct prompt_suspects {
-    std::vector<engine_crash> crashes; // by time
+    std::vector<engine_crash> crashes;         // by time
+    std::unordered_set<std::uint64_t> accused; // parts of these, also acquitted ones
     std::unordered_map<std::uint64_t, answered_part> answered;
+    std::size_t answered_limit{}; // at which some are forgotten, if this is more than max_answered
     std::unordered_map<std::uint64_t, answered_part> own_acquittals; // of suspected parts, to be announced
     std::unordered_map<std::uint64_t, suspected_part> suspected;
     std::map<std::uint64_t, quarantined_part> quarantined;
@@ -127,6 +142,11 @@
 
 /// The parts of a prompt and the request itself, sorted. A fingerprint of 0 stands for an unknown request.
 [[nodiscard]] prompt_parts parts_of_request(std::span<const std::uint64_t> parts, std::uint64_t fingerprint);
+/// Adds a request to those that a crash accuses. Some parts are left out if there are too many: preferably
+/// those that have been answered, else others with each crash. The same holds for requests beyond the limit.
+/// Returns whether it is news.
+bool accuse_request(const prompt_suspects& suspects, const prompt_suspect_settings& settings,
+                    engine_crash& crash, accused_request accused);
 /// Adds crashes. Reports of the same crash by several routers count once. Returns whether a request is
 /// accused that was not accused of it before.
 bool add_crashes(prompt_suspects& suspects, const prompt_suspect_settings& settings,
--- a/tests/crash_fleet.hpp
+++ b/tests/crash_fleet.hpp
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "damaskhill_impl_thrift.hpp"
 #include "damaskhill_platform_wire.hpp"
 #include "direct_fixture.hpp"
 
@@ -79,6 +80,7 @@
     std::vector<time_point> crashes;
     std::vector<time_point> crashing_arrivals;
     std::set<std::string> crashing_attempts; // of requests that were submitted as text
+    std::size_t largest_report{};            // bytes
     std::size_t sound_sent{};
     std::size_t sound_begun{};
     std::size_t sound_whole{};
@@ -131,8 +133,9 @@
         if (kind.route != "stock") request.prompt = {800, 100, 0, {}};
         const std::uint64_t last_part = body.empty() ? next_id++ : stable_hash(body) % 1'000'000;
         parts.push_back(1'000'000 + last_part);
+        const auto tokens = std::min<std::uint32_t>(200, 4000 / static_cast<std::uint32_t>(parts.size()));
         for (const std::uint64_t part : parts)
-            request.prompt.segments.push_back({part, 200, part});
+            request.prompt.segments.push_back({part, tokens, part});
         router.process(request);
     }
     /// Submits a request as a caller writes it. `prefix` lists the parts of its prompt.
@@ -169,6 +172,7 @@
                 }
                 const auto* report = std::get_if<send_report>(&item);
                 if (report == nullptr) continue;
+                largest_report = std::max(largest_report, encode_report(*report->report).size());
                 for (const auto& to : routers) {
                     if (std::ranges::find(report->addresses, to->state.settings.report_address) !=
                         report->addresses.end())
--- a/tests/test_prompt_suspects.cpp
+++ b/tests/test_prompt_suspects.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <numeric>
 
 using namespace damaskhill;
 using namespace damaskhill::direct;
@@ -286,6 +287,72 @@
     BOOST_TEST(suspects.quarantined.contains(7));
 }
 
+namespace {
+
+struct long_prompt {
+    std::size_t shared{}; // parts that sound requests hold too
+    std::size_t fresh{};  // parts of one crashing request only
+    duration delay{};     // from the first event to the crash
+};
+
+std::ostream& operator<<(std::ostream& out, const long_prompt& prompt) {
+    return out << prompt.shared << " shared, " << prompt.fresh << " fresh parts, delay " << prompt.delay / 1ms
+               << " ms";
+}
+
+std::vector<long_prompt> long_prompts() {
+    std::vector<long_prompt> prompts;
+    for (const duration delay : {duration{100ms}, duration{500ms}}) {
+        for (const std::size_t shared : {6, 15, 16, 17, 24, 100, 500, 2000})
+            prompts.push_back({shared, 0, delay});
+        for (const std::size_t fresh : {17, 100, 500})
+            prompts.push_back({2, fresh, delay});
+        prompts.push_back({100, 100, delay});
+    }
+    prompts.push_back({12'000, 0, 100ms}); // fills the largest head that is accepted by default
+    return prompts;
+}
+
+} // namespace
+
+// Guards against a part that is never accused because it lies behind a bound on the parts of a request: here
+// behind all shared parts, by its id. Reports have to stay below the size of a datagram, or nobody hears
+// them.
+BOOST_DATA_TEST_CASE(part_among_many_is_quarantined, boost::unit_test::data::make(long_prompts()), prompt) {
+    crash_kind kind;
+    kind.delay = prompt.delay;
+    crash_fleet fleet{4, 8, kind};
+    std::vector<std::uint64_t> shared(prompt.shared);
+    std::iota(shared.begin(), shared.end(), 1);
+    std::erase_if(shared,
+                  [](std::uint64_t part) { return part == crashing_part || part == second_crashing_part; });
+    const auto sound = [&](std::size_t i) {
+        if (i % 4 != 0) return;
+        ++fleet.sound_sent;
+        fleet.submit(*fleet.routers[i / 4 % fleet.routers.size()], shared);
+    };
+    const auto both = [&](std::size_t i) {
+        sound(i);
+        if (i % 25 != 0) return;
+        std::vector<std::uint64_t> parts = shared;
+        for (std::size_t fresh = 0; fresh < prompt.fresh; ++fresh)
+            parts.push_back(10'000 + i * 1000 + fresh);
+        parts.push_back(crashing_part);
+        fleet.submit(*fleet.routers[i / 25 % fleet.routers.size()], parts);
+    };
+    fleet.run_for(4s, sound);
+    fleet.run_for(12s, both);
+    BOOST_REQUIRE(fleet.crashes.size() >= 3U);
+    const time_point fifth = fleet.crashes[std::min<std::size_t>(fleet.crashes.size(), 5) - 1];
+    fleet.sound_sent = 0;
+    fleet.sound_begun = 0;
+    fleet.run_for(12s, both);
+    BOOST_TEST(fleet.crashing_arrivals_after(fifth + contact_time) <= max_late_arrivals);
+    BOOST_TEST(static_cast<double>(fleet.sound_begun) > 0.9 * static_cast<double>(fleet.sound_sent));
+    constexpr std::size_t max_datagram = 60'000;
+    BOOST_TEST(fleet.largest_report < max_datagram);
+}
+
 // Guards against memory and reports that grow with the parts that a caller makes up.
 BOOST_AUTO_TEST_CASE(evidence_is_bounded) {
     const prompt_suspect_settings settings;
@@ -300,8 +367,8 @@
             crash.accused.push_back({parts, stable_hash(std::to_string(i * 40 + request)), false, true});
         }
         add_crashes(suspects, settings, {crash}, now);
-        const std::uint64_t made_up = 100'000'000 + i * 8;
-        for (std::uint64_t part = 0; part < 8; ++part)
+        const std::uint64_t made_up = 100'000'000 + i * 100;
+        for (std::uint64_t part = 0; part < 100; ++part)
             add_answer(suspects, settings, std::array{made_up + part}, answer_evidence::whole, now, true);
     }
     BOOST_TEST(suspects.crashes.size() <= settings.max_crashes);
